--- a/examples/loop.rs
+++ b/examples/loop.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use ashford::*;
+use ruddervalve::*;
 
 const RUN: Micros = 80_000;
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A hand-driven dispatcher for the tests: settings, short event makers, and rounds.
 #![allow(dead_code)]
 
-use ashford::*;
+use ruddervalve::*;
 
 pub const MS: Micros = 1_000;
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -4,8 +4,8 @@
 
 use std::collections::BTreeSet;
 
-use ashford::*;
 use common::*;
+use ruddervalve::*;
 
 #[test]
 fn a_batch_goes_to_workers_whose_tokens_are_held() {
--- a/tests/robustness.rs
+++ b/tests/robustness.rs
@@ -4,9 +4,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use ashford::*;
 use common::*;
 use proptest::prelude::*;
+use ruddervalve::*;
 
 /// What the embedder knows of a request.
 #[derive(Default)]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use ashford::*;
 use common::*;
+use ruddervalve::*;
 
 fn keyed(group: Group) -> Settings {
     let mut settings = settings();
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -7,12 +7,12 @@
 use std::net::SocketAddrV4;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
-use ashford::{
+use base64::Engine as _;
+use fnv::FnvHasher;
+use ruddervalve::{
     Action, Availability, CellId, ClassId, Dispatcher, Event, KindId, ListKind, LoadReport, Member, Micros,
     NewRequest, Note, Outcome, RequestId, TenantId, WorkerId, ZoneId,
 };
-use base64::Engine as _;
-use fnv::FnvHasher;
 use thiserror::Error;
 
 use crate::info::{Info, Names, position};
--- a/wirehost/src/info.rs
+++ b/wirehost/src/info.rs
@@ -1,6 +1,6 @@
-//! The settings object of the wire, mapped to [`ashford::Settings`].
+//! The settings object of the wire, mapped to [`ruddervalve::Settings`].
 
-use ashford::{
+use ruddervalve::{
     ClassSettings, Discovery, Effect, Group, KindId, Limits, Micros, Reporting, Rules, Settings,
     TenantSettings, ZoneId,
 };
@@ -120,7 +120,7 @@
 }
 
 impl Info {
-    /// The settings in ashford's terms, and the names.
+    /// The settings in ruddervalve's terms, and the names.
     pub fn split(self) -> (Settings, Names) {
         let class = |(index, profile): (usize, &Profile)| ClassSettings {
             aim: profile.aim,
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -1,4 +1,4 @@
-//! Hosts ashford dispatchers behind a line-based wire on standard input and output. No decisions here.
+//! Hosts ruddervalve dispatchers behind a line-based wire on standard input and output. No decisions here.
 
 mod host;
 mod info;
@@ -13,7 +13,7 @@
     match host::serve(io::stdin().lock(), BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("ashford-wirehost: {error}");
+            eprintln!("ruddervalve-adapter: {error}");
             ExitCode::FAILURE
         }
     }
--- a/wirehost/tests/transcripts.rs
+++ b/wirehost/tests/transcripts.rs
@@ -15,7 +15,7 @@
 );
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_ashford-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_ruddervalve-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -143,6 +143,6 @@
         let output = run(&lines);
         let error = String::from_utf8_lossy(&output.stderr);
         assert!(!output.status.success(), "{lines}");
-        assert!(error.starts_with(&format!("ashford-wirehost: {message}")), "{error}");
+        assert!(error.starts_with(&format!("ruddervalve-adapter: {message}")), "{error}");
     }
 }
