--- /dev/null
+++ b/dispatcher/src/broker.rs
@@ -0,0 +1,421 @@
+//! Owns the job table: which jobs are open, who waits for their answers, and where machines listen. It alone calls the
+//! decisions and it alone gives final answers, one for each job. It must never speak HTTP or open a socket, so that any
+//! front can hand it jobs; what is to be sent leaves it as orders.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use ruddervalve::{Facade, JobFacts, ListKind, LoadReport, Outcome, Report, Step};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::claims::Errand;
+use crate::clock::Clock;
+use crate::counters::Counters;
+use crate::machine_list::ListNews;
+
+/// The submitter's time is counted from its sending and the answer has to travel: so much of it is kept back.
+const MARGIN_MS: f64 = 10.0;
+
+/// The final answer to a job.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    /// The result that an execute node gave.
+    Served(Bytes),
+    /// Refused: trying again is harmless, after this time.
+    Refused {
+        /// How long to wait.
+        wait_ms: f64,
+    },
+    /// Failed: nothing is promised.
+    Failed,
+}
+
+/// What the broker wants done on the network.
+#[derive(Debug)]
+pub enum Order {
+    /// Claim an execute node for a job.
+    Claim {
+        /// The claim: job and number.
+        claim: (u64, usize),
+        /// Where the node listens.
+        address: SocketAddr,
+        /// What to bring to it.
+        errand: Rc<Errand>,
+        /// When the wait for it ends.
+        until_ms: f64,
+    },
+    /// Give a claim up.
+    Withdraw {
+        /// The claim.
+        claim: (u64, usize),
+    },
+    /// Ask for the machine list.
+    AskForList,
+    /// Call [`Broker::tick`] at this time.
+    WakeAt(f64),
+}
+
+struct Open {
+    errand: Rc<Errand>,
+    until_ms: f64,
+    answer: oneshot::Sender<Answer>,
+}
+
+struct Table {
+    facade: Facade,
+    jobs: BTreeMap<u64, Open>,
+    next: u64,
+    addresses: BTreeMap<String, SocketAddr>,
+}
+
+/// The job table.
+pub struct Broker {
+    table: RefCell<Table>,
+    orders: mpsc::UnboundedSender<Order>,
+    clock: Clock,
+    counters: Rc<Counters>,
+    version: Cell<u64>,
+    ready: Cell<bool>,
+}
+
+/// A job handed in. Dropped before its answer came, it tells the broker that the submitter has left.
+pub struct Pending {
+    job: u64,
+    broker: Rc<Broker>,
+    answer: oneshot::Receiver<Answer>,
+}
+
+impl Pending {
+    /// Waits for the final answer.
+    pub async fn answer(mut self) -> Answer {
+        (&mut self.answer).await.unwrap_or(Answer::Failed)
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        self.broker.left(self.job);
+    }
+}
+
+impl Broker {
+    /// A broker on these decisions, whose orders go to the receiver.
+    pub fn new(
+        facade: Facade,
+        clock: Clock,
+        counters: Rc<Counters>,
+    ) -> (Rc<Self>, mpsc::UnboundedReceiver<Order>) {
+        let (orders, receiver) = mpsc::unbounded_channel();
+        let table = Table { facade, jobs: BTreeMap::new(), next: 0, addresses: BTreeMap::new() };
+        let broker = Self {
+            table: RefCell::new(table),
+            orders,
+            clock,
+            counters,
+            version: Cell::new(0),
+            ready: Cell::new(false),
+        };
+        (Rc::new(broker), receiver)
+    }
+
+    /// Whether jobs can be served: a machine list was had.
+    pub fn ready(&self) -> bool {
+        self.ready.get()
+    }
+
+    /// Whether a class goes by this name.
+    pub fn knows_class(&self, name: &str) -> bool {
+        self.table.borrow().facade.knows_class(name)
+    }
+
+    /// Whether a tenant goes by this name.
+    pub fn knows_tenant(&self, name: Option<&str>) -> bool {
+        self.table.borrow().facade.knows_tenant(name)
+    }
+
+    /// How many jobs are open.
+    pub fn open(&self) -> usize {
+        self.table.borrow().jobs.len()
+    }
+
+    /// Takes a job in, which came at `came_ms`.
+    pub fn submit(self: &Rc<Self>, came_ms: f64, mut facts: JobFacts, errand: Errand) -> Pending {
+        let now = self.clock.now();
+        let until_ms = came_ms + facts.remaining_ms - MARGIN_MS;
+        facts.remaining_ms = until_ms - now;
+        let (sender, answer) = oneshot::channel();
+        let mut table = self.table.borrow_mut();
+        let job = table.next;
+        table.next += 1;
+        table.jobs.insert(job, Open { errand: Rc::new(errand), until_ms, answer: sender });
+        let steps = table.facade.pick(now, job, &facts);
+        self.counters.count("jobs", "taken");
+        self.counters.highest("jobs", "open_at_once", table.jobs.len() as u64);
+        self.take(&mut table, steps);
+        Pending { job, broker: self.clone(), answer }
+    }
+
+    fn left(&self, job: u64) {
+        let mut table = self.table.borrow_mut();
+        if table.jobs.remove(&job).is_some() {
+            self.counters.count("answers", "submitter_left");
+            let steps = table.facade.left(self.clock.now(), job);
+            self.take(&mut table, steps);
+        }
+    }
+
+    /// The job of a claim has started to run.
+    pub fn started(&self, claim: (u64, usize)) {
+        self.report(claim, Report::Started);
+    }
+
+    /// The job of a claim is so far done.
+    pub fn progress(&self, claim: (u64, usize), done: f64) {
+        self.report(claim, Report::Progress(done));
+    }
+
+    /// A claim ended; the first one served ends its job.
+    pub fn ended(
+        &self,
+        claim: (u64, usize),
+        outcome: Outcome,
+        result: Option<Bytes>,
+        load: Option<LoadReport>,
+    ) {
+        self.counters.count("claims", outcome_name(outcome));
+        if let Some(result) = result {
+            self.answer(&mut self.table.borrow_mut(), claim.0, Answer::Served(result));
+        }
+        let closed = !self.table.borrow().jobs.contains_key(&claim.0);
+        self.report(claim, Report::Ended { outcome, closed, load });
+    }
+
+    fn report(&self, claim: (u64, usize), report: Report) {
+        let mut table = self.table.borrow_mut();
+        let steps = table.facade.report(self.clock.now(), claim.0, claim.1, report);
+        self.take(&mut table, steps);
+    }
+
+    /// Time has passed.
+    pub fn tick(&self) {
+        let mut table = self.table.borrow_mut();
+        let steps = table.facade.tick(self.clock.now());
+        self.take(&mut table, steps);
+    }
+
+    /// The version of the machine list in hand.
+    pub fn list_version(&self) -> u64 {
+        self.version.get()
+    }
+
+    /// Takes news of the machine list.
+    pub fn list(&self, kind: ListKind, news: ListNews) {
+        self.counters.count("list", if kind == ListKind::Changes { "changes" } else { "whole" });
+        self.version.set(news.version);
+        self.ready.set(self.ready.get() || !news.machines.is_empty());
+        let mut table = self.table.borrow_mut();
+        if kind != ListKind::Changes {
+            table.addresses.clear();
+        }
+        table.addresses.extend(news.addresses);
+        let steps = table.facade.list(self.clock.now(), kind, &news.machines);
+        self.take(&mut table, steps);
+    }
+
+    /// A call for the list failed or the watch on it ended.
+    pub fn list_failed(&self, problem: &str) {
+        self.counters.count("list", "failed");
+        self.counters.say(self.clock.now(), format_args!("machine list: {problem}"));
+        let mut table = self.table.borrow_mut();
+        let steps = table.facade.list_failed(self.clock.now());
+        self.take(&mut table, steps);
+    }
+
+    /// Does what the decisions want. Orders go out in the order of the steps.
+    fn take(&self, table: &mut Table, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Claim { job, claim, machine } => self.claim(table, (job, claim), &machine),
+                Step::Withdraw { job, claim } => self.order(Order::Withdraw { claim: (job, claim) }),
+                Step::Refuse { job, wait_ms } => self.answer(table, job, Answer::Refused { wait_ms }),
+                Step::Fail { job } => self.answer(table, job, Answer::Failed),
+                Step::AskForList => self.order(Order::AskForList),
+                Step::WakeAt(at) => self.order(Order::WakeAt(at)),
+                Step::Say(line) => self.counters.say(self.clock.now(), line),
+            }
+        }
+    }
+
+    fn claim(&self, table: &mut Table, claim: (u64, usize), machine: &str) {
+        let address = table.addresses.get(machine).copied();
+        let Some((open, address)) = table.jobs.get(&claim.0).zip(address) else {
+            // Guards against a machine without an address and a job that has just ended: the claim was never sent.
+            let closed = !table.jobs.contains_key(&claim.0);
+            let report = Report::Ended { outcome: Outcome::Skipped, closed, load: None };
+            let steps = table.facade.report(self.clock.now(), claim.0, claim.1, report);
+            return self.take(table, steps);
+        };
+        self.counters.count("claims", "made");
+        let (errand, until_ms) = (open.errand.clone(), open.until_ms);
+        self.order(Order::Claim { claim, address, errand, until_ms });
+    }
+
+    /// The one place where a job gets its final answer: it leaves the table with it.
+    fn answer(&self, table: &mut Table, job: u64, answer: Answer) {
+        let Some(open) = table.jobs.remove(&job) else { return };
+        self.counters.count(
+            "answers",
+            match answer {
+                Answer::Served(_) => "served",
+                Answer::Refused { .. } => "refused",
+                Answer::Failed => "failed",
+            },
+        );
+        // The submitter may have left this very moment: then nobody is told.
+        let _ = open.answer.send(answer);
+    }
+
+    fn order(&self, order: Order) {
+        // The receiver lives as long as the program.
+        let _ = self.orders.send(order);
+    }
+}
+
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Served => "served",
+        Outcome::Error => "error",
+        Outcome::Full => "turned_away",
+        Outcome::TimedOut => "timed_out",
+        Outcome::ConnectFailed => "could_not_connect",
+        Outcome::Reset => "reset",
+        Outcome::Cancelled => "withdrawn",
+        Outcome::Skipped => "never_sent",
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::machine_list::read_news;
+
+    struct Rig {
+        broker: Rc<Broker>,
+        orders: mpsc::UnboundedReceiver<Order>,
+        time: Rc<Cell<f64>>,
+        counters: Rc<Counters>,
+    }
+
+    impl Rig {
+        fn new() -> Self {
+            let text = include_str!("../../examples/config/settings.json");
+            let (settings, names) = ruddervalve_settings::Info::read(text).unwrap().checked().unwrap();
+            let (time, counters) = (Rc::new(Cell::new(1e12)), Rc::new(Counters::default()));
+            let facade = Facade::new(settings, names, 7, 0.0).unwrap();
+            let (broker, orders) = Broker::new(facade, Clock::ByHand(time.clone()), counters.clone());
+            let list = br#"{"version":4,"full":true,"servers":[
+                {"id":"a","addr":"127.0.0.1:1","zone":"north","kind":"box","state":"active","weight":1.0}]}"#;
+            broker.list(ListKind::Cached, read_news(list).unwrap());
+            Self { broker, orders, time, counters }
+        }
+
+        fn submit(&self, class: &str) -> Pending {
+            let facts = JobFacts {
+                class: class.to_owned(),
+                tenant: Some("acme".to_owned()),
+                remaining_ms: 5_000.0,
+                slots: 1.0,
+                memory: 0.0,
+                hint_ms: None,
+            };
+            let errand = Errand {
+                method: actix_http::Method::POST,
+                target: "/".to_owned(),
+                headers: actix_http::header::HeaderMap::new(),
+                body: Bytes::new(),
+            };
+            self.broker.submit(self.broker.clock.now(), facts, errand)
+        }
+
+        /// The claims and withdrawals ordered since the last call.
+        fn ordered(&mut self) -> Vec<(&'static str, (u64, usize))> {
+            let order = |order| match order {
+                Order::Claim { claim, .. } => Some(("claim", claim)),
+                Order::Withdraw { claim } => Some(("withdraw", claim)),
+                _ => None,
+            };
+            std::iter::from_fn(|| self.orders.try_recv().ok()).filter_map(order).collect()
+        }
+
+        fn answer(pending: &mut Pending) -> Option<Answer> {
+            pending.answer.try_recv().ok()
+        }
+    }
+
+    #[test]
+    fn the_first_done_is_the_one_answer() {
+        let mut rig = Rig::new();
+        let mut job = rig.submit("tint");
+        assert_eq!(rig.ordered(), [("claim", (0, 0))]);
+        rig.broker.ended((0, 0), Outcome::Served, Some(Bytes::from_static(b"red")), None);
+        rig.broker.ended((0, 0), Outcome::Served, Some(Bytes::from_static(b"blue")), None);
+        assert_eq!(Rig::answer(&mut job), Some(Answer::Served(Bytes::from_static(b"red"))));
+        drop(job);
+        assert!(rig.ordered().is_empty() && rig.broker.open() == 0);
+        assert_eq!(
+            rig.counters.to_string(),
+            "counters answers.served=1 claims.made=1 claims.served=2 jobs.open_at_once=1 jobs.taken=1 list.whole=1"
+        );
+    }
+
+    #[test]
+    fn what_must_not_run_twice_fails_once_it_may_have_run_and_comes_back_while_it_cannot_have() {
+        for (outcome, answer) in [
+            (Outcome::Reset, Some(Answer::Failed)),
+            (Outcome::Error, Some(Answer::Failed)),
+            (Outcome::Full, None),
+            (Outcome::ConnectFailed, None),
+        ] {
+            let mut rig = Rig::new();
+            let mut job = rig.submit("pour");
+            assert_eq!(rig.ordered(), [("claim", (0, 0))]);
+            rig.broker.ended((0, 0), outcome, None, None);
+            assert_eq!(Rig::answer(&mut job), answer, "{outcome:?}");
+        }
+    }
+
+    #[test]
+    fn a_refusal_says_when_to_come_back_within_what_submitters_heed() {
+        let rig = Rig::new();
+        let _held: Vec<Pending> = (0..200).map(|_| rig.submit("tint")).collect();
+        let mut job = rig.submit("tint");
+        rig.time.set(rig.time.get() + 4_990.0);
+        rig.broker.tick();
+        let Some(Answer::Refused { wait_ms }) = Rig::answer(&mut job) else { panic!("not refused") };
+        assert!(wait_ms > 0.0 && wait_ms <= 2_000.0, "{wait_ms}");
+    }
+
+    #[test]
+    fn a_submitter_that_leaves_has_its_claim_withdrawn() {
+        let mut rig = Rig::new();
+        let job = rig.submit("pour");
+        rig.ordered();
+        drop(job);
+        assert_eq!(rig.ordered(), [("withdraw", (0, 0))]);
+        rig.broker.ended((0, 0), Outcome::Cancelled, None, None);
+        assert!(rig.ordered().is_empty());
+    }
+
+    #[test]
+    fn a_node_that_leaves_gets_nothing_new() {
+        let mut rig = Rig::new();
+        let leaving = br#"{"version":5,"full":false,"servers":[
+            {"id":"a","addr":"127.0.0.1:1","zone":"north","kind":"box","state":"leaving","weight":1.0}]}"#;
+        rig.broker.list(ListKind::Changes, read_news(leaving).unwrap());
+        let _job = rig.submit("tint");
+        assert!(rig.ordered().is_empty());
+    }
+}
--- /dev/null
+++ b/dispatcher/src/clock.rs
@@ -0,0 +1,47 @@
+//! Owns the time: milliseconds as a floating-point number, anchored once to Unix time and monotonic from then on, so
+//! that the starts of machines and the spans between rounds stand on one scale. It must never be read around: nothing
+//! else in the dispatcher asks the system for the time. Tests set it by hand.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The clock; its copies tell the same time.
+#[derive(Debug, Clone)]
+pub enum Clock {
+    /// Runs by itself.
+    Running {
+        /// Unix time at the anchor.
+        unix_ms: f64,
+        /// The anchor.
+        anchor: Instant,
+    },
+    /// Stands where a test last set it.
+    #[cfg(test)]
+    ByHand(std::rc::Rc<std::cell::Cell<f64>>),
+}
+
+impl Clock {
+    /// A clock anchored now.
+    pub fn running() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self::Running { unix_ms: unix.as_secs_f64() * 1e3, anchor: Instant::now() }
+    }
+
+    /// Unix time in milliseconds; never goes back.
+    pub fn now(&self) -> f64 {
+        match self {
+            Self::Running { unix_ms, anchor } => unix_ms + anchor.elapsed().as_secs_f64() * 1e3,
+            #[cfg(test)]
+            Self::ByHand(time) => time.get(),
+        }
+    }
+
+    /// The span from now to a time, none if that has passed.
+    pub fn until(&self, at_ms: f64) -> Duration {
+        span(at_ms - self.now())
+    }
+}
+
+/// Milliseconds as a duration; what makes no sense as such is none, and a day is the longest.
+pub fn span(ms: f64) -> Duration {
+    Duration::from_secs_f64((ms / 1e3).clamp(0.0, 86_400.0))
+}
--- /dev/null
+++ b/dispatcher/src/counters.rs
@@ -0,0 +1,52 @@
+//! Owns the counts of what the dispatcher takes in, sends and answers, and the few lines it says between. It must never
+//! steer anything: nothing reads a count to decide by it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Lines in any second at most.
+const LINES_A_SECOND: u32 = 5;
+
+/// All counts, by group and name.
+#[derive(Debug, Default)]
+pub struct Counters {
+    counts: RefCell<BTreeMap<(&'static str, &'static str), u64>>,
+    said: Cell<(u64, u32)>,
+}
+
+impl Counters {
+    /// Counts one.
+    pub fn count(&self, group: &'static str, name: &'static str) {
+        *self.counts.borrow_mut().entry((group, name)).or_default() += 1;
+    }
+
+    /// Keeps the highest value seen.
+    pub fn highest(&self, group: &'static str, name: &'static str, value: u64) {
+        let mut counts = self.counts.borrow_mut();
+        let highest = counts.entry((group, name)).or_default();
+        *highest = value.max(*highest);
+    }
+
+    /// Says a line on standard error, a few in any second at most; the rest are counted.
+    pub fn say(&self, now_ms: f64, line: impl fmt::Display) {
+        let second = (now_ms / 1e3) as u64;
+        let (last, lines) = self.said.get();
+        let lines = if last == second { lines + 1 } else { 1 };
+        self.said.set((second, lines));
+        match lines <= LINES_A_SECOND {
+            true => eprintln!("ruddervalve: {line}"),
+            false => self.count("lines", "withheld"),
+        }
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "counters")?;
+        self.counts
+            .borrow()
+            .iter()
+            .try_for_each(|((group, name), count)| write!(formatter, " {group}.{name}={count}"))
+    }
+}
--- /dev/null
+++ b/dispatcher/src/machine_list.rs
@@ -0,0 +1,153 @@
+//! Owns the machine list as discovery tells it: the form of its lines, the watch that stays open, and the version to go
+//! on from. It must never decide when to ask again (the decisions do, with a growing pause), nor which machine to use.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use awc::Client;
+use bytes::BytesMut;
+use futures_util::StreamExt as _;
+use ruddervalve::{Availability, ListKind, Machine};
+use serde::Deserialize;
+use tokio::task::JoinHandle;
+
+use crate::broker::Broker;
+
+/// An empty line comes every two seconds: a watch that is silent for so long is dead.
+const SILENCE: Duration = Duration::from_secs(5);
+/// The longest line that is read: some thousand machines.
+const LONGEST_LINE: usize = 4 << 20;
+
+/// What one line of discovery says.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ListNews {
+    /// The version that the list has with it.
+    pub version: u64,
+    /// The whole list, not only changes.
+    pub full: bool,
+    /// The machines.
+    pub machines: Vec<Machine>,
+    /// Where each of them listens.
+    pub addresses: BTreeMap<String, SocketAddr>,
+}
+
+#[derive(Deserialize)]
+struct Line {
+    version: u64,
+    full: bool,
+    servers: Vec<Entry>,
+}
+
+#[derive(Deserialize)]
+struct Entry {
+    id: String,
+    addr: String,
+    zone: Option<String>,
+    kind: Option<String>,
+    cell: Option<u64>,
+    state: String,
+    weight: Option<f64>,
+    #[serde(default)]
+    started_ms: f64,
+}
+
+/// Reads one line. A machine whose address cannot be read is left out, one in an unknown state takes nothing new.
+pub fn read_news(line: &[u8]) -> Result<ListNews, String> {
+    let mut json = serde_json::Deserializer::from_slice(line);
+    let line: Line = serde_path_to_error::deserialize(&mut json).map_err(|error| error.to_string())?;
+    let mut news =
+        ListNews { version: line.version, full: line.full, machines: Vec::new(), addresses: BTreeMap::new() };
+    for entry in line.servers {
+        let availability = match entry.state.as_str() {
+            "active" => Availability::Ready,
+            "left" => Availability::Gone,
+            _ => Availability::Draining,
+        };
+        match entry.addr.parse() {
+            Ok(address) => drop(news.addresses.insert(entry.id.clone(), address)),
+            // Gone machines need no address; any other without one cannot be claimed.
+            Err(_) if availability == Availability::Gone => {}
+            Err(_) => continue,
+        }
+        news.machines.push(Machine {
+            name: entry.id,
+            availability,
+            started_ms: entry.started_ms,
+            zone: entry.zone,
+            kind: entry.kind,
+            cell: entry.cell,
+            weight: entry.weight.unwrap_or(1.0),
+        });
+    }
+    Ok(news)
+}
+
+/// Follows the list, one watch at a time.
+pub struct MachineList {
+    client: Client,
+    discovery: SocketAddr,
+    broker: Rc<Broker>,
+    watch: Option<JoinHandle<()>>,
+}
+
+impl MachineList {
+    /// Follows the list of a discovery service for a broker.
+    pub fn new(client: Client, discovery: SocketAddr, broker: Rc<Broker>) -> Self {
+        Self { client, discovery, broker, watch: None }
+    }
+
+    /// Asks for the list and its changes. A watch still open is given up: being asked again means that it told nothing.
+    pub fn ask(&mut self) {
+        if let Some(watch) = self.watch.take() {
+            watch.abort();
+        }
+        let url =
+            format!("http://{}/v1/servers?stream=1&index={}", self.discovery, self.broker.list_version());
+        let (client, address, broker) = (self.client.clone(), self.discovery, self.broker.clone());
+        self.watch = Some(actix_rt::spawn(async move {
+            let problem = watch(client, address, url, &broker).await;
+            broker.list_failed(&problem);
+        }));
+    }
+}
+
+/// One watch, from its call to its end, which always is a failure.
+async fn watch(client: Client, address: SocketAddr, url: String, broker: &Broker) -> String {
+    let call = client.get(url).address(address).send();
+    let mut response = match tokio::time::timeout(SILENCE, call).await {
+        Err(_) => return "no answer".to_owned(),
+        Ok(Err(error)) => return error.to_string(),
+        Ok(Ok(response)) => response,
+    };
+    if !response.status().is_success() {
+        return format!("status {}", response.status());
+    }
+    let mut lines = BytesMut::new();
+    loop {
+        match tokio::time::timeout(SILENCE, response.next()).await {
+            // A machine that was cut off says nothing, and its connection stays open.
+            Err(_) => return "the watch fell silent".to_owned(),
+            Ok(None) => return "the watch ended".to_owned(),
+            Ok(Some(Err(error))) => return error.to_string(),
+            Ok(Some(Ok(bytes))) => lines.extend_from_slice(&bytes),
+        }
+        while let Some(end) = lines.iter().position(|byte| *byte == b'\n') {
+            let line = lines.split_to(end + 1);
+            if line.iter().all(u8::is_ascii_whitespace) {
+                continue;
+            }
+            match read_news(&line) {
+                Ok(news) => {
+                    let kind = if news.full { ListKind::Full } else { ListKind::Changes };
+                    broker.list(kind, news);
+                }
+                Err(problem) => return problem,
+            }
+        }
+        if lines.len() > LONGEST_LINE {
+            return "a line without an end".to_owned();
+        }
+    }
+}
--- a/examples/loop.rs
+++ b/examples/loop.rs
@@ -31,7 +31,7 @@
         reporting: Reporting::Answers,
         live_weights: false,
         tells_start: false,
-        limits: Limits { max_attempts: 3, cancel: true, probes: false },
+        limits: Limits { max_attempts: 3, cancel: true, probes: false, max_retry_after: 2_000_000 },
         rules: Rules {
             cold_share: 0.2,
             cold: 10_000_000,
--- a/wirehost/src/info.rs
+++ b/settings/src/lib.rs
@@ -1,10 +1,13 @@
-//! The settings object of the wire, mapped to [`ruddervalve::Settings`].
+//! Owns the settings object that the simulator's adapter and the real dispatcher are both given: it reads the object,
+//! checks it, fills in defaults, and maps it to [`ruddervalve::Settings`], [`ruddervalve::Names`] and the figures that
+//! only sockets need. A fault is told with the key at fault. It must never decide anything, nor read a file itself.
 
 use ruddervalve::{
-    ClassSettings, Discovery, Effect, Group, KindId, Limits, Micros, Reporting, Rules, Settings,
-    TenantSettings, ZoneId,
+    ClassSettings, Discovery, Effect, Group, KindId, Limits, Micros, Names, Reporting, Rules, Settings,
+    SettingsError, TenantSettings, ZoneId,
 };
 use serde::Deserialize;
+use thiserror::Error;
 
 /// The settings as they come; what is unknown is skipped.
 #[derive(Debug, Deserialize)]
@@ -51,7 +54,10 @@
 #[serde(default)]
 struct InfoLimits {
     cancel: bool,
+    conn_idle: Micros,
+    connect_timeout: Micros,
     max_attempts: usize,
+    max_retry_after: Micros,
     probes: bool,
 }
 
@@ -106,20 +112,52 @@
     quota_per_s: f64,
 }
 
-/// The names of the settings, by which the wire refers to classes, tenants, zones and kinds.
-#[derive(Debug)]
-pub struct Names {
-    /// Class names.
-    pub classes: Vec<String>,
-    /// Tenant names.
-    pub tenants: Vec<String>,
-    /// Zone names.
-    pub zones: Vec<String>,
-    /// Machine kinds.
-    pub kinds: Vec<String>,
+/// Settings that cannot be used.
+#[derive(Debug, Error)]
+pub enum Fault {
+    /// The object is not as it has to be; the text begins with the key.
+    #[error("{0}")]
+    Form(String),
+    /// A key's value makes no sense.
+    #[error("{0}: {1}")]
+    Value(String, &'static str),
+}
+
+/// What the sockets need to know of the settings, in milliseconds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Network {
+    /// A connection that is not made within this has failed.
+    pub connect_timeout_ms: f64,
+    /// An execute node closes a connection that has been idle for this.
+    pub conn_idle_ms: f64,
+    /// The longest wait that a submitter heeds.
+    pub max_retry_after_ms: f64,
 }
 
 impl Info {
+    /// Reads the object from its JSON text.
+    pub fn read(text: &str) -> Result<Self, Fault> {
+        let mut json = serde_json::Deserializer::from_str(text);
+        serde_path_to_error::deserialize(&mut json).map_err(|error| Fault::Form(error.to_string()))
+    }
+
+    /// What the sockets need; a time of 0 or none stands for the default.
+    pub fn network(&self) -> Network {
+        let or = |value: Micros, usual: f64| if value > 0 { value as f64 / 1e3 } else { usual };
+        Network {
+            connect_timeout_ms: or(self.limits.connect_timeout, 250.0),
+            conn_idle_ms: or(self.limits.conn_idle, 15_000.0),
+            max_retry_after_ms: self.limits.max_retry_after as f64 / 1e3,
+        }
+    }
+
+    /// The settings in ruddervalve's terms, checked, and the names.
+    pub fn checked(self) -> Result<(Settings, Names), Fault> {
+        let (settings, names) = self.split();
+        settings.validate().map_err(|error| Fault::Value(key(&error), error.problem))?;
+        Ok((settings, names))
+    }
+
     /// The settings in ruddervalve's terms, and the names.
     pub fn split(self) -> (Settings, Names) {
         let class = |(index, profile): (usize, &Profile)| ClassSettings {
@@ -163,6 +201,7 @@
                 max_attempts: self.limits.max_attempts,
                 cancel: self.limits.cancel,
                 probes: self.limits.probes,
+                max_retry_after: self.limits.max_retry_after,
             },
             rules: Rules {
                 cold_share: self.obligations.cold_share,
@@ -198,6 +237,19 @@
     }
 }
 
+/// The key of the settings object that a field of the module's settings is read from.
+fn key(error: &SettingsError) -> String {
+    let field = error.field.as_str();
+    match field.split_once('.') {
+        None if field == "index" => "position".to_owned(),
+        None if field == "worst_class_weight" => "objective_mix.worst_class".to_owned(),
+        None if field == "cross_zone_price" => "prices.cross_zone".to_owned(),
+        Some(("rules", "fall_multiple")) => "obligations.tip_multiple".to_owned(),
+        Some(("rules", name)) => format!("obligations.{name}"),
+        _ => field.replacen("classes", "profiles", 1),
+    }
+}
+
 /// Where a name stands among others.
 pub fn position(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|known| known == name)
--- /dev/null
+++ b/src/answers.rs
@@ -0,0 +1,64 @@
+//! The decisions on final answers that the dispatcher gives itself: when a request is given up, whether it is refused or
+//! failed, and when a refused client should come back. The types, events and actions are in `src/interface.rs`.
+
+use crate::interface::*;
+use crate::state::{Dispatcher, Request};
+
+impl Dispatcher {
+    /// Final answer by the dispatcher: refused where trying again is harmless, else failed.
+    pub(crate) fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.close(id, false) else { return };
+        if request.attempts.is_empty()
+            && self.gave_up.replace(self.now).is_none_or(|at| at + SECOND < self.now)
+        {
+            self.note(Note::GivingUp { held: self.held.len() });
+        }
+        let harmless = match self.settings.classes[request.new.class.0].effect {
+            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+            Effect::Keyed { .. } | Effect::Unsafe => !request.may_have_run(),
+        };
+        let wait = self.come_back();
+        out.push(if harmless { Action::Refuse { request: id, wait } } else { Action::Fail { request: id } });
+    }
+
+    /// When a refused request may come back: as soon as the held ones should have found slots.
+    pub(crate) fn come_back(&self) -> Micros {
+        let slots: f64 = self.kept().map(|worker| self.slots(worker)).sum();
+        let wait = self.typical_run() * (1.0 + self.held.len() as f64) / slots.max(1.0);
+        (wait as Micros).min(self.settings.limits.max_retry_after)
+    }
+
+    pub(crate) fn client_gone(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.close(id, false) else { return };
+        if request.pending() && self.settings.limits.cancel {
+            out.push(Action::Cancel { request: id, attempt: request.attempts.len() - 1 });
+        }
+    }
+
+    /// Ends what is out of time: a held request while there still is time to say so, any other at its end.
+    pub(crate) fn settle_due(&mut self, out: &mut Vec<Action>) {
+        while let Some(&(at, id)) = self.checks.first().filter(|check| check.0 <= self.now) {
+            self.checks.remove(&(at, id));
+            let Some(request) = self.requests.get(&id) else { continue };
+            let (end, next) = match request.pending() {
+                true => (request.expires, self.half_way(request)),
+                false => (self.give_up_at(request), self.cross_at(request)),
+            };
+            if end <= self.now {
+                self.finish(id, out);
+                continue;
+            }
+            if self.to_recall(request) {
+                out.push(Action::Cancel { request: id, attempt: request.attempts.len() - 1 });
+            }
+            self.check_next(id, next, end);
+        }
+    }
+
+    /// When a held request can no longer earn anything.
+    pub(crate) fn give_up_at(&self, request: &Request) -> Micros {
+        let class = &self.settings.classes[request.new.class.0];
+        let last = request.expires.saturating_sub(2 * self.settings.tick);
+        if class.late_worth > 0.0 { last } else { request.latest_start.min(last) }
+    }
+}
--- /dev/null
+++ b/src/facade.rs
@@ -0,0 +1,300 @@
+//! Owns the blocking-style face of the decisions: [`Facade::pick`], [`Facade::report`] and [`Facade::tick`] take what
+//! happened, in milliseconds and by machine name, and return at once the steps to take. It translates and numbers; it
+//! must never decide anything itself, wait, read a clock or know of HTTP, and its events and actions stay inside.
+
+use std::collections::BTreeMap;
+use std::hash::Hasher as _;
+
+use fnv::FnvHasher;
+
+use crate::interface::*;
+use crate::state::Dispatcher;
+
+/// The names by which classes, tenants, zones and kinds are told.
+#[derive(Debug, Clone, Default)]
+pub struct Names {
+    /// Class names.
+    pub classes: Vec<String>,
+    /// Tenant names.
+    pub tenants: Vec<String>,
+    /// Zone names.
+    pub zones: Vec<String>,
+    /// Machine kinds.
+    pub kinds: Vec<String>,
+}
+
+/// One line of the machine list.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Machine {
+    /// Its name, the same at every dispatcher.
+    pub name: String,
+    /// Whether it may be given work.
+    pub availability: Availability,
+    /// When its process started, on the clock of the calls; 0: long ago.
+    pub started_ms: f64,
+    /// The name of its zone.
+    pub zone: Option<String>,
+    /// The name of its kind.
+    pub kind: Option<String>,
+    /// Its cell.
+    pub cell: Option<u64>,
+    /// Its size beside others.
+    pub weight: f64,
+}
+
+/// What decisions need to know of a job.
+#[derive(Debug, Clone, PartialEq)]
+pub struct JobFacts {
+    /// The name of its class.
+    pub class: String,
+    /// The name of its tenant.
+    pub tenant: Option<String>,
+    /// How long the submitter still waits.
+    pub remaining_ms: f64,
+    /// Slots it needs.
+    pub slots: f64,
+    /// Memory it needs.
+    pub memory: f64,
+    /// The expected work.
+    pub hint_ms: Option<f64>,
+}
+
+/// What is reported to the decisions.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Report {
+    /// The job of a claim has started to run.
+    Started,
+    /// The job of a claim is so far done.
+    Progress(f64),
+    /// The claim ended.
+    Ended {
+        /// How.
+        outcome: Outcome,
+        /// The job has its final answer, or none is owed any more.
+        closed: bool,
+        /// Free slots and waiting jobs, as the machine reported them.
+        load: Option<LoadReport>,
+    },
+}
+
+/// A step to take now, in the order given.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    /// Claim a machine for a job.
+    Claim {
+        /// The job.
+        job: u64,
+        /// The number of the claim among the job's, from 0.
+        claim: usize,
+        /// The machine's name.
+        machine: String,
+    },
+    /// Give a claim up.
+    Withdraw {
+        /// The job.
+        job: u64,
+        /// The claim.
+        claim: usize,
+    },
+    /// Answer: refused, come back after a while.
+    Refuse {
+        /// The job.
+        job: u64,
+        /// How long the submitter should wait.
+        wait_ms: f64,
+    },
+    /// Answer: failed.
+    Fail {
+        /// The job.
+        job: u64,
+    },
+    /// Ask for the machine list and its changes.
+    AskForList,
+    /// Call [`Facade::tick`] at this time.
+    WakeAt(f64),
+    /// Tell those on call.
+    Say(String),
+}
+
+/// The decisions of one dispatcher behind plain calls.
+#[derive(Debug)]
+pub struct Facade {
+    dispatcher: Dispatcher,
+    names: Names,
+    machines: BTreeMap<WorkerId, String>,
+    /// Claims made so far for each open job.
+    claims: BTreeMap<u64, usize>,
+    /// The shortest time between two rounds, the last one, and what has happened since.
+    gap_ms: f64,
+    last_ms: f64,
+    events: Vec<Event>,
+}
+
+impl WorkerId {
+    /// The id of a worker that goes by a name: the same wherever the name is.
+    pub fn named(name: &str) -> Self {
+        let mut hasher = FnvHasher::default();
+        hasher.write(name.as_bytes());
+        Self(hasher.finish())
+    }
+}
+
+impl Facade {
+    /// A dispatcher that knows nothing yet. Rounds are at least `gap_ms` apart; with 0 every call is one.
+    pub fn new(settings: Settings, names: Names, seed: u64, gap_ms: f64) -> Result<Self, SettingsError> {
+        Ok(Self {
+            dispatcher: Dispatcher::new(settings, seed)?,
+            names,
+            machines: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            gap_ms,
+            last_ms: f64::NEG_INFINITY,
+            events: Vec::new(),
+        })
+    }
+
+    /// Whether a class goes by this name.
+    pub fn knows_class(&self, name: &str) -> bool {
+        position(&self.names.classes, name).is_some()
+    }
+
+    /// Whether a tenant goes by this name; where no tenants are set any may come.
+    pub fn knows_tenant(&self, name: Option<&str>) -> bool {
+        self.names.tenants.is_empty()
+            || name.is_some_and(|name| position(&self.names.tenants, name).is_some())
+    }
+
+    /// Takes a job; `id` must be new. Its one final answer comes as a step, now or later, or by a claim served.
+    pub fn pick(&mut self, now_ms: f64, id: u64, job: &JobFacts) -> Vec<Step> {
+        // An unknown class has no index: the decisions refuse it.
+        let class = position(&self.names.classes, &job.class).unwrap_or(usize::MAX);
+        let tenant = job.tenant.as_ref().and_then(|name| position(&self.names.tenants, name));
+        self.claims.insert(id, 0);
+        self.happened(
+            now_ms,
+            Event::Request(NewRequest {
+                id: RequestId(id),
+                class: ClassId(class),
+                tenant: tenant.map(TenantId),
+                expires_in: micros(job.remaining_ms),
+                slots: job.slots,
+                memory: job.memory,
+                hint: job.hint_ms.map(micros),
+            }),
+        )
+    }
+
+    /// Takes what is known of a claim.
+    pub fn report(&mut self, now_ms: f64, job: u64, claim: usize, report: Report) -> Vec<Step> {
+        let (request, attempt) = (RequestId(job), claim);
+        let event = match report {
+            Report::Started => Event::JobStarted { request, attempt },
+            Report::Progress(done) => Event::JobProgress { request, attempt, done },
+            Report::Ended { outcome, closed, load } => {
+                if closed {
+                    self.claims.remove(&job);
+                }
+                Event::AttemptEnded { request, attempt, outcome, closed, report: load }
+            }
+        };
+        self.happened(now_ms, event)
+    }
+
+    /// The submitter of a job has left: no answer is owed any more.
+    pub fn left(&mut self, now_ms: f64, job: u64) -> Vec<Step> {
+        self.claims.remove(&job);
+        self.happened(now_ms, Event::ClientGone { request: RequestId(job) })
+    }
+
+    /// Takes the machine list, or changes of it.
+    pub fn list(&mut self, now_ms: f64, kind: ListKind, machines: &[Machine]) -> Vec<Step> {
+        let members = machines.iter().map(|machine| self.member(machine)).collect();
+        self.happened(now_ms, Event::Members { kind, members })
+    }
+
+    /// A call for the machine list failed, or the watch on it ended.
+    pub fn list_failed(&mut self, now_ms: f64) -> Vec<Step> {
+        self.happened(now_ms, Event::DiscoveryFailed)
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now_ms: f64) -> Vec<Step> {
+        self.happened(now_ms, Event::Wake)
+    }
+
+    fn happened(&mut self, now_ms: f64, event: Event) -> Vec<Step> {
+        self.events.push(event);
+        let next = self.last_ms + self.gap_ms;
+        if now_ms < next {
+            return vec![Step::WakeAt(next)];
+        }
+        self.last_ms = now_ms;
+        let (events, mut actions) = (std::mem::take(&mut self.events), Vec::new());
+        self.dispatcher.round(micros(now_ms), &events, &mut actions);
+        actions.into_iter().filter_map(|action| self.step(action)).collect()
+    }
+
+    fn step(&mut self, action: Action) -> Option<Step> {
+        Some(match action {
+            Action::Send { request, worker } => {
+                let made = self.claims.entry(request.0).or_default();
+                *made += 1;
+                Step::Claim { job: request.0, claim: *made - 1, machine: self.name(worker) }
+            }
+            Action::Cancel { request, attempt } => Step::Withdraw { job: request.0, claim: attempt },
+            Action::Refuse { request, wait } => {
+                self.claims.remove(&request.0);
+                Step::Refuse { job: request.0, wait_ms: wait as f64 / 1e3 }
+            }
+            Action::Fail { request } => {
+                self.claims.remove(&request.0);
+                Step::Fail { job: request.0 }
+            }
+            Action::WakeAt(at) => Step::WakeAt(at as f64 / 1e3),
+            // Nothing here can probe: the platform has no probes, and its settings say so.
+            Action::Probe(_) => return None,
+            Action::Subscribe => Step::AskForList,
+            Action::Log(note) => Step::Say(self.text(note)),
+        })
+    }
+
+    fn name(&self, worker: WorkerId) -> String {
+        self.machines.get(&worker).cloned().unwrap_or_default()
+    }
+
+    fn text(&self, note: Note) -> String {
+        match note {
+            Note::Withheld { worker, span } => {
+                format!("{} failed: nothing for {} ms, then a trial", self.name(worker), span / 1_000)
+            }
+            Note::Trusted { worker } => format!("{} served again and is trusted", self.name(worker)),
+            Note::GivingUp { held } => format!("giving up jobs for want of machines, {held} are held"),
+            Note::DiscoveryFailed => "the machine list cannot be had: the last one stays in use".to_owned(),
+        }
+    }
+
+    fn member(&mut self, machine: &Machine) -> Member {
+        let worker = WorkerId::named(&machine.name);
+        self.machines.insert(worker, machine.name.clone());
+        let find =
+            |names: &[String], name: &Option<String>| name.as_ref().and_then(|name| position(names, name));
+        Member {
+            worker,
+            availability: machine.availability,
+            booted: micros(machine.started_ms),
+            zone: find(&self.names.zones, &machine.zone).map(ZoneId),
+            kind: find(&self.names.kinds, &machine.kind).map(KindId),
+            cell: machine.cell.map(CellId),
+            weight: machine.weight,
+        }
+    }
+}
+
+/// Milliseconds as whole microseconds; what makes no sense as such is 0.
+fn micros(ms: f64) -> Micros {
+    (ms * 1e3).round() as Micros
+}
+
+fn position(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|known| known == name)
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -129,6 +129,8 @@
     pub cancel: bool,
     /// Workers may be probed.
     pub probes: bool,
+    /// The longest wait that clients heed when a refusal tells them to come back.
+    pub max_retry_after: Micros,
 }
 
 /// The figures of the four rules.
@@ -414,6 +416,8 @@
     Refuse {
         /// The request.
         request: RequestId,
+        /// How long the client should wait before it comes back.
+        wait: Micros,
     },
     /// Final answer: failed, nothing is promised.
     Fail {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,8 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use rand::Rng;
-use rand::seq::{IndexedRandom, IteratorRandom};
+use rand::{Rng, seq::IndexedRandom, seq::IteratorRandom};
 
 use crate::interface::*;
 use crate::state::{Attempt, Dispatcher, Flight, Request, Worker, amount, average};
@@ -129,7 +128,7 @@
             return;
         }
         let Some(class) = self.settings.classes.get(new.class.0) else {
-            return out.push(Action::Refuse { request: new.id });
+            return out.push(Action::Refuse { request: new.id, wait: self.come_back() });
         };
         let last = self.last_request.replace(self.now);
         last.into_iter().for_each(|last| average(&mut self.gap, (self.now - last) as f64, NEWEST / 16.0));
@@ -182,28 +181,6 @@
         over
     }
 
-    /// Final answer by the dispatcher: refused where trying again is harmless, else failed.
-    fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.close(id, false) else { return };
-        if request.attempts.is_empty()
-            && self.gave_up.replace(self.now).is_none_or(|at| at + SECOND < self.now)
-        {
-            self.note(Note::GivingUp { held: self.held.len() });
-        }
-        let harmless = match self.settings.classes[request.new.class.0].effect {
-            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
-            Effect::Keyed { .. } | Effect::Unsafe => !request.may_have_run(),
-        };
-        out.push(if harmless { Action::Refuse { request: id } } else { Action::Fail { request: id } });
-    }
-
-    fn client_gone(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.close(id, false) else { return };
-        if request.pending() && self.settings.limits.cancel {
-            out.push(Action::Cancel { request: id, attempt: request.attempts.len() - 1 });
-        }
-    }
-
     /// After an attempt that did not serve: hold the request for another one, or end it.
     fn reconsider(&mut self, id: RequestId, attempt: usize, outcome: Outcome, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
@@ -220,29 +197,9 @@
         }
     }
 
-    /// Ends what is out of time: a held request while there still is time to say so, any other at its end.
-    fn settle_due(&mut self, out: &mut Vec<Action>) {
-        while let Some(&(at, id)) = self.checks.first().filter(|check| check.0 <= self.now) {
-            self.checks.remove(&(at, id));
-            let Some(request) = self.requests.get(&id) else { continue };
-            let (end, next) = match request.pending() {
-                true => (request.expires, self.half_way(request)),
-                false => (self.give_up_at(request), self.cross_at(request)),
-            };
-            if end <= self.now {
-                self.finish(id, out);
-                continue;
-            }
-            if self.to_recall(request) {
-                out.push(Action::Cancel { request: id, attempt: request.attempts.len() - 1 });
-            }
-            self.check_next(id, next, end);
-        }
-    }
-
     /// Guards against hung and misjudged workers: a harmless job that did not start half-way to its latest
     /// start is called back while another worker's idle token is held.
-    fn to_recall(&self, request: &Request) -> bool {
+    pub(crate) fn to_recall(&self, request: &Request) -> bool {
         let harmless = self.settings.classes[request.new.class.0].effect == Effect::Safe;
         let told = self.settings.tells_start && self.settings.limits.cancel;
         let more = request.attempts.len() < self.settings.limits.max_attempts;
@@ -250,21 +207,14 @@
         harmless && told && more && self.waits(request) && self.kept().any(held)
     }
 
-    fn half_way(&self, request: &Request) -> Micros {
+    pub(crate) fn half_way(&self, request: &Request) -> Micros {
         let left = request.latest_start.saturating_sub(self.now);
         self.now + left / 2 / self.settings.tick.max(1) * self.settings.tick
     }
 
-    /// When a held request can no longer earn anything.
-    fn give_up_at(&self, request: &Request) -> Micros {
-        let class = &self.settings.classes[request.new.class.0];
-        let last = request.expires.saturating_sub(2 * self.settings.tick);
-        if class.late_worth > 0.0 { last } else { request.latest_start.min(last) }
-    }
-
     /// From when on a request may leave the own zone: the dearer crossing is beside the request's worth, the
     /// larger the part of its slack that it waits for a token at home.
-    fn cross_at(&self, request: &Request) -> Micros {
+    pub(crate) fn cross_at(&self, request: &Request) -> Micros {
         let relative = request.value / self.worth.unwrap_or(request.value).max(f64::MIN_POSITIVE);
         let part = (self.settings.cross_zone_price / relative.max(f64::MIN_POSITIVE)).min(1.0);
         let last = request.latest_start.min(self.give_up_at(request));
--- a/src/state.rs
+++ b/src/state.rs
@@ -196,11 +196,11 @@
     /// Asks to be woken for what is due next, unless that was asked for before.
     pub(crate) fn ask_wake(&mut self, out: &mut Vec<Action>) {
         let next = self.checks.first().map(|check| check.0).into_iter().chain(self.ask_at).min();
-        if let Some(at) = next.map(|at| at.max(self.now + 1)) {
-            if self.wake.is_none_or(|wake| wake <= self.now || at < wake) {
-                self.wake = Some(at);
-                out.push(Action::WakeAt(at));
-            }
+        if let Some(at) = next.map(|at| at.max(self.now + 1))
+            && self.wake.is_none_or(|wake| wake <= self.now || at < wake)
+        {
+            self.wake = Some(at);
+            out.push(Action::WakeAt(at));
         }
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -35,7 +35,7 @@
         reporting: Reporting::Answers,
         live_weights: false,
         tells_start: true,
-        limits: Limits { max_attempts: 3, cancel: true, probes: false },
+        limits: Limits { max_attempts: 3, cancel: true, probes: false, max_retry_after: 2_000_000 },
         rules: Rules {
             cold_share: 0.2,
             cold: 10 * SECOND,
--- a/tests/robustness.rs
+++ b/tests/robustness.rs
@@ -157,7 +157,7 @@
     };
     let keyed = Effect::Keyed { group: Group::All, window: SECOND };
     let mut bare = base.clone();
-    bare.limits = Limits { max_attempts: 1, cancel: false, probes: false };
+    bare.limits = Limits { max_attempts: 1, cancel: false, probes: false, max_retry_after: 0 };
     (bare.dispatchers, bare.zone, bare.tenants, bare.tells_start) = (1, None, Vec::new(), false);
     (bare.reporting, bare.worst_class_weight) = (Reporting::None, 2.0);
     let mut probed = base.clone();
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -2,20 +2,18 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
-use std::hash::Hasher as _;
 use std::io::{self, BufRead, Write};
 use std::net::SocketAddrV4;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
 use base64::Engine as _;
-use fnv::FnvHasher;
 use ruddervalve::{
     Action, Availability, CellId, ClassId, Dispatcher, Event, KindId, ListKind, LoadReport, Member, Micros,
-    NewRequest, Note, Outcome, RequestId, TenantId, WorkerId, ZoneId,
+    Names, NewRequest, Note, Outcome, RequestId, TenantId, WorkerId, ZoneId,
 };
+use ruddervalve_settings::{Info, position};
 use thiserror::Error;
 
-use crate::info::{Info, Names, position};
 use crate::wire::{Line, Malformed};
 
 /// Why hosting ended early.
@@ -155,8 +153,8 @@
 impl Instance {
     fn attach(line: &Line) -> Result<Self, Malformed> {
         let seed = line.number("rng_seed")?;
-        let info: Info = serde_json::from_str(line.required("info")?)
-            .map_err(|error| Malformed::Settings(error.to_string()))?;
+        let info =
+            Info::read(line.required("info")?).map_err(|error| Malformed::Settings(error.to_string()))?;
         let (settings, names) = info.split();
         Ok(Self {
             dispatcher: Dispatcher::new(settings, seed).map_err(|error| format!("settings: {error}")),
@@ -199,7 +197,9 @@
             Action::Cancel { request, attempt } => {
                 writeln!(reply, "ABORT_ATTEMPT rid={} copy={attempt}", request.0)
             }
-            Action::Refuse { request } => writeln!(reply, "DENY rid={}", request.0),
+            Action::Refuse { request, wait } => {
+                writeln!(reply, "DENY rid={} come_back={wait}", request.0)
+            }
             Action::Fail { request } => writeln!(reply, "ABORT rid={}", request.0),
             Action::WakeAt(at) => writeln!(reply, "SLEEP mark=0 time={at}"),
             Action::Probe(worker) => writeln!(reply, "POLL runner={}", name(worker)),
@@ -297,12 +297,7 @@
     fn worker(&mut self, name: &str) -> WorkerId {
         let address =
             |address: SocketAddrV4| u64::from(address.ip().to_bits()) << 16 | u64::from(address.port());
-        let hash = || {
-            let mut hasher = FnvHasher::default();
-            hasher.write(name.as_bytes());
-            hasher.finish()
-        };
-        let id = WorkerId(name.parse().map(address).unwrap_or_else(|_| hash()));
+        let id = name.parse().map(address).map_or_else(|_| WorkerId::named(name), WorkerId);
         self.workers.entry(id).or_insert_with(|| name.to_owned());
         id
     }
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -1,7 +1,6 @@
 //! Hosts ruddervalve dispatchers behind a line-based wire on standard input and output. No decisions here.
 
 mod host;
-mod info;
 mod wire;
 
 use std::io::{self, BufWriter};
