--- a/src/answers.rs
+++ b/src/answers.rs
@@ -1,8 +1,11 @@
 //! The decisions on final answers that the dispatcher gives itself: when a request is given up, whether it is refused or
 //! failed, and when a refused client should come back. The types, events and actions are in `src/interface.rs`.
 
+use std::collections::BTreeMap;
+
 use crate::interface::*;
-use crate::state::{Dispatcher, Request};
+use crate::logic::NEWEST;
+use crate::state::{Dispatcher, Request, Worker};
 
 impl Dispatcher {
     /// Final answer by the dispatcher: refused where trying again is harmless, else failed.
@@ -55,10 +58,37 @@
         }
     }
 
-    /// When a held request can no longer earn anything.
+    /// When a held request can no longer earn anything: its aim is out of reach and lateness earns nothing, or its run
+    /// would outlast the client. It is answered then, not held to its end: the client may come back.
     pub(crate) fn give_up_at(&self, request: &Request) -> Micros {
         let class = &self.settings.classes[request.new.class.0];
-        let last = request.expires.saturating_sub(2 * self.settings.tick);
+        let last =
+            request.expires.saturating_sub(((request.work * NEWEST) as Micros).max(2 * self.settings.tick));
         if class.late_worth > 0.0 { last } else { request.latest_start.min(last) }
     }
+
+    /// Gives up what can no longer truly be sent: late jobs whose turn, behind all held ones that are served sooner,
+    /// comes too late for their run, or for which no worker is listed. The client may come back, here or elsewhere,
+    /// while it still waits.
+    pub(crate) fn give_up_hopeless(&mut self, out: &mut Vec<Action>) {
+        let mut order: Vec<_> = self.held.iter().map(|id| (self.rank(&self.requests[id]), *id)).collect();
+        order.sort_by(|left, right| right.0.total_cmp(&left.0));
+        let mut ahead: BTreeMap<Option<KindId>, f64> = BTreeMap::new();
+        let mut hopeless = Vec::new();
+        for (_, id) in order {
+            let request = &self.requests[&id];
+            let kind = self.settings.classes[request.new.class.0].kind;
+            let fits = |worker: &&Worker| kind.is_none() || worker.member.kind == kind;
+            let slots: f64 = self.kept().filter(fits).map(|worker| self.slots(worker)).sum();
+            let own = (slots / self.settings.dispatchers as f64).max(1.0);
+            let before = ahead.entry(kind).or_default();
+            let ends = self.now.saturating_add((*before / own + request.work * NEWEST) as Micros);
+            if request.latest_start < self.now && (slots <= 0.0 || ends > request.expires) {
+                hopeless.push(id);
+            } else {
+                *before += request.work * request.need();
+            }
+        }
+        hopeless.into_iter().for_each(|id| self.finish(id, out));
+    }
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -52,6 +52,7 @@
             self.take(event, out);
         }
         self.dispatch(out);
+        self.give_up_hopeless(out);
         self.settle_due(out);
         self.probe(out);
         self.ask_discovery(out);
@@ -362,7 +363,7 @@
 
     /// The higher, the sooner served: what may be expected to earn most for each unit of work. What the
     /// worst-served class asks for earns twice: in the whole and, for its small part of it, as the worst.
-    fn rank(&self, request: &Request) -> f64 {
+    pub(crate) fn rank(&self, request: &Request) -> f64 {
         let (class, asked) = (&self.seen[request.new.class.0], self.seen.iter().map(|seen| seen.asked));
         let worst = self.seen.iter().all(|other| class.kept <= other.kept);
         let share = asked.sum::<f64>() / class.asked.max(f64::MIN_POSITIVE);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -270,3 +270,23 @@
         assert!(in_window <= budget, "{in_window} of {budget} s of work at {at}");
     }
 }
+
+/// Guards against jobs that are held to their end though their turn cannot come: their clients could not retry.
+#[test]
+fn late_jobs_behind_too_many_others_are_refused_with_time_left_and_a_wait() {
+    let mut settings = settings();
+    settings.classes[0].late_worth = 0.5;
+    let mut rig = Rig::busy(settings);
+    let came = rig.now;
+    rig.round(0, &(10..90).map(|id| request(id, 0)).collect::<Vec<_>>());
+    let out = rig.pass(2 * SECOND, 20 * MS);
+    assert!(rig.now < came + 3 * SECOND);
+    let refused = out.iter().filter_map(|action| match action {
+        Action::Refuse { request, wait } => Some((request.0, *wait)),
+        _ => None,
+    });
+    let refused: Vec<(u64, Micros)> = refused.collect();
+    // One slot runs some fifty such jobs in the time that clients wait: the first of them are still held.
+    assert!((20..60).contains(&refused.len()), "{refused:?}");
+    assert!(refused.iter().all(|(_, wait)| (1..=2 * SECOND).contains(wait)));
+}
