Test the real program as a process and count what is no HTTP

Tests now start it and speak to it as submitters, execute nodes and discovery: jobs and results byte for byte over kept connections, each outcome of the protocol, bad input, leaving submitters, deadlines, the watch, SIGTERM, configuration faults. Checked: the library answers what is no HTTP by itself, also a request without Host, and only the end of its connection tells: front.rs counts that now. A fragile job is sent once after failed, 500, lost and broken streams and again after being turned away, as it should be. Conclusion: no fault found in the outcomes; examples/config.json is the one configuration that tests and newcomers use.

--- a/dispatcher/src/broker.rs
+++ b/dispatcher/src/broker.rs
@@ -311,10 +311,12 @@
 
     impl Rig {
         fn new() -> Self {
-            let text = include_str!("../../examples/config/settings.json");
-            let (settings, names) = ruddervalve_settings::Info::read(text).unwrap().checked().unwrap();
+            let text = |_: &str| Ok(include_str!("../../examples/config.json").to_owned());
+            let config =
+                crate::config::Config::read(|name| (name == "ROUTER_CONFIG").then(String::new), text)
+                    .unwrap();
             let (time, counters) = (Rc::new(Cell::new(1e12)), Rc::new(Counters::default()));
-            let facade = Facade::new(settings, names, 7, 0.0).unwrap();
+            let facade = Facade::new(config.settings, config.names, 7, 0.0).unwrap();
             let (broker, orders) = Broker::new(facade, Clock::ByHand(time.clone()), counters.clone());
             let list = br#"{"version":4,"full":true,"servers":[
                 {"id":"a","addr":"127.0.0.1:1","zone":"north","kind":"box","state":"active","weight":1.0}]}"#;
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -78,7 +78,7 @@
         let text = file(&path).map_err(|error| fault("ROUTER_CONFIG", error))?;
         let mut json = serde_json::Deserializer::from_str(&text);
         let given: File = serde_path_to_error::deserialize(&mut json)
-            .map_err(|error| fault(&format!("{path}: {}", error.path()), error.inner().to_string()))?;
+            .map_err(|error| fault("ROUTER_CONFIG", format!("{path}: {error}")))?;
         let address = |key: &str, name: &str, value: Option<String>| -> Result<SocketAddr, ConfigError> {
             let value = variable(name).or(value).ok_or_else(|| fault(key, "is missing".to_owned()))?;
             value.parse().map_err(|_| fault(key, format!("'{value}' is no address with a port")))
--- a/dispatcher/src/front.rs
+++ b/dispatcher/src/front.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::error::DispatchError;
 use actix_http::header::{self, HeaderMap, HeaderName};
 use actix_http::{
     ConnectionType, HttpMessage as _, HttpService, KeepAlive, Method, Request, Response, StatusCode,
@@ -92,7 +93,12 @@
                     self.counters.count("connections", "submitters");
                     let (this, service) = (self.clone(), service.clone());
                     actix_rt::spawn(async move {
-                        let _ = service.call((stream, Some::<SocketAddr>(peer))).await;
+                        // The library words the answer to what is no HTTP by itself: here it is counted.
+                        if let Err(DispatchError::Parse(_)) =
+                            service.call((stream, Some::<SocketAddr>(peer))).await
+                        {
+                            this.counters.count("bad_input", "not_http");
+                        }
                         this.connections.set(this.connections.get() - 1);
                     });
                 }
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -56,6 +56,7 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut print = signal(SignalKind::user_defined1())?;
     let listener = tokio::net::TcpListener::bind(config.listen).await?;
+    let at = listener.local_addr()?;
     // Two fifths of the descriptors for claims: each job out has a submitter's connection and one to a node, and what is
     // idle on either side takes the rest.
     let limit = config.sockets * 2 / 5;
@@ -71,7 +72,7 @@
     let (stop, stopped) = watch::channel(false);
     let front = Front::new(broker.clone(), clock.clone(), counters.clone());
     let serving = actix_rt::spawn(front.clone().serve(listener, stopped));
-    counters.say(clock.now(), format_args!("{} listens on {}", config.name, config.listen));
+    counters.say(clock.now(), format_args!("{} listens on {at}", config.name));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- /dev/null
+++ b/dispatcher/tests/process.rs
@@ -0,0 +1,464 @@
+//! Starts the real program and speaks to it as submitters, execute nodes and discovery do. Ports are free ones, and
+//! every wait is for a condition.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use insta::{assert_debug_snapshot, assert_snapshot};
+
+const CONFIG: &str = include_str!("../../examples/config.json");
+const HEALTH: &str = "GET /healthz HTTP/1.1\r\nHost: service.internal\r\n\r\n";
+
+/// A request or an answer as it came: first line, headers by lower-case name, body.
+#[derive(Debug, Clone, Default)]
+struct Message {
+    first: String,
+    headers: BTreeMap<String, String>,
+    body: String,
+}
+
+impl Message {
+    /// Reads one; none at the end of the connection.
+    fn read(from: &mut impl BufRead) -> Option<Self> {
+        let (mut message, mut line) = (Self::default(), String::new());
+        from.read_line(&mut line).ok().filter(|length| *length > 0)?;
+        message.first = line.trim_end().to_owned();
+        loop {
+            line.clear();
+            from.read_line(&mut line).ok().filter(|length| *length > 0)?;
+            let Some((name, value)) = line.trim_end().split_once(": ") else { break };
+            message.headers.insert(name.to_lowercase(), value.to_owned());
+        }
+        let length = message.headers.get("content-length").map_or(0, |length| length.parse().unwrap());
+        let mut body = vec![0; length];
+        from.read_exact(&mut body).ok()?;
+        message.body = String::from_utf8(body).unwrap();
+        Some(message)
+    }
+
+    fn status(&self) -> &str {
+        self.first.split(' ').nth(1).unwrap_or_default()
+    }
+}
+
+/// What the stand-ins saw.
+#[derive(Default)]
+struct Seen {
+    connections: usize,
+    requests: Vec<Message>,
+    closed: usize,
+    watches: Vec<(String, TcpStream)>,
+}
+
+type Shared = Arc<Mutex<Seen>>;
+
+/// Waits until something holds.
+fn until<T>(what: &str, mut holds: impl FnMut() -> Option<T>) -> T {
+    for _ in 0..6_000 {
+        if let Some(value) = holds() {
+            return value;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    panic!("never: {what}");
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// An execute node that does what the query of a request says.
+fn node(seen: &Shared) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (address, seen) = (listener.local_addr().unwrap(), seen.clone());
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            seen.lock().unwrap().connections += 1;
+            let seen = seen.clone();
+            thread::spawn(move || serve(stream, &seen));
+        }
+    });
+    address
+}
+
+fn serve(mut stream: TcpStream, seen: &Shared) {
+    let mut from = BufReader::new(stream.try_clone().unwrap());
+    while let Some(request) = Message::read(&mut from) {
+        let how = request.first.split(['=', ' ']).nth(2).unwrap_or_default().to_owned();
+        seen.lock().unwrap().requests.push(request);
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let line = |state: &str, more: &str| {
+            chunk(&format!("{{\"id\":\"t\",\"from\":\"a\",\"state\":\"{state}\"{more}}}\n"))
+        };
+        let (started, last) = (line("started", ""), "0\r\n\r\n");
+        let running = line("running", ",\"share\":0.4");
+        let load = ",\"load\":{\"x0\":4,\"util\":0.1}";
+        let answer = match how.as_str() {
+            "done" => {
+                let done = line("done", &format!(",\"result\":\"a \\\"red\\\" tint\"{load}"));
+                format!("{head}{started}{running}{done}{last}")
+            }
+            "failed" | "returned" | "lost" => format!("{head}{started}{}{last}", line(&how, load)),
+            "500" => "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            "503" => "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nX-Pressure: TEXT x0=0, util=0.9\r\n\
+                      Content-Length: 0\r\n\r\n"
+                .to_owned(),
+            "ends" => format!("{head}{started}{last}"),
+            "breaks" => format!("{head}{started}"),
+            "gone" => String::new(),
+            // Runs until the other side closes.
+            "runs" => {
+                stream.write_all(format!("{head}{started}").as_bytes()).unwrap();
+                let _ = from.read(&mut [0]);
+                seen.lock().unwrap().closed += 1;
+                return;
+            }
+            // Runs until the test lets go by emptying the list of watches.
+            _ => {
+                until("let go", || seen.lock().unwrap().watches.is_empty().then_some(()));
+                format!("{head}{}{last}", line("done", ",\"result\":\"late\""))
+            }
+        };
+        if stream.write_all(answer.as_bytes()).is_err() || matches!(how.as_str(), "breaks" | "gone") {
+            return;
+        }
+    }
+}
+
+/// A discovery that knows one node and keeps its watches.
+fn discovery(seen: &Shared, node: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (address, seen) = (listener.local_addr().unwrap(), seen.clone());
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut from = BufReader::new(stream.try_clone().unwrap());
+            let Some(request) = Message::read(&mut from) else { continue };
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            let list = chunk(&list(7, true, node, "active"));
+            stream.write_all(format!("{head}{list}").as_bytes()).unwrap();
+            seen.lock().unwrap().watches.push((request.first, stream));
+        }
+    });
+    address
+}
+
+fn list(version: u64, full: bool, node: SocketAddr, state: &str) -> String {
+    format!(
+        "{{\"version\":{version},\"full\":{full},\"servers\":[{{\"id\":\"a\",\"addr\":\"{node}\",\"zone\":\"north\",\
+         \"kind\":\"box\",\"cell\":0,\"state\":\"{state}\",\"weight\":1.0,\"started_ms\":0}}]}}\n"
+    )
+}
+
+/// The program with its stand-ins; killed when dropped.
+struct Rig {
+    child: Child,
+    address: SocketAddr,
+    node: SocketAddr,
+    seen: Shared,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Rig {
+    fn new() -> Self {
+        let seen = Shared::default();
+        let node = node(&seen);
+        Self::with(seen, node)
+    }
+
+    fn with(seen: Shared, node: SocketAddr) -> Self {
+        let discovery = discovery(&seen, node);
+        let config = CONFIG.replace("127.0.0.1:8000", "127.0.0.1:0");
+        let config = config.replace("127.0.0.1:8500", &discovery.to_string());
+        let mut child = start(&config, &[]);
+        let mut from = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        from.read_line(&mut line).unwrap();
+        let address = line.trim().rsplit(' ').next().unwrap().parse().expect(&line);
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let kept = lines.clone();
+        thread::spawn(move || {
+            from.lines().map_while(Result::ok).for_each(|line| kept.lock().unwrap().push(line))
+        });
+        let rig = Self { child, address, node, seen, lines };
+        until("ready", || (rig.ask(HEALTH).status() == "200").then_some(()));
+        rig
+    }
+
+    fn send(&self, request: &str) -> BufReader<TcpStream> {
+        let mut stream = TcpStream::connect(self.address).unwrap();
+        stream.write_all(request.as_bytes()).unwrap();
+        BufReader::new(stream)
+    }
+
+    fn ask(&self, request: &str) -> Message {
+        Message::read(&mut self.send(request)).expect("an answer")
+    }
+
+    fn signal(&self, signal: &str) {
+        assert!(
+            Command::new("kill").args([signal, &self.child.id().to_string()]).status().unwrap().success()
+        );
+    }
+
+    /// The counters of a group, as the program prints them on request.
+    fn counters(&self, group: &str) -> Vec<String> {
+        self.lines.lock().unwrap().clear();
+        self.signal("-USR1");
+        until("counters", || {
+            let lines = self.lines.lock().unwrap();
+            let line = lines.iter().find(|line| line.contains("counters"))?;
+            Some(line.split(' ').filter(|count| count.starts_with(group)).map(str::to_owned).collect())
+        })
+    }
+
+    fn seen<T>(&self, look: impl Fn(&Seen) -> T) -> T {
+        look(&self.seen.lock().unwrap())
+    }
+
+    fn ended(&mut self) -> ExitStatus {
+        until("the program ends", || self.child.try_wait().unwrap())
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn start(config: &str, variables: &[(&str, &str)]) -> Child {
+    let name = format!("ruddervalve-{}-{:?}.json", std::process::id(), thread::current().id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, config).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_ruddervalve"))
+        .env("ROUTER_CONFIG", &path)
+        .envs(variables.iter().copied())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap()
+}
+
+fn job(class: &str, how: &str, remaining_ms: u32) -> String {
+    format!(
+        "POST /{class}/7?do={how} HTTP/1.1\r\nHost: service.internal\r\nX-Txn: 9b1f\r\nX-Lane: {class}\r\n\
+         X-Org: acme\r\nCookie: key=7f\r\nX-Remaining-Ms: {remaining_ms}\r\nContent-Length: 5\r\n\r\nocean"
+    )
+}
+
+#[test]
+fn a_job_reaches_a_node_as_it_came_and_its_result_the_submitter_over_kept_connections() {
+    let rig = Rig::new();
+    let mut stream = rig.send(&job("tint", "done", 5_000));
+    let first = Message::read(&mut stream).unwrap();
+    assert_eq!((first.status(), first.body.as_str()), ("200", "a \"red\" tint"));
+    stream.get_mut().write_all(job("pour", "done", 25_000).as_bytes()).unwrap();
+    assert_eq!(Message::read(&mut stream).unwrap().status(), "200");
+    assert_eq!(rig.seen(|seen| seen.connections), 1, "a finished stream gives its connection back");
+    let mut sent = rig.seen(|seen| seen.requests[0].clone());
+    let left: u32 =
+        sent.headers.insert("x-remaining-ms".to_owned(), "left".to_owned()).unwrap().parse().unwrap();
+    assert!(left < 5_000, "{left}");
+    sent.headers.remove("date");
+    assert_debug_snapshot!(sent, @r#"
+    Message {
+        first: "POST /tint/7?do=done HTTP/1.1",
+        headers: {
+            "accept-encoding": "identity",
+            "content-length": "5",
+            "cookie": "key=7f",
+            "host": "service.internal",
+            "x-lane": "tint",
+            "x-org": "acme",
+            "x-remaining-ms": "left",
+            "x-txn": "9b1f",
+        },
+        body: "ocean",
+    }
+    "#);
+}
+
+#[test]
+fn outcomes_are_told_apart_and_what_may_have_run_is_never_sent_again_or_refused() {
+    let rig = Rig::new();
+    let mut table = String::new();
+    for how in ["failed", "500", "lost", "ends", "breaks", "gone", "returned", "503"] {
+        let before = rig.seen(|seen| seen.requests.len());
+        let answer = rig.ask(&job("pour", how, 700));
+        let claims = rig.seen(|seen| seen.requests.len()) - before;
+        let again = if claims > 1 { "sent again" } else { "sent once" };
+        let wait = answer.headers.contains_key("retry-after");
+        let safe = rig.ask(&job("tint", how, 700));
+        table += &format!("{how}: pour {} {again}, wait {wait}; tint {}\n", answer.status(), safe.status());
+    }
+    assert_snapshot!(table, @r"
+    failed: pour 502 sent once, wait false; tint 503
+    500: pour 502 sent once, wait false; tint 503
+    lost: pour 502 sent once, wait false; tint 503
+    ends: pour 502 sent once, wait false; tint 503
+    breaks: pour 502 sent once, wait false; tint 503
+    gone: pour 502 sent once, wait false; tint 503
+    returned: pour 503 sent again, wait true; tint 503
+    503: pour 503 sent again, wait true; tint 503
+    ");
+    assert_eq!(rig.counters("answers"), ["answers.failed=6", "answers.refused=10"]);
+}
+
+#[test]
+fn a_node_that_cannot_be_reached_costs_a_refusal() {
+    // Bound and let go: nobody listens there.
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let rig = Rig::with(Shared::default(), closed);
+    assert_eq!(rig.ask(&job("pour", "done", 700)).status(), "503");
+    assert!(rig.counters("claims").iter().any(|count| count.starts_with("claims.could_not_connect=")));
+}
+
+#[test]
+fn what_is_no_job_gets_a_counted_answer_and_no_claim() {
+    let rig = Rig::new();
+    let good = job("tint", "done", 5_000);
+    let mut table = String::new();
+    for (what, request) in [
+        ("method", good.replacen("POST", "PUT", 1)),
+        ("no id", good.replace("X-Txn: 9b1f\r\n", "")),
+        ("no class", good.replace("X-Lane: tint\r\n", "")),
+        ("other class in the path", good.replace("/tint/", "/pour/")),
+        ("unknown class", good.replace("tint", "bake")),
+        ("no tenant", good.replace("X-Org: acme\r\n", "")),
+        ("unknown tenant", good.replace("acme", "nobody")),
+        ("no time", good.replace("X-Remaining-Ms: 5000\r\n", "")),
+        ("time no number", good.replace("5000", "soon")),
+        ("long body", good.replace("Length: 5", "Length: 65537").replace("ocean", &"x".repeat(65_537))),
+        ("no HTTP", "hello\r\n\r\n".to_owned()),
+    ] {
+        table += &format!("{what}: {}\n", rig.ask(&request).status());
+    }
+    assert_snapshot!(table, @r"
+    method: 405
+    no id: 400
+    no class: 400
+    other class in the path: 400
+    unknown class: 404
+    no tenant: 400
+    unknown tenant: 400
+    no time: 400
+    time no number: 400
+    long body: 413
+    no HTTP: 400
+    ");
+    let counts = until("all counts", || Some(rig.counters("bad_input")).filter(|counts| counts.len() == 9));
+    assert_snapshot!(counts.join("\n"), @r"
+    bad_input.body_too_long=1
+    bad_input.class_in_path=1
+    bad_input.class_unknown=1
+    bad_input.method=1
+    bad_input.not_http=1
+    bad_input.x_lane=1
+    bad_input.x_org=2
+    bad_input.x_remaining_ms=2
+    bad_input.x_txn=1
+    ");
+    assert_eq!(rig.seen(|seen| seen.requests.len()), 0);
+    let longest = good.replace("Length: 5", "Length: 65536").replace("ocean", &"x".repeat(65_536));
+    assert_eq!(rig.ask(&longest).status(), "200");
+}
+
+#[test]
+fn a_submitter_that_leaves_closes_the_connection_of_its_claim() {
+    let rig = Rig::new();
+    let stream = rig.send(&job("pour", "runs", 25_000));
+    until("the node has it", || rig.seen(|seen| seen.requests.len() == 1).then_some(()));
+    drop(stream);
+    until("the node sees the end", || rig.seen(|seen| seen.closed == 1).then_some(()));
+    assert_eq!(rig.counters("answers"), ["answers.submitter_left=1"]);
+}
+
+#[test]
+fn a_job_that_does_not_end_is_answered_when_its_time_is_over() {
+    let rig = Rig::new();
+    assert_eq!(rig.ask(&job("pour", "runs", 300)).status(), "502");
+    until("the node sees the end", || rig.seen(|seen| seen.closed == 1).then_some(()));
+}
+
+#[test]
+fn the_watch_is_followed_and_made_again_from_the_version_in_hand() {
+    let rig = Rig::new();
+    let leaving = chunk(&list(8, false, rig.node, "leaving"));
+    rig.seen.lock().unwrap().watches[0].1.write_all(format!("{}{leaving}", chunk("\n")).as_bytes()).unwrap();
+    until("the change is taken", || {
+        rig.counters("list").contains(&"list.changes=1".to_owned()).then_some(())
+    });
+    assert_eq!(rig.ask(&job("tint", "done", 700)).status(), "503");
+    assert_eq!(rig.seen(|seen| seen.requests.len()), 0, "a node that leaves gets nothing new");
+    rig.seen.lock().unwrap().watches[0].1.shutdown(std::net::Shutdown::Both).unwrap();
+    until("a second watch", || rig.seen(|seen| seen.watches.len() == 2).then_some(()));
+    let calls = rig.seen(|seen| seen.watches.iter().map(|watch| watch.0.clone()).collect::<Vec<_>>());
+    assert_debug_snapshot!(calls, @r#"
+    [
+        "GET /v1/servers?stream=1&index=0 HTTP/1.1",
+        "GET /v1/servers?stream=1&index=8 HTTP/1.1",
+    ]
+    "#);
+    until("the list of the second watch", || {
+        (rig.ask(&job("tint", "done", 700)).status() == "200").then_some(())
+    });
+}
+
+#[test]
+fn after_sigterm_what_was_taken_is_finished_and_the_program_ends_well() {
+    let mut rig = Rig::new();
+    let mut idle = rig.send(HEALTH);
+    assert_eq!(Message::read(&mut idle).unwrap().status(), "200");
+    let mut stream = rig.send(&job("pour", "waits", 25_000));
+    until("the node has it", || rig.seen(|seen| seen.requests.len() == 1).then_some(()));
+    rig.signal("-TERM");
+    assert!(Message::read(&mut idle).is_none(), "an idle connection is closed between requests");
+    rig.seen.lock().unwrap().watches.clear();
+    let answer = Message::read(&mut stream).unwrap();
+    assert_eq!((answer.status(), answer.body.as_str()), ("200", "late"));
+    assert_eq!(answer.headers.get("connection").map(String::as_str), Some("close"));
+    assert!(rig.ended().success());
+    let last = until("counters", || rig.lines.lock().unwrap().last().cloned());
+    assert!(last.contains("counters answers.served=1"), "{last}");
+}
+
+#[test]
+fn a_configuration_at_fault_names_its_key() {
+    let good = CONFIG.replace("8c1f30d27a5be964", "0c").replace("127.0.0.1:8000", "127.0.0.1:0");
+    let mut table = String::new();
+    for (config, variables) in [
+        (good.replace("0c\"", "xyz\""), &[][..]),
+        (good.replace("127.0.0.1:8500", "nowhere"), &[]),
+        (good.replace("\"listen\": \"127.0.0.1:0\",", ""), &[]),
+        (good.clone(), &[("ROUTER_LISTEN", "here")]),
+        (good.replace("\"settings\"", "\"known\":{\"version\":1},\"settings\""), &[]),
+        (good.replace("1024", "9"), &[]),
+        (good.replace("\"aim\": 1200000", "\"aim\": \"soon\""), &[]),
+        (good.replace("\"position\": 0", "\"position\": 4"), &[]),
+        (good.replace("\"cold_share\": 0.2", "\"cold_share\": 2"), &[]),
+        (good.replace("\"settings\"", "\"setting\""), &[]),
+    ] {
+        let output = start(&config, variables).wait_with_output().unwrap();
+        let error = String::from_utf8(output.stderr).unwrap();
+        let path = error.split(' ').find(|word| word.contains(".json")).unwrap_or("-").to_owned();
+        let error = error.replace(&path, "PATH:").replacen("ruddervalve: ", "", 1);
+        table += &format!("{} {error}", output.status.code().unwrap());
+    }
+    assert_snapshot!(table, @r#"
+    2 seed: 'xyz' is no hexadecimal number of 64 bits
+    2 discovery: 'nowhere' is no address with a port
+    2 listen: is missing
+    2 listen: 'here' is no address with a port
+    2 known: missing field `full` at line 1 column 13
+    2 limits.sockets: 9 is too few, 64 are needed
+    2 settings: profiles[1].aim: invalid type: string "soon", expected u64 at line 42 column 37
+    2 settings: position: must be below the number of dispatchers
+    2 settings: obligations.cold_share: must lie in 0 to 1
+    2 ROUTER_CONFIG: PATH: missing field `settings` at line 59 column 1
+    "#);
+}
