Keep claims and submitters within the descriptors and never let a claim wait in the pool

Seen while reading the client library: its one limit makes claims beyond it wait, so that one could reach a node that drains by then, and idle connections per node have no limit at all. claims.rs now counts by itself (in all and at one node) and reports what is beyond as never sent. front.rs refuses jobs while submitters hold more than two fifths of the descriptors, so that what was taken can still be claimed for. Also: a watch answered by an empty line without news counts as answered (else the decisions asked again after 5 s); a job already out of time is no longer sent (logic.rs, allowed); spans of no number become 0. Each has a test: crowded connections, the unanswered call, the job out of time.

--- a/dispatcher/src/broker.rs
+++ b/dispatcher/src/broker.rs
@@ -225,6 +225,13 @@
         self.take(&mut table, steps);
     }
 
+    /// A call for the list was answered, and there is no news.
+    pub fn unchanged(&self) {
+        let mut table = self.table.borrow_mut();
+        let steps = table.facade.list(self.clock.now(), ListKind::Changes, &[]);
+        self.take(&mut table, steps);
+    }
+
     /// A call for the list failed or the watch on it ended.
     pub fn list_failed(&self, problem: &str) {
         self.counters.count("list", "failed");
@@ -316,7 +323,7 @@
                 crate::config::Config::read(|name| (name == "ROUTER_CONFIG").then(String::new), text)
                     .unwrap();
             let (time, counters) = (Rc::new(Cell::new(1e12)), Rc::new(Counters::default()));
-            let facade = Facade::new(config.settings, config.names, 7, 0.0).unwrap();
+            let facade = Facade::new(config.settings, config.names, 7).unwrap();
             let (broker, orders) = Broker::new(facade, Clock::ByHand(time.clone()), counters.clone());
             let list = br#"{"version":4,"full":true,"servers":[
                 {"id":"a","addr":"127.0.0.1:1","zone":"north","kind":"box","state":"active","weight":1.0}]}"#;
@@ -325,10 +332,14 @@
         }
 
         fn submit(&self, class: &str) -> Pending {
+            self.submit_for(class, 5_000.0)
+        }
+
+        fn submit_for(&self, class: &str, remaining_ms: f64) -> Pending {
             let facts = JobFacts {
                 class: class.to_owned(),
                 tenant: Some("acme".to_owned()),
-                remaining_ms: 5_000.0,
+                remaining_ms,
                 slots: 1.0,
                 memory: 0.0,
                 hint_ms: None,
@@ -411,6 +422,29 @@
         assert!(rig.ordered().is_empty());
     }
 
+    #[test]
+    fn a_call_answered_without_news_is_not_made_again() {
+        for (answered, calls) in [(true, 0), (false, 1)] {
+            let mut rig = Rig::new();
+            while rig.orders.try_recv().is_ok() {}
+            if answered {
+                rig.broker.unchanged();
+            }
+            rig.time.set(rig.time.get() + 6_000.0);
+            rig.broker.tick();
+            let asked = std::iter::from_fn(|| rig.orders.try_recv().ok());
+            assert_eq!(asked.filter(|order| matches!(order, Order::AskForList)).count(), calls);
+        }
+    }
+
+    #[test]
+    fn a_job_out_of_time_is_answered_without_a_claim() {
+        let mut rig = Rig::new();
+        let mut job = rig.submit_for("pour", 5.0);
+        assert!(matches!(Rig::answer(&mut job), Some(Answer::Refused { .. })));
+        assert!(rig.ordered().is_empty());
+    }
+
     #[test]
     fn a_node_that_leaves_gets_nothing_new() {
         let mut rig = Rig::new();
--- a/dispatcher/src/claims.rs
+++ b/dispatcher/src/claims.rs
@@ -24,6 +24,9 @@
 
 /// The longest line of news that is read: a result fills a body at most, and escapes may double it.
 const LONGEST_LINE: usize = 256 << 10;
+/// Claims at one node at once, far above what its slots and queue take from one dispatcher: keeps the idle connections
+/// that remain behind a jam within the descriptors.
+const AT_ONE_NODE: usize = 32;
 /// After its last line a stream ends at once; one that does not loses its connection.
 const TAIL: Duration = Duration::from_secs(1);
 
@@ -41,13 +44,14 @@
 }
 
 /// The client for execute nodes and discovery: no retries, no redirects, no time-out but that of connecting.
-pub fn client(network: &Network, limit: usize) -> Client {
+pub fn client(network: &Network) -> Client {
     let connector = Connector::new()
         .timeout(span(network.connect_timeout_ms))
         // A node closes idle connections after `conn_idle`; a claim written to one then would be lost.
         .conn_keep_alive(span(network.conn_idle_ms * 0.8))
         .conn_lifetime(Duration::from_secs(86_400))
-        .limit(limit);
+        // The pool would make a claim beyond its limit wait, and reach a node that drains by then: [`Claims`] counts.
+        .limit(0);
     Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
 }
 
@@ -57,7 +61,7 @@
     broker: Rc<Broker>,
     clock: Clock,
     limit: usize,
-    out: RefCell<BTreeMap<(u64, usize), AbortHandle>>,
+    out: RefCell<BTreeMap<(u64, usize), (SocketAddr, AbortHandle)>>,
 }
 
 /// How a claim ended.
@@ -87,23 +91,22 @@
         errand: Rc<Errand>,
         until_ms: f64,
     ) {
-        if self.out.borrow().len() >= self.limit {
-            // A claim that waited for a connection could reach a node that drains by then.
+        let there = self.out.borrow().values().filter(|out| out.0 == address).count();
+        if self.out.borrow().len() >= self.limit || there >= AT_ONE_NODE {
             return self.broker.ended(claim, Outcome::Skipped, None, None);
         }
         let this = self.clone();
         // Registered before the task first runs: tasks of this thread start only after this call.
         let task = actix_rt::spawn(async move { this.run(claim, address, errand, until_ms).await });
-        self.out.borrow_mut().insert(claim, task.abort_handle());
+        self.out.borrow_mut().insert(claim, (address, task.abort_handle()));
     }
 
     /// Gives a claim up: its connection is closed, whatever has come on it.
     pub fn withdraw(&self, claim: (u64, usize)) {
-        if let Some(task) = self.out.borrow_mut().remove(&claim) {
-            task.abort();
-        } else {
+        let Some((_, task)) = self.out.borrow_mut().remove(&claim) else {
             return; // its outcome is already told
-        }
+        };
+        task.abort();
         self.broker.ended(claim, Outcome::Cancelled, None, None);
     }
 
--- a/dispatcher/src/clock.rs
+++ b/dispatcher/src/clock.rs
@@ -43,5 +43,7 @@
 
 /// Milliseconds as a duration; what makes no sense as such is none, and a day is the longest.
 pub fn span(ms: f64) -> Duration {
-    Duration::from_secs_f64((ms / 1e3).clamp(0.0, 86_400.0))
+    // What is no number becomes none, too: `clamp` alone would let it through.
+    let seconds = if ms > 0.0 { ms / 1e3 } else { 0.0 };
+    Duration::from_secs_f64(seconds.min(86_400.0))
 }
--- a/dispatcher/src/front.rs
+++ b/dispatcher/src/front.rs
@@ -27,6 +27,8 @@
 const LONGEST_BODY: usize = 64 << 10;
 /// How long a connection is kept for a submitter to read an answer that came before its body was read.
 const LINGER: Duration = Duration::from_secs(2);
+/// When submitters come back that found too many others connected.
+const CROWDED_WAIT_MS: f64 = 250.0;
 /// After an error of accepting, such as a want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 
@@ -38,6 +40,8 @@
     /// Answers say that the connection ends.
     closing: Cell<bool>,
     connections: Cell<usize>,
+    /// Connections that submitters may hold; on further ones nothing is taken.
+    most: usize,
 }
 
 /// Why a request is no job.
@@ -45,8 +49,8 @@
 
 impl Front {
     /// A front to a broker.
-    pub fn new(broker: Rc<Broker>, clock: Clock, counters: Rc<Counters>) -> Rc<Self> {
-        Rc::new(Self { broker, clock, counters, closing: Cell::new(false), connections: Cell::new(0) })
+    pub fn new(broker: Rc<Broker>, clock: Clock, counters: Rc<Counters>, most: usize) -> Rc<Self> {
+        Rc::new(Self { broker, clock, counters, closing: Cell::new(false), connections: Cell::new(0), most })
     }
 
     /// From now on each answer ends its connection.
@@ -113,10 +117,16 @@
 
     async fn handle(&self, request: Request) -> Response<Bytes> {
         let came_ms = self.clock.now();
-        let mut response = if request.path() == "/healthz" {
+        // Guards against running out of descriptors: a dispatcher that cannot claim or accept would lose what it took.
+        let health = request.path() == "/healthz";
+        let crowded = !health && self.connections.get() > self.most;
+        let mut response = if health {
             let ready = self.broker.ready() && !self.closing.get();
             let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             Response::with_body(status, Bytes::new())
+        } else if crowded {
+            self.counters.count("answers", "crowded");
+            worded(Answer::Refused { wait_ms: CROWDED_WAIT_MS })
         } else {
             match self.job(came_ms, request).await {
                 Ok(answer) => worded(answer),
@@ -127,7 +137,7 @@
                 }
             }
         };
-        if self.closing.get() {
+        if self.closing.get() || crowded {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
         response
@@ -192,7 +202,9 @@
             remaining_ms: f64::from(remaining.ok_or(bad("x_remaining_ms"))?),
             slots: label(["slots", "width", "x1"]).unwrap_or(1.0),
             memory: label(["memory", "mem", "x2"]).unwrap_or(0.0),
-            hint_ms: text(headers, "x-estimate").and_then(|ms| ms.parse().ok()),
+            hint_ms: text(headers, "x-estimate")
+                .and_then(|ms| ms.parse().ok())
+                .filter(|ms: &f64| ms.is_finite() && *ms >= 0.0),
         })
     }
 }
--- a/dispatcher/src/machine_list.rs
+++ b/dispatcher/src/machine_list.rs
@@ -124,7 +124,7 @@
     if !response.status().is_success() {
         return format!("status {}", response.status());
     }
-    let mut lines = BytesMut::new();
+    let (mut lines, mut told) = (BytesMut::new(), false);
     loop {
         match tokio::time::timeout(SILENCE, response.next()).await {
             // A machine that was cut off says nothing, and its connection stays open.
@@ -136,8 +136,13 @@
         while let Some(end) = lines.iter().position(|byte| *byte == b'\n') {
             let line = lines.split_to(end + 1);
             if line.iter().all(u8::is_ascii_whitespace) {
+                // An empty line first: nothing changed since the version asked for, and the call is answered with that.
+                if !std::mem::replace(&mut told, true) {
+                    broker.unchanged();
+                }
                 continue;
             }
+            told = true;
             match read_news(&line) {
                 Ok(news) => {
                     let kind = if news.full { ListKind::Full } else { ListKind::Changes };
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -29,8 +29,6 @@
 const KEEP_ACCEPTING: Duration = Duration::from_millis(600);
 /// How often the end is looked for once nothing new is taken.
 const LOOK: Duration = Duration::from_millis(10);
-/// Rounds of the decisions are at least so far apart.
-const ROUND_GAP_MS: f64 = 0.0;
 
 fn main() -> ExitCode {
     let file = |path: &str| std::fs::read_to_string(path).map_err(|error| format!("{path}: {error}"));
@@ -57,20 +55,20 @@
     let mut print = signal(SignalKind::user_defined1())?;
     let listener = tokio::net::TcpListener::bind(config.listen).await?;
     let at = listener.local_addr()?;
-    // Two fifths of the descriptors for claims: each job out has a submitter's connection and one to a node, and what is
-    // idle on either side takes the rest.
+    // Two fifths of the descriptors for claims and as many for submitters: each job out has one of both. What is idle to
+    // nodes, discovery and the program itself take the rest.
     let limit = config.sockets * 2 / 5;
-    let facade = Facade::new(config.settings, config.names, config.seed, ROUND_GAP_MS)?;
+    let facade = Facade::new(config.settings, config.names, config.seed)?;
     let (broker, orders) = Broker::new(facade, clock.clone(), counters.clone());
-    let claims = Claims::new(claims::client(&config.network, limit), broker.clone(), clock.clone(), limit);
-    let list = MachineList::new(claims::client(&config.network, 4), config.discovery, broker.clone());
+    let claims = Claims::new(claims::client(&config.network), broker.clone(), clock.clone(), limit);
+    let list = MachineList::new(claims::client(&config.network), config.discovery, broker.clone());
     actix_rt::spawn(obey(orders, claims, list, broker.clone(), clock.clone()));
     if let Some(known) = config.known {
         broker.list(ListKind::Cached, known);
     }
     broker.tick();
     let (stop, stopped) = watch::channel(false);
-    let front = Front::new(broker.clone(), clock.clone(), counters.clone());
+    let front = Front::new(broker.clone(), clock.clone(), counters.clone(), limit);
     let serving = actix_rt::spawn(front.clone().serve(listener, stopped));
     counters.say(clock.now(), format_args!("{} listens on {at}", config.name));
     loop {
--- a/dispatcher/tests/process.rs
+++ b/dispatcher/tests/process.rs
@@ -165,16 +165,20 @@
 
 impl Rig {
     fn new() -> Self {
+        Self::configured(str::to_owned)
+    }
+
+    fn configured(change: fn(&str) -> String) -> Self {
         let seen = Shared::default();
         let node = node(&seen);
-        Self::with(seen, node)
+        Self::with(seen, node, change)
     }
 
-    fn with(seen: Shared, node: SocketAddr) -> Self {
+    fn with(seen: Shared, node: SocketAddr, change: fn(&str) -> String) -> Self {
         let discovery = discovery(&seen, node);
         let config = CONFIG.replace("127.0.0.1:8000", "127.0.0.1:0");
         let config = config.replace("127.0.0.1:8500", &discovery.to_string());
-        let mut child = start(&config, &[]);
+        let mut child = start(&change(&config), &[]);
         let mut from = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         from.read_line(&mut line).unwrap();
@@ -313,11 +317,24 @@
 fn a_node_that_cannot_be_reached_costs_a_refusal() {
     // Bound and let go: nobody listens there.
     let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let rig = Rig::with(Shared::default(), closed);
+    let rig = Rig::with(Shared::default(), closed, str::to_owned);
     assert_eq!(rig.ask(&job("pour", "done", 700)).status(), "503");
     assert!(rig.counters("claims").iter().any(|count| count.starts_with("claims.could_not_connect=")));
 }
 
+#[test]
+fn beyond_the_descriptors_for_submitters_jobs_are_refused_and_connections_closed() {
+    // Two fifths of 64 descriptors are 25 connections.
+    let rig = Rig::configured(|config| config.replace("1024", "64"));
+    let idle: Vec<_> = (0..25).map(|_| rig.send("")).collect();
+    let answer = until("crowded", || {
+        Some(rig.ask(&job("tint", "done", 700))).filter(|answer| answer.status() == "503")
+    });
+    assert_eq!((&*answer.headers["retry-after"], &*answer.headers["connection"]), ("0.250", "close"));
+    drop(idle);
+    until("room again", || (rig.ask(&job("tint", "done", 700)).status() == "200").then_some(()));
+}
+
 #[test]
 fn what_is_no_job_gets_a_counted_answer_and_no_claim() {
     let rig = Rig::new();
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -124,10 +124,6 @@
     machines: BTreeMap<WorkerId, String>,
     /// Claims made so far for each open job.
     claims: BTreeMap<u64, usize>,
-    /// The shortest time between two rounds, the last one, and what has happened since.
-    gap_ms: f64,
-    last_ms: f64,
-    events: Vec<Event>,
 }
 
 impl WorkerId {
@@ -140,16 +136,13 @@
 }
 
 impl Facade {
-    /// A dispatcher that knows nothing yet. Rounds are at least `gap_ms` apart; with 0 every call is one.
-    pub fn new(settings: Settings, names: Names, seed: u64, gap_ms: f64) -> Result<Self, SettingsError> {
+    /// A dispatcher that knows nothing yet.
+    pub fn new(settings: Settings, names: Names, seed: u64) -> Result<Self, SettingsError> {
         Ok(Self {
             dispatcher: Dispatcher::new(settings, seed)?,
             names,
             machines: BTreeMap::new(),
             claims: BTreeMap::new(),
-            gap_ms,
-            last_ms: f64::NEG_INFINITY,
-            events: Vec::new(),
         })
     }
 
@@ -222,15 +215,10 @@
         self.happened(now_ms, Event::Wake)
     }
 
+    /// A round for each event: jobs that come while others wait for their answers should not wait for a tick.
     fn happened(&mut self, now_ms: f64, event: Event) -> Vec<Step> {
-        self.events.push(event);
-        let next = self.last_ms + self.gap_ms;
-        if now_ms < next {
-            return vec![Step::WakeAt(next)];
-        }
-        self.last_ms = now_ms;
-        let (events, mut actions) = (std::mem::take(&mut self.events), Vec::new());
-        self.dispatcher.round(micros(now_ms), &events, &mut actions);
+        let mut actions = Vec::new();
+        self.dispatcher.round(micros(now_ms), &[event], &mut actions);
         actions.into_iter().filter_map(|action| self.step(action)).collect()
     }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -456,6 +456,7 @@
         });
         worker.ready()
             && fits
+            && request.expires > self.now
             && !(just_tried && self.workers.len() > 1)
             && self.repeat_allowed(request, worker, class.effect)
             && self.cold_budget(request, worker)
