Test silent watches, idle connections and the adapter's come_back

Seen: three guards had no test of their own: the dead watch, the cut of idle connections before a node makes it, and the wait in the adapter's refusals.

--- a/dispatcher/tests/process.rs
+++ b/dispatcher/tests/process.rs
@@ -426,6 +426,22 @@
     });
 }
 
+#[test]
+fn a_watch_that_falls_silent_is_made_again() {
+    // A machine that was cut off leaves its connections open; this discovery sends no empty lines.
+    let rig = Rig::new();
+    until("a second watch", || rig.seen(|seen| seen.watches.len() == 2).then_some(()));
+}
+
+#[test]
+fn a_connection_idle_for_nearly_as_long_as_nodes_keep_it_is_not_used_again() {
+    let rig = Rig::configured(|config| config.replace("\"conn_idle\": 15000000", "\"conn_idle\": 250000"));
+    assert_eq!(rig.ask(&job("tint", "done", 700)).status(), "200");
+    thread::sleep(Duration::from_millis(250));
+    assert_eq!(rig.ask(&job("tint", "done", 700)).status(), "200");
+    assert_eq!(rig.seen(|seen| seen.connections), 2);
+}
+
 #[test]
 fn after_sigterm_what_was_taken_is_finished_and_the_program_ends_well() {
     let mut rig = Rig::new();
--- a/wirehost/tests/transcripts.rs
+++ b/wirehost/tests/transcripts.rs
@@ -5,7 +5,7 @@
 
 const INFO: &str = concat!(
     r#"{"az":"north","discovery":"pushed","family_info":{"class_kind":[-1,-1],"class_stretch":[1.0,1.0],"#,
-    r#""tells_start":true,"novel":7},"limits":{"cancel":true,"max_attempts":3,"probes":false},"#,
+    r#""tells_start":true,"novel":7},"limits":{"cancel":true,"max_attempts":3,"max_retry_after":500000,"probes":false},"#,
     r#""localities":["north","south"],"machine_types":["box"],"objective_mix":{"whole":0.5,"worst_class":0.2},"#,
     r#""obligations":{"ask_within":10000000,"cold":10000000,"cold_share":0.2,"tip_after":1000000,"#,
     r#""tip_multiple":3.0},"over_share_worth":0.1,"peers_total":2,"position":0,"prices":{"cross_zone":0.0},"#,
@@ -63,6 +63,17 @@
     assert_eq!(lines.iter().filter(|line| *line == "EOR").count(), 3);
 }
 
+#[test]
+fn a_refusal_tells_when_to_come_back() {
+    let start = attach(3, 7).replace("availability=ready", "availability=draining");
+    let lines = served(&format!(
+        "BATCH ts=1000\n{start}DEMAND rid=42 expires_in=1000000 category=book\nFLUSH\n\
+         BATCH ts=1000000\nAT dispatcher_id=3\nDEADLINE_HIT mark=0\nFLUSH\n"
+    ));
+    let wait = lines.iter().find_map(|line| line.strip_prefix("DENY rid=42 come_back="));
+    assert_eq!(wait, Some("500000"), "within limits.max_retry_after: {lines:?}");
+}
+
 #[test]
 fn a_killed_instance_starts_anew_within_one_batch() {
     let again = attach(3, 8);
