Forget machines that are gone and keep the crowded wait within what submitters heed

Seen while reading: addresses and names of machines stayed for good (broker.rs list, facade.rs list), and the wait of a refusal for want of descriptors did not look at limits.max_retry_after (front.rs).

--- a/dispatcher/src/broker.rs
+++ b/dispatcher/src/broker.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use ruddervalve::{Facade, JobFacts, ListKind, LoadReport, Outcome, Report, Step};
+use ruddervalve::{Availability, Facade, JobFacts, ListKind, LoadReport, Machine, Outcome, Report, Step};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::claims::Errand;
@@ -221,6 +221,11 @@
             table.addresses.clear();
         }
         table.addresses.extend(news.addresses);
+        // Machines come and go for as long as the program runs: what is gone is forgotten.
+        let gone = |machine: &&Machine| machine.availability == Availability::Gone;
+        for machine in news.machines.iter().filter(gone) {
+            table.addresses.remove(&machine.name);
+        }
         let steps = table.facade.list(self.clock.now(), kind, &news.machines);
         self.take(&mut table, steps);
     }
--- a/dispatcher/src/front.rs
+++ b/dispatcher/src/front.rs
@@ -15,6 +15,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 use ruddervalve::JobFacts;
+use ruddervalve_settings::Network;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -27,7 +28,7 @@
 const LONGEST_BODY: usize = 64 << 10;
 /// How long a connection is kept for a submitter to read an answer that came before its body was read.
 const LINGER: Duration = Duration::from_secs(2);
-/// When submitters come back that found too many others connected.
+/// Connections end about as fast as jobs do: long enough for some to, and short beside a submitter's patience.
 const CROWDED_WAIT_MS: f64 = 250.0;
 /// After an error of accepting, such as a want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
@@ -42,6 +43,8 @@
     connections: Cell<usize>,
     /// Connections that submitters may hold; on further ones nothing is taken.
     most: usize,
+    /// When submitters come back that found too many others connected.
+    crowded_wait_ms: f64,
 }
 
 /// Why a request is no job.
@@ -49,8 +52,16 @@
 
 impl Front {
     /// A front to a broker.
-    pub fn new(broker: Rc<Broker>, clock: Clock, counters: Rc<Counters>, most: usize) -> Rc<Self> {
-        Rc::new(Self { broker, clock, counters, closing: Cell::new(false), connections: Cell::new(0), most })
+    pub fn new(
+        broker: Rc<Broker>,
+        clock: Clock,
+        counters: Rc<Counters>,
+        most: usize,
+        network: &Network,
+    ) -> Rc<Self> {
+        let crowded_wait_ms = network.max_retry_after_ms.min(CROWDED_WAIT_MS);
+        let (closing, connections) = (Cell::new(false), Cell::new(0));
+        Rc::new(Self { broker, clock, counters, closing, connections, most, crowded_wait_ms })
     }
 
     /// From now on each answer ends its connection.
@@ -126,7 +137,7 @@
             Response::with_body(status, Bytes::new())
         } else if crowded {
             self.counters.count("answers", "crowded");
-            worded(Answer::Refused { wait_ms: CROWDED_WAIT_MS })
+            worded(Answer::Refused { wait_ms: self.crowded_wait_ms })
         } else {
             match self.job(came_ms, request).await {
                 Ok(answer) => worded(answer),
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -68,7 +68,7 @@
     }
     broker.tick();
     let (stop, stopped) = watch::channel(false);
-    let front = Front::new(broker.clone(), clock.clone(), counters.clone(), limit);
+    let front = Front::new(broker.clone(), clock.clone(), counters.clone(), limit, &config.network);
     let serving = actix_rt::spawn(front.clone().serve(listener, stopped));
     counters.say(clock.now(), format_args!("{} listens on {at}", config.name));
     loop {
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -201,6 +201,12 @@
 
     /// Takes the machine list, or changes of it.
     pub fn list(&mut self, now_ms: f64, kind: ListKind, machines: &[Machine]) -> Vec<Step> {
+        if kind != ListKind::Changes {
+            // Names of machines long gone need not be kept; what is left of them ends under a number.
+            let listed =
+                |worker: &WorkerId| machines.iter().any(|machine| WorkerId::named(&machine.name) == *worker);
+            self.machines.retain(|worker, _| listed(worker));
+        }
         let members = machines.iter().map(|machine| self.member(machine)).collect();
         self.happened(now_ms, Event::Members { kind, members })
     }
@@ -247,7 +253,7 @@
     }
 
     fn name(&self, worker: WorkerId) -> String {
-        self.machines.get(&worker).cloned().unwrap_or_default()
+        self.machines.get(&worker).cloned().unwrap_or_else(|| format!("{:x}", worker.0))
     }
 
     fn text(&self, note: Note) -> String {
