Read the configuration again on SIGHUP and follow the discovery it names

A faulty file, repeated signals and one while draining are played by the new test, which fails without the handler. How: the file is read and checked whole, then swapped. Classes, tenants, zones and kinds keep their numbers in the decisions (facade.rs reconfigure), so that open jobs and what was learnt stay. The file's discovery wins over a variable left from the start; the new service is asked for its whole list at once, as versions are a service's own, and the old watch is given up without counting as a failure. Pools of connections are made anew only if their settings changed.

--- a/dispatcher/src/broker.rs
+++ b/dispatcher/src/broker.rs
@@ -8,7 +8,10 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use ruddervalve::{Availability, Facade, JobFacts, ListKind, LoadReport, Machine, Outcome, Report, Step};
+use ruddervalve::{
+    Availability, Facade, JobFacts, ListKind, LoadReport, Machine, Names, Outcome, Report, Settings,
+    SettingsError, Step,
+};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::claims::Errand;
@@ -136,6 +139,13 @@
         self.table.borrow().facade.knows_tenant(name)
     }
 
+    /// Takes new settings for the decisions. Jobs, claims and what was learnt of nodes stay.
+    pub fn reconfigure(&self, settings: Settings, names: Names) -> Result<(), SettingsError> {
+        self.table.borrow_mut().facade.reconfigure(settings, names)?;
+        self.tick();
+        Ok(())
+    }
+
     /// How many jobs are open.
     pub fn open(&self) -> usize {
         self.table.borrow().jobs.len()
--- a/dispatcher/src/claims.rs
+++ b/dispatcher/src/claims.rs
@@ -2,7 +2,7 @@
 //! It must never send a claim again by itself, choose a node, or take a connection that broke after the request may have
 //! gone out for one that never came up.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -57,10 +57,10 @@
 
 /// The claims that are out.
 pub struct Claims {
-    client: Client,
+    client: RefCell<Client>,
     broker: Rc<Broker>,
     clock: Clock,
-    limit: usize,
+    limit: Cell<usize>,
     out: RefCell<BTreeMap<(u64, usize), (SocketAddr, AbortHandle)>>,
 }
 
@@ -80,9 +80,20 @@
 impl Claims {
     /// Claims for a broker, so many at once at most.
     pub fn new(client: Client, broker: Rc<Broker>, clock: Clock, limit: usize) -> Rc<Self> {
+        let (client, limit) = (RefCell::new(client), Cell::new(limit));
         Rc::new(Self { client, broker, clock, limit, out: RefCell::new(BTreeMap::new()) })
     }
 
+    /// From now on so many claims at once at most.
+    pub fn limit_to(&self, limit: usize) {
+        self.limit.set(limit);
+    }
+
+    /// Further claims go by this client; those that are out end as they began.
+    pub fn go_by(&self, client: Client) {
+        self.client.replace(client);
+    }
+
     /// Starts a claim.
     pub fn start(
         self: &Rc<Self>,
@@ -92,7 +103,7 @@
         until_ms: f64,
     ) {
         let there = self.out.borrow().values().filter(|out| out.0 == address).count();
-        if self.out.borrow().len() >= self.limit || there >= AT_ONE_NODE {
+        if self.out.borrow().len() >= self.limit.get() || there >= AT_ONE_NODE {
             return self.broker.ended(claim, Outcome::Skipped, None, None);
         }
         let this = self.clone();
@@ -136,8 +147,8 @@
         until_ms: f64,
         tail: &mut Option<awc::ClientResponse>,
     ) -> End {
-        let mut request = self
-            .client
+        let client = self.client.borrow().clone();
+        let mut request = client
             .request(errand.method.clone(), format!("http://{address}{}", errand.target))
             .address(address);
         *request.headers_mut() = errand.headers.clone();
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -1,6 +1,6 @@
 //! Owns what the dispatcher is told at its start: the file named by `ROUTER_CONFIG` and the `ROUTER_*` variables, which
-//! win over the file. It reads, checks and fills in defaults, and names the key at fault. It must never be asked again
-//! once the dispatcher runs, and decides nothing.
+//! win over the file. It reads, checks and fills in defaults, and names the key at fault; on SIGHUP it reads the file
+//! again, as whole and as strictly. It must never change what is in force, and decides nothing.
 
 use std::net::SocketAddr;
 
@@ -12,7 +12,7 @@
 
 use crate::machine_list::{ListNews, read_news};
 
-/// Why the dispatcher cannot start.
+/// Why the dispatcher cannot start, or not take the file it is told to read again.
 #[derive(Debug, Error)]
 pub enum ConfigError {
     /// A key or variable that is missing or makes no sense.
@@ -50,6 +50,8 @@
     pub name: String,
     /// Where submitters connect.
     pub listen: SocketAddr,
+    /// What the file says of it, which a variable may have won over.
+    listen_in_file: Option<String>,
     /// Where the machine list is had.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -71,6 +73,33 @@
     pub fn read(
         variable: impl Fn(&str) -> Option<String>,
         file: impl Fn(&str) -> Result<String, String>,
+    ) -> Result<Self, ConfigError> {
+        Self::read_at(variable, file, false)
+    }
+
+    /// Reads the file again. Its `discovery` wins now: the variable is left from the start, the file is what was changed.
+    pub fn read_again(
+        variable: impl Fn(&str) -> Option<String>,
+        file: impl Fn(&str) -> Result<String, String>,
+    ) -> Result<Self, ConfigError> {
+        Self::read_at(variable, file, true)
+    }
+
+    /// The keys that differ and cannot take effect in a program that runs. `known` is none of them: the list in hand is
+    /// newer.
+    pub fn fixed_keys_changed(&self, new: &Self) -> Vec<&'static str> {
+        let changed = [
+            ("listen", self.listen_in_file != new.listen_in_file),
+            ("name", self.name != new.name),
+            ("seed", self.seed != new.seed),
+        ];
+        changed.into_iter().filter_map(|(key, changed)| changed.then_some(key)).collect()
+    }
+
+    fn read_at(
+        variable: impl Fn(&str) -> Option<String>,
+        file: impl Fn(&str) -> Result<String, String>,
+        again: bool,
     ) -> Result<Self, ConfigError> {
         let fault = |key: &str, problem: String| ConfigError::Key(key.to_owned(), problem);
         let path = variable("ROUTER_CONFIG")
@@ -80,7 +109,11 @@
         let given: File = serde_path_to_error::deserialize(&mut json)
             .map_err(|error| fault("ROUTER_CONFIG", format!("{path}: {error}")))?;
         let address = |key: &str, name: &str, value: Option<String>| -> Result<SocketAddr, ConfigError> {
-            let value = variable(name).or(value).ok_or_else(|| fault(key, "is missing".to_owned()))?;
+            let value = match again && key == "discovery" {
+                true => value.or_else(|| variable(name)),
+                false => variable(name).or(value),
+            };
+            let value = value.ok_or_else(|| fault(key, "is missing".to_owned()))?;
             value.parse().map_err(|_| fault(key, format!("'{value}' is no address with a port")))
         };
         let seed = match &given.seed {
@@ -103,6 +136,7 @@
         }
         Ok(Self {
             name: variable("ROUTER_NAME").or(given.name).unwrap_or_else(|| "ruddervalve".to_owned()),
+            listen_in_file: given.listen.clone(),
             listen: address("listen", "ROUTER_LISTEN", given.listen)?,
             discovery: address("discovery", "ROUTER_DISCOVERY", given.discovery)?,
             seed,
--- a/dispatcher/src/front.rs
+++ b/dispatcher/src/front.rs
@@ -42,9 +42,9 @@
     closing: Cell<bool>,
     connections: Cell<usize>,
     /// Connections that submitters may hold; on further ones nothing is taken.
-    most: usize,
+    most: Cell<usize>,
     /// When submitters come back that found too many others connected.
-    crowded_wait_ms: f64,
+    crowded_wait_ms: Cell<f64>,
 }
 
 /// Why a request is no job.
@@ -59,11 +59,17 @@
         most: usize,
         network: &Network,
     ) -> Rc<Self> {
-        let crowded_wait_ms = network.max_retry_after_ms.min(CROWDED_WAIT_MS);
-        let (closing, connections) = (Cell::new(false), Cell::new(0));
+        let crowded_wait_ms = Cell::new(network.max_retry_after_ms.min(CROWDED_WAIT_MS));
+        let (closing, connections, most) = (Cell::new(false), Cell::new(0), Cell::new(most));
         Rc::new(Self { broker, clock, counters, closing, connections, most, crowded_wait_ms })
     }
 
+    /// Takes new limits.
+    pub fn limit_to(&self, most: usize, network: &Network) {
+        self.most.set(most);
+        self.crowded_wait_ms.set(network.max_retry_after_ms.min(CROWDED_WAIT_MS));
+    }
+
     /// From now on each answer ends its connection.
     pub fn close_after_answers(&self) {
         self.closing.set(true);
@@ -130,14 +136,14 @@
         let came_ms = self.clock.now();
         // Guards against running out of descriptors: a dispatcher that cannot claim or accept would lose what it took.
         let health = request.path() == "/healthz";
-        let crowded = !health && self.connections.get() > self.most;
+        let crowded = !health && self.connections.get() > self.most.get();
         let mut response = if health {
             let ready = self.broker.ready() && !self.closing.get();
             let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             Response::with_body(status, Bytes::new())
         } else if crowded {
             self.counters.count("answers", "crowded");
-            worded(Answer::Refused { wait_ms: self.crowded_wait_ms })
+            worded(Answer::Refused { wait_ms: self.crowded_wait_ms.get() })
         } else {
             match self.job(came_ms, request).await {
                 Ok(answer) => worded(answer),
--- a/dispatcher/src/machine_list.rs
+++ b/dispatcher/src/machine_list.rs
@@ -1,6 +1,7 @@
 //! Owns the machine list as discovery tells it: the form of its lines, the watch that stays open, and the version to go
 //! on from. It must never decide when to ask again (the decisions do, with a growing pause), nor which machine to use.
 
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -87,34 +88,55 @@
 /// Follows the list, one watch at a time.
 pub struct MachineList {
     client: Client,
-    discovery: SocketAddr,
+    discovery: Cell<SocketAddr>,
+    /// The list in hand is this discovery's: its version is one to go on from.
+    same_service: Rc<Cell<bool>>,
     broker: Rc<Broker>,
-    watch: Option<JoinHandle<()>>,
+    watch: RefCell<Option<JoinHandle<()>>>,
 }
 
 impl MachineList {
     /// Follows the list of a discovery service for a broker.
     pub fn new(client: Client, discovery: SocketAddr, broker: Rc<Broker>) -> Self {
-        Self { client, discovery, broker, watch: None }
+        let (discovery, watch) = (Cell::new(discovery), RefCell::new(None));
+        Self { client, discovery, same_service: Rc::new(Cell::new(true)), broker, watch }
+    }
+
+    /// From now on the list is had elsewhere: the watch there is opened at once, and the list in hand stays meanwhile.
+    /// The old watch is given up untold, so that its end counts against nobody.
+    pub fn follow(&self, discovery: SocketAddr) {
+        if self.discovery.replace(discovery) != discovery {
+            self.same_service.set(false);
+            self.ask();
+        }
     }
 
     /// Asks for the list and its changes. A watch still open is given up: being asked again means that it told nothing.
-    pub fn ask(&mut self) {
+    pub fn ask(&self) {
         if let Some(watch) = self.watch.take() {
             watch.abort();
         }
-        let url =
-            format!("http://{}/v1/servers?stream=1&index={}", self.discovery, self.broker.list_version());
-        let (client, address, broker) = (self.client.clone(), self.discovery, self.broker.clone());
-        self.watch = Some(actix_rt::spawn(async move {
-            let problem = watch(client, address, url, &broker).await;
+        // Versions are a service's own: another one is asked for its whole list.
+        let version = if self.same_service.get() { self.broker.list_version() } else { 0 };
+        let url = format!("http://{}/v1/servers?stream=1&index={version}", self.discovery.get());
+        let (client, address, broker) = (self.client.clone(), self.discovery.get(), self.broker.clone());
+        let same_service = self.same_service.clone();
+        let watch = actix_rt::spawn(async move {
+            let problem = watch(client, address, url, &broker, &same_service).await;
             broker.list_failed(&problem);
-        }));
+        });
+        self.watch.replace(Some(watch));
     }
 }
 
 /// One watch, from its call to its end, which always is a failure.
-async fn watch(client: Client, address: SocketAddr, url: String, broker: &Broker) -> String {
+async fn watch(
+    client: Client,
+    address: SocketAddr,
+    url: String,
+    broker: &Broker,
+    same_service: &Cell<bool>,
+) -> String {
     let call = client.get(url).address(address).send();
     let mut response = match tokio::time::timeout(SILENCE, call).await {
         Err(_) => return "no answer".to_owned(),
@@ -146,6 +168,7 @@
             match read_news(&line) {
                 Ok(news) => {
                     let kind = if news.full { ListKind::Full } else { ListKind::Changes };
+                    same_service.set(true);
                     broker.list(kind, news);
                 }
                 Err(problem) => return problem,
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -1,5 +1,6 @@
 //! Owns the start and the end of the program: it reads the configuration, builds the parts, hands the broker's orders to
-//! them, and ends after SIGTERM once all that was taken is answered. It must never know what is in a job or an answer.
+//! them, gives them what changed in the file after SIGHUP, and ends after SIGTERM once all that was taken is answered. It
+//! must never know what is in a job or an answer, nor put a part of a faulty file in force.
 
 mod broker;
 mod claims;
@@ -30,9 +31,16 @@
 /// How often the end is looked for once nothing new is taken.
 const LOOK: Duration = Duration::from_millis(10);
 
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+fn file(path: &str) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))
+}
+
 fn main() -> ExitCode {
-    let file = |path: &str| std::fs::read_to_string(path).map_err(|error| format!("{path}: {error}"));
-    let config = match Config::read(|name| std::env::var(name).ok(), file) {
+    let config = match Config::read(variable, file) {
         Ok(config) => config,
         Err(error) => {
             eprintln!("ruddervalve: {error}");
@@ -48,22 +56,28 @@
     }
 }
 
-async fn run(config: Config) -> Result<(), Box<dyn std::error::Error>> {
+/// Claims at once and connections of submitters: two fifths of the descriptors each, as each job out has one of both.
+/// What is idle to nodes, discovery and the program itself take the rest.
+fn share(sockets: usize) -> usize {
+    sockets * 2 / 5
+}
+
+async fn run(mut config: Config) -> Result<(), Box<dyn std::error::Error>> {
     let (clock, counters) = (Clock::running(), Rc::new(Counters::default()));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut print = signal(SignalKind::user_defined1())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
     let listener = tokio::net::TcpListener::bind(config.listen).await?;
     let at = listener.local_addr()?;
-    // Two fifths of the descriptors for claims and as many for submitters: each job out has one of both. What is idle to
-    // nodes, discovery and the program itself take the rest.
-    let limit = config.sockets * 2 / 5;
-    let facade = Facade::new(config.settings, config.names, config.seed)?;
+    let limit = share(config.sockets);
+    let facade = Facade::new(config.settings.clone(), config.names.clone(), config.seed)?;
     let (broker, orders) = Broker::new(facade, clock.clone(), counters.clone());
     let claims = Claims::new(claims::client(&config.network), broker.clone(), clock.clone(), limit);
     let list = MachineList::new(claims::client(&config.network), config.discovery, broker.clone());
-    actix_rt::spawn(obey(orders, claims, list, broker.clone(), clock.clone()));
-    if let Some(known) = config.known {
+    let list = Rc::new(list);
+    actix_rt::spawn(obey(orders, claims.clone(), list.clone(), broker.clone(), clock.clone()));
+    if let Some(known) = config.known.take() {
         broker.list(ListKind::Cached, known);
     }
     broker.tick();
@@ -76,6 +90,34 @@
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
             _ = print.recv() => eprintln!("ruddervalve: {counters}"),
+            _ = hang_up.recv() => {
+                let put = |new: &Config| broker.reconfigure(new.settings.clone(), new.names.clone());
+                let read = Config::read_again(variable, file);
+                let read = read.map_err(|error| error.to_string());
+                let read = read.and_then(|new| put(&new).map(|()| new).map_err(|error| error.to_string()));
+                match read {
+                    Err(error) => {
+                        counters.count("reloads", "faulty");
+                        let line = format_args!("configuration stays as it was: {error}");
+                        counters.say(clock.now(), line);
+                    }
+                    Ok(new) => {
+                        counters.count("reloads", "taken");
+                        for key in config.fixed_keys_changed(&new) {
+                            let line = format_args!("configuration: {key} takes effect with the next start");
+                            counters.say(clock.now(), line);
+                        }
+                        front.limit_to(share(new.sockets), &new.network);
+                        claims.limit_to(share(new.sockets));
+                        // Only then: a new client has no connections yet.
+                        if new.network != config.network {
+                            claims.go_by(claims::client(&new.network));
+                        }
+                        list.follow(new.discovery);
+                        config = new;
+                    }
+                }
+            }
         }
     }
     front.close_after_answers();
@@ -93,7 +135,7 @@
 async fn obey(
     mut orders: mpsc::UnboundedReceiver<Order>,
     claims: Rc<Claims>,
-    mut list: MachineList,
+    list: Rc<MachineList>,
     broker: Rc<Broker>,
     clock: Clock,
 ) {
--- a/dispatcher/tests/process.rs
+++ b/dispatcher/tests/process.rs
@@ -120,8 +120,9 @@
             }
             // Runs until the test lets go by emptying the list of watches.
             _ => {
+                stream.write_all(format!("{head}{started}").as_bytes()).unwrap();
                 until("let go", || seen.lock().unwrap().watches.is_empty().then_some(()));
-                format!("{head}{}{last}", line("done", ",\"result\":\"late\""))
+                format!("{}{last}", line("done", ",\"result\":\"late\""))
             }
         };
         if stream.write_all(answer.as_bytes()).is_err() || matches!(how.as_str(), "breaks" | "gone") {
@@ -161,6 +162,7 @@
     node: SocketAddr,
     seen: Shared,
     lines: Arc<Mutex<Vec<String>>>,
+    config: String,
 }
 
 impl Rig {
@@ -178,7 +180,9 @@
         let discovery = discovery(&seen, node);
         let config = CONFIG.replace("127.0.0.1:8000", "127.0.0.1:0");
         let config = config.replace("127.0.0.1:8500", &discovery.to_string());
-        let mut child = start(&change(&config), &[]);
+        let config = change(&config);
+        // The variable stays set for the program's life, as a platform leaves it.
+        let mut child = start(&config, &[("ROUTER_DISCOVERY", &discovery.to_string())]);
         let mut from = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         from.read_line(&mut line).unwrap();
@@ -188,7 +192,7 @@
         thread::spawn(move || {
             from.lines().map_while(Result::ok).for_each(|line| kept.lock().unwrap().push(line))
         });
-        let rig = Self { child, address, node, seen, lines };
+        let rig = Self { child, address, node, seen, lines, config };
         until("ready", || (rig.ask(HEALTH).status() == "200").then_some(()));
         rig
     }
@@ -209,6 +213,13 @@
         );
     }
 
+    /// Replaces the file and sends SIGHUP; waits until the program has counted it.
+    fn reload(&self, config: &str, counted: &str) {
+        std::fs::write(config_path(), config).unwrap();
+        self.signal("-HUP");
+        until(counted, || self.counters("reloads").contains(&counted.to_owned()).then_some(()));
+    }
+
     /// The counters of a group, as the program prints them on request.
     fn counters(&self, group: &str) -> Vec<String> {
         self.lines.lock().unwrap().clear();
@@ -236,12 +247,16 @@
     }
 }
 
-fn start(config: &str, variables: &[(&str, &str)]) -> Child {
+/// A file of each test's own.
+fn config_path() -> std::path::PathBuf {
     let name = format!("ruddervalve-{}-{:?}.json", std::process::id(), thread::current().id());
-    let path = std::env::temp_dir().join(name);
-    std::fs::write(&path, config).unwrap();
+    std::env::temp_dir().join(name)
+}
+
+fn start(config: &str, variables: &[(&str, &str)]) -> Child {
+    std::fs::write(config_path(), config).unwrap();
     Command::new(env!("CARGO_BIN_EXE_ruddervalve"))
-        .env("ROUTER_CONFIG", &path)
+        .env("ROUTER_CONFIG", config_path())
         .envs(variables.iter().copied())
         .stderr(Stdio::piped())
         .spawn()
@@ -495,3 +510,45 @@
     2 ROUTER_CONFIG: PATH: missing field `settings` at line 59 column 1
     "#);
 }
+
+#[test]
+fn on_sighup_the_file_is_read_again_whole_and_open_jobs_go_on() {
+    let mut rig = Rig::new();
+    let mut waiting = rig.send(&job("pour", "waits", 25_000));
+    until("the node has it", || rig.seen(|seen| seen.requests.len() == 1).then_some(()));
+    // A faulty file, though it names another discovery, changes nothing, and a line names the key.
+    let elsewhere = Shared::default();
+    let moved = discovery(&elsewhere, rig.node).to_string();
+    let old =
+        rig.config.split('"').find(|word| word.contains(":") && word.len() > 12 && *word != "127.0.0.1:0");
+    let good = rig.config.replace(old.unwrap(), &moved);
+    let faulty = good.replace("\"cold_share\": 0.2", "\"cold_share\": 2");
+    std::fs::write(config_path(), faulty).unwrap();
+    rig.signal("-HUP");
+    let line = until("a line", || {
+        rig.lines.lock().unwrap().iter().find(|line| line.contains("stays as it was")).cloned()
+    });
+    assert!(line.contains("obligations.cold_share"), "{line}");
+    assert_eq!(elsewhere.lock().unwrap().watches.len(), 0);
+    // A good one counts whole: discovery wins over the variable, a new class is taken, an old one is not.
+    let good = good.replace("127.0.0.1:0", "127.0.0.1:1").replace("\"tint\"", "\"dip\"");
+    std::fs::write(config_path(), &good).unwrap();
+    rig.signal("-HUP");
+    until("listen is told of", || {
+        rig.lines.lock().unwrap().iter().any(|line| line.contains("listen takes effect")).then_some(())
+    });
+    until("the new watch", || (elsewhere.lock().unwrap().watches.len() == 1).then_some(()));
+    assert_eq!(elsewhere.lock().unwrap().watches[0].0, "GET /v1/servers?stream=1&index=0 HTTP/1.1");
+    assert_eq!(rig.ask(&job("dip", "done", 700)).status(), "200");
+    assert_eq!(rig.ask(&job("tint", "done", 700)).status(), "404");
+    // Once more, and while draining: harmless. The old watch's end was counted against nobody.
+    rig.reload(&good, "reloads.taken=2");
+    assert!(!rig.counters("list").iter().any(|count| count.starts_with("list.failed")));
+    assert_eq!(elsewhere.lock().unwrap().watches.len(), 1, "the same discovery is not asked again");
+    rig.signal("-TERM");
+    rig.signal("-HUP");
+    rig.seen.lock().unwrap().watches.clear();
+    let answer = Message::read(&mut waiting).unwrap();
+    assert_eq!((answer.status(), answer.body.as_str()), ("200", "late"));
+    assert!(rig.ended().success());
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -120,7 +120,10 @@
 #[derive(Debug)]
 pub struct Facade {
     dispatcher: Dispatcher,
+    /// The names by number, those that new settings no longer have among them.
     names: Names,
+    /// The names of the settings in force.
+    in_force: Names,
     machines: BTreeMap<WorkerId, String>,
     /// Claims made so far for each open job.
     claims: BTreeMap<u64, usize>,
@@ -140,6 +143,7 @@
     pub fn new(settings: Settings, names: Names, seed: u64) -> Result<Self, SettingsError> {
         Ok(Self {
             dispatcher: Dispatcher::new(settings, seed)?,
+            in_force: names.clone(),
             names,
             machines: BTreeMap::new(),
             claims: BTreeMap::new(),
@@ -148,13 +152,46 @@
 
     /// Whether a class goes by this name.
     pub fn knows_class(&self, name: &str) -> bool {
-        position(&self.names.classes, name).is_some()
+        position(&self.in_force.classes, name).is_some()
     }
 
     /// Whether a tenant goes by this name; where no tenants are set any may come.
     pub fn knows_tenant(&self, name: Option<&str>) -> bool {
-        self.names.tenants.is_empty()
-            || name.is_some_and(|name| position(&self.names.tenants, name).is_some())
+        self.in_force.tenants.is_empty()
+            || name.is_some_and(|name| position(&self.in_force.tenants, name).is_some())
+    }
+
+    /// Takes new settings while jobs are open. Names keep their numbers, so that open jobs and what was learnt stay as
+    /// they are: what the new settings no longer name serves out what is open, what they add comes behind.
+    pub fn reconfigure(&mut self, mut settings: Settings, names: Names) -> Result<(), SettingsError> {
+        settings.validate()?;
+        let old = self.dispatcher.settings();
+        let zones = merged(&self.names.zones, &names.zones);
+        let kinds = merged(&self.names.kinds, &names.kinds);
+        let classes = merged(&self.names.classes, &names.classes);
+        let tenants = merged(&self.names.tenants, &names.tenants);
+        let again = |number: usize, new: &[String], all: &[String]| {
+            new.get(number).and_then(|name| position(all, name)).unwrap_or(number)
+        };
+        settings.zone = settings.zone.map(|zone| ZoneId(again(zone.0, &names.zones, &zones)));
+        for class in &mut settings.classes {
+            class.kind = class.kind.map(|kind| KindId(again(kind.0, &names.kinds, &kinds)));
+        }
+        let class = |(number, name): (usize, &String)| match position(&names.classes, name) {
+            Some(new) => settings.classes[new].clone(),
+            None => old.classes[number].clone(),
+        };
+        let tenant = |name: &String| match position(&names.tenants, name) {
+            Some(new) => settings.tenants[new].clone(),
+            None => TenantSettings { quota_per_s: 0.0 },
+        };
+        let (all_classes, all_tenants) =
+            (classes.iter().enumerate().map(class).collect(), tenants.iter().map(tenant).collect());
+        (settings.classes, settings.tenants) = (all_classes, all_tenants);
+        self.dispatcher.reconfigure(settings)?;
+        self.names = Names { classes, tenants, zones, kinds };
+        self.in_force = names;
+        Ok(())
     }
 
     /// Takes a job; `id` must be new. Its one final answer comes as a step, now or later, or by a claim served.
@@ -289,6 +326,11 @@
     (ms * 1e3).round() as Micros
 }
 
+/// The names known, with those behind them that are new.
+fn merged(known: &[String], new: &[String]) -> Vec<String> {
+    known.iter().chain(new.iter().filter(|name| !known.contains(name))).cloned().collect()
+}
+
 fn position(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|known| known == name)
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -90,6 +90,23 @@
         })
     }
 
+    pub(crate) fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Takes new settings in which classes, tenants, zones and kinds keep their numbers; further ones come behind.
+    /// Requests, attempts and what is believed of workers stay.
+    pub(crate) fn reconfigure(&mut self, settings: Settings) -> Result<(), SettingsError> {
+        settings.validate()?;
+        self.seen.resize_with(settings.classes.len(), Seen::default);
+        self.credits.resize(settings.tenants.len(), 1.0);
+        for class in &settings.classes {
+            self.last_idle.entry(class.kind).or_default();
+        }
+        self.settings = settings;
+        Ok(())
+    }
+
     /// The scale of spans of time: how long a job usually runs here, as far as seen.
     pub(crate) fn typical_run(&self) -> f64 {
         self.run.unwrap_or(SECOND as f64)
