Give heads and bodies a time, and let silent connections go first where many are held

Checked: front.rs set the head time-out to zero and had none for bodies, counted every connection towards the crowded limit, and refused good submitters for it. The library's own service has one time-out for the first head of a connection and none for later heads or bodies, so front.rs now reads connections itself with the library's HTTP/1 codec. What the codec does with doubtful framing is proven by tests on raw sockets; a fragment and an upgrade went through and are turned away now. Also: an open id gets 409, doubled or unprintable fields get 400, hop-by-hop fields stay behind, an error is followed by a bounded reading on so that it is not reset away.

--- a/dispatcher/src/broker.rs
+++ b/dispatcher/src/broker.rs
@@ -3,7 +3,7 @@
 //! front can hand it jobs; what is to be sent leaves it as orders.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -62,6 +62,7 @@
 }
 
 struct Open {
+    id: Rc<str>,
     errand: Rc<Errand>,
     until_ms: f64,
     answer: oneshot::Sender<Answer>,
@@ -70,6 +71,8 @@
 struct Table {
     facade: Facade,
     jobs: BTreeMap<u64, Open>,
+    /// The submitters' ids of the jobs that are open.
+    ids: BTreeSet<Rc<str>>,
     next: u64,
     addresses: BTreeMap<String, SocketAddr>,
 }
@@ -91,6 +94,15 @@
     answer: oneshot::Receiver<Answer>,
 }
 
+impl Table {
+    /// Takes a job off the table.
+    fn close(&mut self, job: u64) -> Option<Open> {
+        let open = self.jobs.remove(&job)?;
+        self.ids.remove(&open.id);
+        Some(open)
+    }
+}
+
 impl Pending {
     /// Waits for the final answer.
     pub async fn answer(mut self) -> Answer {
@@ -112,7 +124,13 @@
         counters: Rc<Counters>,
     ) -> (Rc<Self>, mpsc::UnboundedReceiver<Order>) {
         let (orders, receiver) = mpsc::unbounded_channel();
-        let table = Table { facade, jobs: BTreeMap::new(), next: 0, addresses: BTreeMap::new() };
+        let table = Table {
+            facade,
+            jobs: BTreeMap::new(),
+            ids: BTreeSet::new(),
+            next: 0,
+            addresses: BTreeMap::new(),
+        };
         let broker = Self {
             table: RefCell::new(table),
             orders,
@@ -151,8 +169,19 @@
         self.table.borrow().jobs.len()
     }
 
-    /// Takes a job in, which came at `came_ms`.
-    pub fn submit(self: &Rc<Self>, came_ms: f64, mut facts: JobFacts, errand: Errand) -> Pending {
+    /// Takes a job in, which came at `came_ms`. None if a job of this id is open: nodes know jobs by their ids, so a
+    /// second one would be claimed for as the first, and might get its result.
+    pub fn submit(
+        self: &Rc<Self>,
+        came_ms: f64,
+        id: &str,
+        mut facts: JobFacts,
+        errand: Errand,
+    ) -> Option<Pending> {
+        let id: Rc<str> = id.into();
+        if !self.table.borrow_mut().ids.insert(id.clone()) {
+            return None;
+        }
         let now = self.clock.now();
         let until_ms = came_ms + facts.remaining_ms - MARGIN_MS;
         facts.remaining_ms = until_ms - now;
@@ -160,17 +189,17 @@
         let mut table = self.table.borrow_mut();
         let job = table.next;
         table.next += 1;
-        table.jobs.insert(job, Open { errand: Rc::new(errand), until_ms, answer: sender });
+        table.jobs.insert(job, Open { id, errand: Rc::new(errand), until_ms, answer: sender });
         let steps = table.facade.pick(now, job, &facts);
         self.counters.count("jobs", "taken");
         self.counters.highest("jobs", "open_at_once", table.jobs.len() as u64);
         self.take(&mut table, steps);
-        Pending { job, broker: self.clone(), answer }
+        Some(Pending { job, broker: self.clone(), answer })
     }
 
     fn left(&self, job: u64) {
         let mut table = self.table.borrow_mut();
-        if table.jobs.remove(&job).is_some() {
+        if table.close(job).is_some() {
             self.counters.count("answers", "submitter_left");
             let steps = table.facade.left(self.clock.now(), job);
             self.take(&mut table, steps);
@@ -287,7 +316,7 @@
 
     /// The one place where a job gets its final answer: it leaves the table with it.
     fn answer(&self, table: &mut Table, job: u64, answer: Answer) {
-        let Some(open) = table.jobs.remove(&job) else { return };
+        let Some(open) = table.close(job) else { return };
         self.counters.count(
             "answers",
             match answer {
@@ -365,7 +394,8 @@
                 headers: actix_http::header::HeaderMap::new(),
                 body: Bytes::new(),
             };
-            self.broker.submit(self.broker.clock.now(), facts, errand)
+            let id = self.broker.table.borrow().next.to_string();
+            self.broker.submit(self.broker.clock.now(), &id, facts, errand).unwrap()
         }
 
         /// The claims and withdrawals ordered since the last call.
--- a/dispatcher/src/front.rs
+++ b/dispatcher/src/front.rs
@@ -1,23 +1,29 @@
-//! Owns the platform's protocol towards submitters: connections, what a job must look like, and how answers are worded.
-//! It must never decide about a job, nor answer one by itself once the broker has it.
+//! Owns the platform's protocol towards submitters: their connections and how long each may keep the program waiting,
+//! what a job must look like, and how answers are worded. It must never decide about a job, nor answer one by itself once
+//! the broker has it, nor end a connection by its own choice while a job's answer is owed on it.
 
-use std::cell::Cell;
-use std::net::SocketAddr;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::error::DispatchError;
+use actix_http::body::MessageBody as _;
+use actix_http::error::ParseError;
+use actix_http::h1::{Codec, Message, MessageType};
 use actix_http::header::{self, HeaderMap, HeaderName};
 use actix_http::{
-    ConnectionType, HttpMessage as _, HttpService, KeepAlive, Method, Request, Response, StatusCode,
+    ConnectionType, HttpMessage as _, KeepAlive, Method, Request, Response, ServiceConfig,
+    ServiceConfigBuilder, StatusCode,
 };
-use actix_service::{Service as _, ServiceFactory as _, fn_service};
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt as _;
 use ruddervalve::JobFacts;
 use ruddervalve_settings::Network;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use tokio_util::codec::{Decoder as _, Encoder as _};
 
 use crate::broker::{Answer, Broker};
 use crate::claims::Errand;
@@ -26,12 +32,26 @@
 
 /// The longest body.
 const LONGEST_BODY: usize = 64 << 10;
-/// How long a connection is kept for a submitter to read an answer that came before its body was read.
-const LINGER: Duration = Duration::from_secs(2);
+/// The longest head: what nodes usually read, so that none closes on what was passed on to it.
+const LONGEST_HEAD: usize = 16 << 10;
+/// A request is whole so long after its connection came up, a later one after its first byte. Submitters send at once;
+/// this leaves as much again for the answer within the three seconds owed to those that do not.
+const WHOLE_MS: f64 = 2_000.0;
+/// How long a submitter may take to read an answer.
+const READS: Duration = Duration::from_secs(5);
+/// After its last answer a connection is read on for so long and what comes is dropped: a close over unread bytes would
+/// reset the answer away.
+const LINGER: Duration = Duration::from_secs(1);
+/// What is read at once.
+const READ: usize = 4 << 10;
+/// What is dropped at once.
+const DROP: usize = 64 << 10;
 /// Connections end about as fast as jobs do: long enough for some to, and short beside a submitter's patience.
 const CROWDED_WAIT_MS: f64 = 250.0;
 /// After an error of accepting, such as a want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
+/// The most slots or units of memory that a job can name and mean.
+const LARGEST_NEED: f64 = 4_096.0;
 
 /// The platform's front.
 pub struct Front {
@@ -40,15 +60,77 @@
     counters: Rc<Counters>,
     /// Answers say that the connection ends.
     closing: Cell<bool>,
-    connections: Cell<usize>,
+    /// By number, so that the first is the oldest.
+    connections: RefCell<BTreeMap<u64, Rc<Connection>>>,
     /// Connections that submitters may hold; on further ones nothing is taken.
     most: Cell<usize>,
     /// When submitters come back that found too many others connected.
     crowded_wait_ms: Cell<f64>,
+    /// Where bytes are read to that nobody wants.
+    dropped: RefCell<Vec<u8>>,
 }
 
-/// Why a request is no job.
-struct Bad(StatusCode, &'static str);
+/// What a connection is busy with, in the order in which connections are given up where too many are held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    /// No whole head has come, or none of a request that has begun.
+    Head,
+    /// All is answered, only the end is waited for.
+    Ending,
+    /// Idle between requests.
+    Kept,
+    /// A head has come, its body has not.
+    Body,
+    /// A job is out: never given up.
+    Job,
+}
+
+/// A submitter's connection as the others see it.
+struct Connection {
+    phase: Cell<Phase>,
+    /// Since when.
+    since_ms: Cell<f64>,
+    task: RefCell<Option<AbortHandle>>,
+}
+
+/// A submitter's connection as its task sees it.
+struct Wire {
+    stream: TcpStream,
+    codec: Codec,
+    inbox: BytesMut,
+    connection: Rc<Connection>,
+    /// When the request that is being read must be whole.
+    due_ms: f64,
+}
+
+/// Forgets a connection when its task ends, however it ends.
+struct Registered {
+    front: Rc<Front>,
+    number: u64,
+}
+
+impl Drop for Registered {
+    fn drop(&mut self) {
+        self.front.connections.borrow_mut().remove(&self.number);
+    }
+}
+
+/// Why a request is no job, or no request.
+enum Bad {
+    /// It gets an error, and its connection ends.
+    Told(StatusCode, &'static str),
+    /// Nobody is there to be told, or nobody who asked for anything.
+    Silent(&'static str),
+    /// The submitter left between requests: nothing bad.
+    Left,
+}
+
+/// What came of a request.
+enum Made {
+    Answer(Response<Bytes>),
+    /// The submitter left while its job was out.
+    Left,
+}
 
 impl Front {
     /// A front to a broker.
@@ -59,9 +141,18 @@
         most: usize,
         network: &Network,
     ) -> Rc<Self> {
-        let crowded_wait_ms = Cell::new(network.max_retry_after_ms.min(CROWDED_WAIT_MS));
-        let (closing, connections, most) = (Cell::new(false), Cell::new(0), Cell::new(most));
-        Rc::new(Self { broker, clock, counters, closing, connections, most, crowded_wait_ms })
+        let front = Self {
+            broker,
+            clock,
+            counters,
+            closing: Cell::new(false),
+            connections: RefCell::default(),
+            most: Cell::new(most),
+            crowded_wait_ms: Cell::new(0.0),
+            dropped: RefCell::new(vec![0; DROP]),
+        };
+        front.limit_to(most, network);
+        Rc::new(front)
     }
 
     /// Takes new limits.
@@ -77,152 +168,367 @@
 
     /// How many connections submitters hold.
     pub fn connections(&self) -> usize {
-        self.connections.get()
+        self.connections.borrow().len()
     }
 
     /// Serves connections until `stop` says so; those that are busy are then finished, idle ones closed.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
-        let (this, ended) = (self.clone(), stop.clone());
-        let factory = HttpService::build()
-            .keep_alive(KeepAlive::Os)
-            .client_request_timeout(Duration::ZERO)
-            .client_disconnect_timeout(LINGER)
-            // A submitter that ends its sending has left.
-            .h1_allow_half_closed(false)
-            .graceful_shutdown_signal(move || {
-                let mut ended = ended.clone();
-                async move {
-                    let _ = ended.wait_for(|stop| *stop).await;
-                }
-            })
-            .h1(fn_service(move |request: Request| {
-                let this = this.clone();
-                async move { Ok::<_, actix_http::Error>(this.handle(request).await) }
-            }));
-        let Ok(service) = factory.new_service(()).await else { return };
-        let service = Rc::new(service);
-        loop {
+        let config = ServiceConfigBuilder::new().keep_alive(KeepAlive::Os).build();
+        for number in 0.. {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 _ = stop.wait_for(|stop| *stop) => return,
             };
             match accepted {
-                Ok((stream, peer)) => {
-                    let _ = stream.set_nodelay(true);
-                    self.connections.set(self.connections.get() + 1);
-                    self.counters.highest("connections", "submitters_at_once", self.connections.get() as u64);
-                    self.counters.count("connections", "submitters");
-                    let (this, service) = (self.clone(), service.clone());
-                    actix_rt::spawn(async move {
-                        // The library words the answer to what is no HTTP by itself: here it is counted.
-                        if let Err(DispatchError::Parse(_)) =
-                            service.call((stream, Some::<SocketAddr>(peer))).await
-                        {
-                            this.counters.count("bad_input", "not_http");
-                        }
-                        this.connections.set(this.connections.get() - 1);
-                    });
-                }
+                Ok((stream, _)) => self.take(number, stream, &config, stop.clone()),
                 Err(error) => {
                     self.counters.count("connections", "accept_failed");
                     self.counters.say(self.clock.now(), format_args!("accept: {error}"));
+                    self.make_room();
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
+            // Those taken read first, so that a crowd of silent ones behind them does not push them out.
+            tokio::task::yield_now().await;
         }
     }
 
-    async fn handle(&self, request: Request) -> Response<Bytes> {
-        let came_ms = self.clock.now();
-        // Guards against running out of descriptors: a dispatcher that cannot claim or accept would lose what it took.
-        let health = request.path() == "/healthz";
-        let crowded = !health && self.connections.get() > self.most.get();
-        let mut response = if health {
-            let ready = self.broker.ready() && !self.closing.get();
-            let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-            Response::with_body(status, Bytes::new())
-        } else if crowded {
-            self.counters.count("answers", "crowded");
-            worded(Answer::Refused { wait_ms: self.crowded_wait_ms.get() })
-        } else {
-            match self.job(came_ms, request).await {
-                Ok(answer) => worded(answer),
-                Err(Bad(status, problem)) => {
+    fn take(
+        self: &Rc<Self>,
+        number: u64,
+        stream: TcpStream,
+        config: &ServiceConfig,
+        stop: watch::Receiver<bool>,
+    ) {
+        let _ = stream.set_nodelay(true);
+        if self.connections() >= self.most.get() {
+            self.make_room();
+        }
+        let now = self.clock.now();
+        let connection = Rc::new(Connection {
+            phase: Cell::new(Phase::Head),
+            since_ms: Cell::new(now),
+            task: RefCell::default(),
+        });
+        self.connections.borrow_mut().insert(number, connection.clone());
+        self.counters.highest("connections", "submitters_at_once", self.connections() as u64);
+        self.counters.count("connections", "submitters");
+        let (codec, inbox) = (Codec::new(config.clone()), BytesMut::new());
+        let wire = Wire { stream, codec, inbox, connection: connection.clone(), due_ms: now + WHOLE_MS };
+        let registered = Registered { front: self.clone(), number };
+        let task = actix_rt::spawn(async move {
+            registered.front.converse(wire, stop).await;
+            drop(registered);
+        });
+        connection.task.replace(Some(task.abort_handle()));
+    }
+
+    /// Guards against submitters that connect and stay: of those without a job the one that shows least goes, the oldest
+    /// first. Its descriptor is free as soon as its task has been looked at.
+    fn make_room(&self) {
+        let mut connections = self.connections.borrow_mut();
+        let without = connections.iter().filter(|(_, connection)| connection.phase.get() < Phase::Job);
+        let least = without.min_by(|(_, left), (_, right)| {
+            let phase = left.phase.get().cmp(&right.phase.get());
+            phase.then(left.since_ms.get().total_cmp(&right.since_ms.get()))
+        });
+        let Some((&number, _)) = least else { return };
+        let Some(connection) = connections.remove(&number) else { return };
+        self.counters.count(
+            "connections",
+            match connection.phase.get() {
+                Phase::Head => "silent_given_up",
+                Phase::Kept => "idle_given_up",
+                _ => "others_given_up",
+            },
+        );
+        connection.task.borrow().iter().for_each(AbortHandle::abort);
+    }
+
+    /// One connection, from its first byte to its end.
+    async fn converse(&self, mut wire: Wire, mut stop: watch::Receiver<bool>) {
+        loop {
+            let made = match self.head(&mut wire, &mut stop).await {
+                Ok(request) => self.handle(&mut wire, request).await,
+                Err(bad) => Err(bad),
+            };
+            let mut response = match made {
+                Ok(Made::Answer(response)) => response,
+                Ok(Made::Left) | Err(Bad::Left) => break,
+                Err(Bad::Silent(problem)) => {
+                    self.counters.count("bad_input", problem);
+                    break;
+                }
+                Err(Bad::Told(status, problem)) => {
                     self.counters.count("bad_input", problem);
                     self.counters.say(self.clock.now(), format_args!("bad input: {problem}"));
-                    Response::with_body(status, Bytes::from_static(problem.as_bytes()))
+                    let mut response = Response::with_body(status, Bytes::from_static(problem.as_bytes()));
+                    // What follows what cannot be read, or was not read, means nothing.
+                    response.head_mut().set_connection_type(ConnectionType::Close);
+                    response
                 }
+            };
+            if self.closing.get() {
+                response.head_mut().set_connection_type(ConnectionType::Close);
+            }
+            let written = tokio::time::timeout(READS, wire.write(response)).await;
+            if !matches!(written, Ok(Ok(()))) {
+                return self.counters.count("connections", "answers_not_read");
+            }
+            if !wire.codec.keep_alive() {
+                break;
+            }
+            wire.enter(Phase::Kept, self.clock.now());
+        }
+        wire.enter(Phase::Ending, self.clock.now());
+        if wire.stream.shutdown().await.is_ok() {
+            let _ = tokio::time::timeout(LINGER, self.drop_the_rest(&wire.stream)).await;
+        }
+    }
+
+    async fn drop_the_rest(&self, stream: &TcpStream) {
+        while stream.readable().await.is_ok() {
+            match stream.try_read(&mut self.dropped.borrow_mut()) {
+                Ok(0) => return,
+                Err(error) if error.kind() != io::ErrorKind::WouldBlock => return,
+                _ => {}
+            }
+            // A submitter that sends at full speed must not keep the thread.
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Waits for a whole head.
+    async fn head(&self, wire: &mut Wire, stop: &mut watch::Receiver<bool>) -> Result<Request, Bad> {
+        if wire.connection.phase.get() == Phase::Kept {
+            if wire.inbox.is_empty() {
+                // Between requests a submitter may stay idle for as long as there is room.
+                let read = tokio::select! {
+                    read = wire.read() => read,
+                    _ = stop.wait_for(|stop| *stop) => wire.read_now(),
+                };
+                if !matches!(read, Ok(1..)) {
+                    return Err(Bad::Left);
+                }
+            }
+            wire.due_ms = self.clock.now() + WHOLE_MS;
+            wire.enter(Phase::Head, self.clock.now());
+        }
+        loop {
+            let mut lines = wire.inbox.trim_ascii_start().split(|byte| *byte == b'\n');
+            let line = lines.next().unwrap_or_default();
+            // The library drops a fragment, and what is passed on would not be what came.
+            let fragment = line.contains(&b'#');
+            let before = wire.inbox.len();
+            match wire.codec.decode(&mut wire.inbox) {
+                Ok(Some(Message::Item(request))) if !fragment => {
+                    if before - wire.inbox.len() > LONGEST_HEAD {
+                        return Err(Bad::Told(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_long"));
+                    }
+                    wire.enter(Phase::Body, self.clock.now());
+                    return Ok(request);
+                }
+                Ok(None) if before > LONGEST_HEAD => {
+                    return Err(Bad::Told(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_long"));
+                }
+                Ok(None) => {}
+                Ok(Some(_)) => return Err(Bad::Told(StatusCode::BAD_REQUEST, "target")),
+                Err(error) => return Err(unreadable(&error)),
+            }
+            let late = self.clock.until(wire.due_ms);
+            match tokio::time::timeout(late, wire.read()).await {
+                Ok(Ok(1..)) => {}
+                Ok(_) if wire.inbox.is_empty() => return Err(Bad::Silent("nothing_sent")),
+                Ok(_) => return Err(Bad::Silent("half_a_head")),
+                Err(_) if wire.inbox.is_empty() => return Err(Bad::Silent("silent")),
+                Err(_) => return Err(Bad::Told(StatusCode::REQUEST_TIMEOUT, "slow_head")),
             }
-        };
-        if self.closing.get() || crowded {
-            response.head_mut().set_connection_type(ConnectionType::Close);
         }
-        response
     }
 
-    async fn job(&self, came_ms: f64, mut request: Request) -> Result<Answer, Bad> {
-        let facts = self.facts(&request)?;
+    /// Reads the body of the request whose head has come.
+    async fn body(&self, wire: &mut Wire, request: &Request) -> Result<Bytes, Bad> {
+        let too_long = Bad::Told(StatusCode::PAYLOAD_TOO_LARGE, "body_too_long");
+        match wire.codec.message_type() {
+            MessageType::None => return Ok(Bytes::new()),
+            MessageType::Payload => {}
+            MessageType::Stream => return Err(Bad::Told(StatusCode::BAD_REQUEST, "upgrade")),
+        }
         let length = text(request.headers(), "content-length").and_then(|length| length.parse().ok());
-        let too_long = Bad(StatusCode::PAYLOAD_TOO_LARGE, "body_too_long");
-        if length.is_some_and(|length: usize| length > LONGEST_BODY) {
+        if length.is_some_and(|length: u64| length > LONGEST_BODY as u64) {
             return Err(too_long);
         }
-        let (mut payload, mut body) = (request.take_payload(), BytesMut::new());
-        while let Some(chunk) = payload.next().await {
-            let chunk = chunk.map_err(|_| Bad(StatusCode::BAD_REQUEST, "body_broken"))?;
-            if body.len() + chunk.len() > LONGEST_BODY {
-                return Err(too_long);
+        if request.head().expect() {
+            let _ = wire.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        }
+        let mut body = BytesMut::new();
+        loop {
+            match wire.codec.decode(&mut wire.inbox) {
+                Ok(Some(Message::Chunk(Some(chunk)))) => {
+                    if body.len() + chunk.len() > LONGEST_BODY {
+                        return Err(too_long);
+                    }
+                    body.extend_from_slice(&chunk);
+                    continue;
+                }
+                Ok(Some(_)) => return Ok(body.freeze()),
+                // Part of a chunk's size or trailer: no body is that long.
+                Ok(None) if wire.inbox.len() > LONGEST_HEAD => return Err(too_long),
+                Ok(None) => {}
+                Err(_) => return Err(Bad::Told(StatusCode::BAD_REQUEST, "body_broken")),
+            }
+            match tokio::time::timeout(self.clock.until(wire.due_ms), wire.read()).await {
+                Ok(Ok(1..)) => {}
+                Ok(_) => return Err(Bad::Silent("half_a_body")),
+                Err(_) => return Err(Bad::Told(StatusCode::REQUEST_TIMEOUT, "slow_body")),
             }
-            body.extend_from_slice(&chunk);
+        }
+    }
+
+    async fn handle(&self, wire: &mut Wire, request: Request) -> Result<Made, Bad> {
+        let came_ms = self.clock.now();
+        if request.path() == "/healthz" {
+            self.body(wire, &request).await?;
+            let ready = self.broker.ready() && !self.closing.get();
+            let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            return Ok(Made::Answer(Response::with_body(status, Bytes::new())));
+        }
+        let (id, facts) = self.facts(&request)?;
+        let body = self.body(wire, &request).await?;
+        let jobs = |connection: &&Rc<Connection>| connection.phase.get() == Phase::Job;
+        if self.connections.borrow().values().filter(jobs).count() >= self.most.get() {
+            // Guards against running out of descriptors: a dispatcher that cannot claim or accept would lose what it took.
+            self.counters.count("answers", "crowded");
+            let mut response = worded(Answer::Refused { wait_ms: self.crowded_wait_ms.get() });
+            response.head_mut().set_connection_type(ConnectionType::Close);
+            return Ok(Made::Answer(response));
         }
         let errand = Errand {
             method: request.method().clone(),
             target: (request.uri().path_and_query()).map_or("/", |target| target.as_str()).to_owned(),
             headers: passed_on(request.headers()),
-            body: body.freeze(),
+            body,
+        };
+        let Some(pending) = self.broker.submit(came_ms, &id, facts, errand) else {
+            return Err(Bad::Told(StatusCode::CONFLICT, "x_txn_open"));
         };
-        Ok(self.broker.submit(came_ms, facts, errand).answer().await)
+        wire.enter(Phase::Job, self.clock.now());
+        tokio::select! {
+            biased;
+            answer = pending.answer() => Ok(Made::Answer(worded(answer))),
+            () = wire.left() => Ok(Made::Left),
+        }
     }
 
-    /// The fields that decisions need.
-    fn facts(&self, request: &Request) -> Result<JobFacts, Bad> {
-        let bad = |problem| Bad(StatusCode::BAD_REQUEST, problem);
+    /// The fields that decisions need, and the job's id.
+    fn facts(&self, request: &Request) -> Result<(String, JobFacts), Bad> {
+        let bad = |problem| Bad::Told(StatusCode::BAD_REQUEST, problem);
         let headers = request.headers();
         if request.method() != Method::POST {
-            return Err(Bad(StatusCode::METHOD_NOT_ALLOWED, "method"));
+            return Err(Bad::Told(StatusCode::METHOD_NOT_ALLOWED, "method"));
+        }
+        let plain = |byte: &u8| matches!(byte, b'\t' | b' '..=b'~');
+        if !headers.iter().all(|(_, value)| value.as_bytes().iter().all(plain)) {
+            return Err(bad("unprintable"));
         }
-        if text(headers, "x-txn").is_none_or(str::is_empty) {
-            return Err(bad("x_txn"));
+        if !request
+            .uri()
+            .path_and_query()
+            .is_some_and(|target| target.as_str().bytes().all(|byte| byte.is_ascii_graphic()))
+        {
+            return Err(bad("target"));
         }
-        let class = text(headers, "x-lane").ok_or(bad("x_lane"))?;
+        // A field that the next hop would have to leave out cannot be one that it needs.
+        if named_by_connection(headers).any(|name| OURS.contains(&name.as_str())) {
+            return Err(bad("connection"));
+        }
+        let one = |name, problem| match headers.get_all(name).count() {
+            0 | 1 => Ok(text(headers, name).filter(|value| !value.is_empty())),
+            _ => Err(bad(problem)),
+        };
+        let printable = |id: &&str| id.bytes().all(|byte| byte.is_ascii_graphic());
+        let id = one("x-txn", "x_txn")?.filter(printable).ok_or(bad("x_txn"))?;
+        let class = one("x-lane", "x_lane")?.ok_or(bad("x_lane"))?;
         if request.path().split('/').nth(1) != Some(class) {
             return Err(bad("class_in_path"));
         }
         if !self.broker.knows_class(class) {
-            return Err(Bad(StatusCode::NOT_FOUND, "class_unknown"));
+            return Err(Bad::Told(StatusCode::NOT_FOUND, "class_unknown"));
         }
-        let tenant = text(headers, "x-org");
+        let tenant = one("x-org", "x_org")?;
         if !self.broker.knows_tenant(tenant) {
             return Err(bad("x_org"));
         }
-        let remaining = text(headers, "x-remaining-ms").and_then(|ms| ms.parse::<u32>().ok());
-        let labels = text(headers, "x-labels").unwrap_or_default();
-        let label = |names: [&str; 3]| {
-            let pairs = labels.split(',').filter_map(|pair| pair.trim().split_once('='));
-            let value =
-                |(name, value): (&str, &str)| names.contains(&name).then(|| value.parse::<f64>().ok());
-            pairs.filter_map(value).flatten().find(|value| value.is_finite() && *value >= 0.0)
+        let digits = |value: &&str| value.bytes().all(|byte| byte.is_ascii_digit());
+        let remaining = one("x-remaining-ms", "x_remaining_ms")?.filter(digits);
+        let remaining = remaining.and_then(|ms| ms.parse::<u32>().ok());
+        let labels = one("x-labels", "x_labels")?.unwrap_or_default();
+        // Guards the sums of what runs where against amounts that no node has.
+        let label = |names: [&str; 3], usual: f64| {
+            let mut pairs = labels.split(',').filter_map(|pair| pair.trim().split_once('='));
+            let Some((_, value)) = pairs.find(|(name, _)| names.contains(name)) else { return Ok(usual) };
+            let value = value.parse::<f64>().ok();
+            value.filter(|value| (0.0..=LARGEST_NEED).contains(value)).ok_or(bad("x_labels"))
         };
-        Ok(JobFacts {
+        let facts = JobFacts {
             class: class.to_owned(),
             tenant: tenant.map(str::to_owned),
             remaining_ms: f64::from(remaining.ok_or(bad("x_remaining_ms"))?),
-            slots: label(["slots", "width", "x1"]).unwrap_or(1.0),
-            memory: label(["memory", "mem", "x2"]).unwrap_or(0.0),
+            slots: label(["slots", "width", "x1"], 1.0)?,
+            memory: label(["memory", "mem", "x2"], 0.0)?,
             hint_ms: text(headers, "x-estimate")
                 .and_then(|ms| ms.parse().ok())
                 .filter(|ms: &f64| ms.is_finite() && *ms >= 0.0),
-        })
+        };
+        Ok((id.to_owned(), facts))
+    }
+}
+
+impl Wire {
+    fn enter(&self, phase: Phase, now_ms: f64) {
+        self.connection.phase.set(phase);
+        self.connection.since_ms.set(now_ms);
+    }
+
+    async fn read(&mut self) -> io::Result<usize> {
+        self.inbox.reserve(READ);
+        self.stream.read_buf(&mut self.inbox).await
+    }
+
+    /// What is there to read without waiting.
+    fn read_now(&mut self) -> io::Result<usize> {
+        self.inbox.reserve(READ);
+        self.stream.try_read_buf(&mut self.inbox)
+    }
+
+    /// Waits until the submitter has left; one that ends its sending has left, too. What it sends meanwhile is kept for
+    /// later, up to a bound.
+    async fn left(&mut self) {
+        while self.inbox.len() <= LONGEST_HEAD {
+            if !matches!(self.read().await, Ok(1..)) {
+                return;
+            }
+        }
+        std::future::pending().await
+    }
+
+    async fn write(&mut self, response: Response<Bytes>) -> io::Result<()> {
+        let (response, body) = response.into_parts();
+        let mut outbox = BytesMut::new();
+        self.codec.encode(Message::Item((response, body.size())), &mut outbox)?;
+        if !body.is_empty() {
+            self.codec.encode(Message::Chunk(Some(body)), &mut outbox)?;
+            self.codec.encode(Message::Chunk(None), &mut outbox)?;
+        }
+        self.stream.write_all(&outbox).await
+    }
+}
+
+/// How what cannot be read is answered.
+fn unreadable(error: &ParseError) -> Bad {
+    match error {
+        ParseError::TooLarge => Bad::Told(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_long"),
+        _ => Bad::Told(StatusCode::BAD_REQUEST, "not_http"),
     }
 }
 
@@ -246,19 +552,34 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// The platform's own fields of a job.
+const OURS: [&str; 8] =
+    ["x-txn", "x-lane", "x-org", "x-remaining-ms", "x-labels", "x-estimate", "cookie", "host"];
+
+/// The fields that belong to the one connection because its `Connection` field says so.
+fn named_by_connection(headers: &HeaderMap) -> impl Iterator<Item = String> {
+    let values = headers.get_all(header::CONNECTION).filter_map(|value| value.to_str().ok());
+    values.flat_map(|value| value.split(',')).map(|name| name.trim().to_ascii_lowercase())
+}
+
 /// The headers that go on to an execute node: all but those of the one connection and of the time left.
 fn passed_on(headers: &HeaderMap) -> HeaderMap {
-    const OWN: [HeaderName; 6] = [
+    const OWN: [HeaderName; 9] = [
         header::CONNECTION,
         header::CONTENT_LENGTH,
         header::EXPECT,
+        header::PROXY_AUTHORIZATION,
+        header::TE,
+        header::TRAILER,
         header::TRANSFER_ENCODING,
         header::UPGRADE,
         HeaderName::from_static("x-remaining-ms"),
     ];
+    let named: Vec<String> =
+        named_by_connection(headers).chain(["keep-alive", "proxy-connection"].map(str::to_owned)).collect();
     headers
         .iter()
-        .filter(|(name, _)| !OWN.contains(name))
+        .filter(|(name, _)| !OWN.contains(name) && !named.iter().any(|named| named == name.as_str()))
         .map(|(name, value)| (name.clone(), value.clone()))
         .collect()
 }
--- a/dispatcher/tests/process.rs
+++ b/dispatcher/tests/process.rs
@@ -5,6 +5,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -263,17 +264,28 @@
         .unwrap()
 }
 
+/// A job of an id of its own.
 fn job(class: &str, how: &str, remaining_ms: u32) -> String {
+    static NEXT: AtomicUsize = AtomicUsize::new(0x9b1f);
+    let id = NEXT.fetch_add(1, Relaxed);
     format!(
-        "POST /{class}/7?do={how} HTTP/1.1\r\nHost: service.internal\r\nX-Txn: 9b1f\r\nX-Lane: {class}\r\n\
+        "POST /{class}/7?do={how} HTTP/1.1\r\nHost: service.internal\r\nX-Txn: {id:x}\r\nX-Lane: {class}\r\n\
          X-Org: acme\r\nCookie: key=7f\r\nX-Remaining-Ms: {remaining_ms}\r\nContent-Length: 5\r\n\r\nocean"
     )
 }
 
+/// The same job with another id.
+fn with_id(job: &str, id: &str) -> String {
+    let old = job.split("X-Txn: ").nth(1).unwrap().split("\r\n").next().unwrap();
+    job.replace(&format!("X-Txn: {old}\r\n"), id)
+}
+
 #[test]
 fn a_job_reaches_a_node_as_it_came_and_its_result_the_submitter_over_kept_connections() {
     let rig = Rig::new();
-    let mut stream = rig.send(&job("tint", "done", 5_000));
+    // What belongs to the one connection, by its name or by the submitter's word, stays behind.
+    let own = "X-Hop: 1\r\nConnection: keep-alive, x-hop\r\nKeep-Alive: 9\r\nTE: trailers\r\nContent-Length";
+    let mut stream = rig.send(&job("tint", "done", 5_000).replace("Content-Length", own));
     let first = Message::read(&mut stream).unwrap();
     assert_eq!((first.status(), first.body.as_str()), ("200", "a \"red\" tint"));
     stream.get_mut().write_all(job("pour", "done", 25_000).as_bytes()).unwrap();
@@ -283,7 +295,7 @@
     let left: u32 =
         sent.headers.insert("x-remaining-ms".to_owned(), "left".to_owned()).unwrap().parse().unwrap();
     assert!(left < 5_000, "{left}");
-    sent.headers.remove("date");
+    assert!(sent.headers.remove("x-txn").is_some() && sent.headers.remove("date").is_some());
     assert_debug_snapshot!(sent, @r#"
     Message {
         first: "POST /tint/7?do=done HTTP/1.1",
@@ -295,7 +307,6 @@
             "x-lane": "tint",
             "x-org": "acme",
             "x-remaining-ms": "left",
-            "x-txn": "9b1f",
         },
         body: "ocean",
     }
@@ -338,18 +349,158 @@
 }
 
 #[test]
-fn beyond_the_descriptors_for_submitters_jobs_are_refused_and_connections_closed() {
+fn silent_connections_make_room_and_jobs_keep_theirs() {
     // Two fifths of 64 descriptors are 25 connections.
     let rig = Rig::configured(|config| config.replace("1024", "64"));
-    let idle: Vec<_> = (0..25).map(|_| rig.send("")).collect();
-    let answer = until("crowded", || {
-        Some(rig.ask(&job("tint", "done", 700))).filter(|answer| answer.status() == "503")
-    });
-    assert_eq!((&*answer.headers["retry-after"], &*answer.headers["connection"]), ("0.250", "close"));
-    drop(idle);
+    let mut held = rig.send(&job("pour", "waits", 25_000));
+    until("the node has it", || rig.seen(|seen| seen.requests.len() == 1).then_some(()));
+    let mut kept = rig.send(HEALTH);
+    assert_eq!(Message::read(&mut kept).unwrap().status(), "200");
+    let silent: Vec<_> = (0..200).map(|_| rig.send("")).collect();
+    for mut silent in silent {
+        assert!(Message::read(&mut silent).is_none(), "one that says nothing is closed");
+    }
+    assert_eq!(rig.ask(&job("tint", "done", 5_000)).status(), "200", "others are served");
+    let counts = rig.counters("connections.");
+    assert!(counts.iter().any(|count| count.starts_with("connections.silent_given_up=")), "{counts:?}");
+    assert!(counts.contains(&"connections.submitters_at_once=25".to_owned()), "{counts:?}");
+    kept.get_mut().write_all(HEALTH.as_bytes()).unwrap();
+    assert_eq!(Message::read(&mut kept).unwrap().status(), "200", "an idle one goes after the silent ones");
+    rig.seen.lock().unwrap().watches.clear();
+    assert_eq!(Message::read(&mut held).unwrap().status(), "200", "one that holds a job is never closed");
+}
+
+#[test]
+fn beyond_the_descriptors_for_submitters_jobs_are_refused_and_bad_input_is_not() {
+    let rig = Rig::configured(|config| config.replace("1024", "64"));
+    let held: Vec<_> = (0..25).map(|_| rig.send(&job("tint", "runs", 5_000))).collect();
+    until("all taken", || rig.counters("jobs").contains(&"jobs.taken=25".to_owned()).then_some(()));
+    let answer = rig.ask(&job("tint", "done", 700));
+    assert_eq!((answer.status(), &*answer.headers["retry-after"]), ("503", "0.250"));
+    assert_eq!(answer.headers["connection"], "close");
+    assert_eq!(rig.ask(&job("tint", "done", 700).replace("tint", "bake")).status(), "404");
+    drop(held);
     until("room again", || (rig.ask(&job("tint", "done", 700)).status() == "200").then_some(()));
 }
 
+#[test]
+fn what_is_framed_doubtfully_gets_an_error_and_goes_nowhere() {
+    let rig = Rig::new();
+    let good = job("tint", "done", 5_000);
+    let length = |field: &str| good.replace("Content-Length: 5", field);
+    let chunked = "Transfer-Encoding: chunked";
+    let hidden = "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\nPOST /x HTTP/1.1\r\n";
+    let long = format!("X-Long: {}\r\nContent-Length: 5", "x".repeat(20_000));
+    let mut table = String::new();
+    for (what, request) in [
+        ("both lengths", good.replace("Content-Length: 5\r\n\r\n", hidden)),
+        ("two lengths", length("Content-Length: 5\r\nContent-Length: 6")),
+        ("a list of lengths", length("Content-Length: 5, 5")),
+        ("a negative length", length("Content-Length: -5")),
+        ("a signed length", length("Content-Length: +5")),
+        ("a huge length", length("Content-Length: 99999999999999999999999")),
+        ("a large length", length("Content-Length: 60000000")),
+        ("another coding", length("Transfer-Encoding: gzip, chunked")),
+        ("two codings", length(&format!("{chunked}\r\n{chunked}"))),
+        ("a space before the colon", length("Transfer-Encoding : chunked")),
+        ("a bad chunk", length(chunked).replace("ocean", "zz\r\nocean\r\n0\r\n\r\n")),
+        ("a short chunk", length(chunked).replace("ocean", "2\r\nocean\r\n0\r\n\r\n")),
+        ("long chunks", length(chunked).replace("ocean", &chunk(&"x".repeat(70_000)))),
+        ("a long head", length(&long)),
+        ("an endless head", format!("POST /tint HTTP/1.1\r\nX: {}", "x".repeat(300_000))),
+        ("an upgrade", length("Connection: upgrade\r\nUpgrade: websocket")),
+        ("a fragment", good.replace("do=done", "do=done#x")),
+        ("no host", good.replace("Host: service.internal\r\n", "")),
+    ] {
+        table += &format!("{what}: {}\n", rig.ask(&request).status());
+    }
+    assert_snapshot!(table, @r"
+    both lengths: 400
+    two lengths: 400
+    a list of lengths: 400
+    a negative length: 400
+    a signed length: 400
+    a huge length: 400
+    a large length: 413
+    another coding: 400
+    two codings: 400
+    a space before the colon: 400
+    a bad chunk: 400
+    a short chunk: 400
+    long chunks: 413
+    a long head: 431
+    an endless head: 431
+    an upgrade: 400
+    a fragment: 400
+    no host: 400
+    ");
+    // Half of one, then a close.
+    drop(rig.send(&good[..good.len() - 2]));
+    drop(rig.send(&good[..40]));
+    until("both are counted", || {
+        let counts = rig.counters("bad_input.half");
+        (counts == ["bad_input.half_a_body=1", "bad_input.half_a_head=1"]).then_some(())
+    });
+    assert_eq!(rig.seen(|seen| seen.requests.len()), 0, "nothing doubtful is passed on");
+    // What is framed well goes on, also by chunks and several in one write, in order.
+    let chunks = chunk("oce") + &chunk("an") + "0\r\n\r\n";
+    let first = length(chunked).replace("ocean", &chunks);
+    let mut stream = rig.send(&(first + &job("tint", "500", 300) + &job("pour", "done", 5_000)));
+    let answers = [(); 3].map(|()| Message::read(&mut stream).unwrap().status().to_owned());
+    assert_eq!(answers, ["200", "503", "200"]);
+    assert_eq!(rig.seen(|seen| seen.requests[0].body.clone()), "ocean");
+}
+
+#[test]
+fn an_error_reaches_one_who_is_still_sending() {
+    let rig = Rig::new();
+    let good = job("tint", "done", 5_000);
+    for head in ["Content-Length: 60000000", "Transfer-Encoding: chunked"] {
+        let mut stream = rig.send(&good.replace("Content-Length: 5", head).replace("ocean", ""));
+        let mut sending = stream.get_ref().try_clone().unwrap();
+        let sender = thread::spawn(move || {
+            // More than the buffers between hold.
+            let piece = chunk(&"x".repeat(65_500));
+            (0..128).all(|_| sending.write_all(piece.as_bytes()).is_ok())
+        });
+        assert!(sender.join().unwrap(), "it is read on until all is sent");
+        assert_eq!(Message::read(&mut stream).expect("not reset away").status(), "413");
+    }
+}
+
+#[test]
+fn one_that_keeps_the_program_waiting_gets_an_error_or_a_close_and_idle_ones_stay() {
+    let rig = Rig::new();
+    let good = job("tint", "done", 5_000);
+    let mut idle = rig.send(HEALTH);
+    assert_eq!(Message::read(&mut idle).unwrap().status(), "200");
+    let mut later = rig.send(&format!("{HEALTH}{}", &good[..40]));
+    assert_eq!(Message::read(&mut later).unwrap().status(), "200");
+    let (mut silent, mut head) = (rig.send(""), rig.send(&good[..40]));
+    let mut body = rig.send(&good[..good.len() - 1]);
+    for slow in [&mut later, &mut head, &mut body] {
+        let answer = Message::read(slow).expect("an answer");
+        assert_eq!((answer.status(), &*answer.headers["connection"]), ("408", "close"));
+        assert!(Message::read(slow).is_none());
+    }
+    assert!(Message::read(&mut silent).is_none(), "one that sent nothing is closed");
+    idle.get_mut().write_all(HEALTH.as_bytes()).unwrap();
+    assert_eq!(Message::read(&mut idle).unwrap().status(), "200", "between requests there is no such time");
+}
+
+#[test]
+fn the_id_of_an_open_job_is_not_taken_again() {
+    let rig = Rig::new();
+    let first = with_id(&job("pour", "waits", 25_000), "X-Txn: same\r\n");
+    let mut held = rig.send(&first);
+    until("the node has it", || rig.seen(|seen| seen.requests.len() == 1).then_some(()));
+    assert_eq!(rig.ask(&first).status(), "409");
+    rig.seen.lock().unwrap().watches.clear();
+    assert_eq!(Message::read(&mut held).unwrap().body, "late", "the first is unharmed");
+    assert_eq!(rig.seen(|seen| seen.requests.len()), 1, "no second claim");
+    assert_eq!(rig.ask(&with_id(&job("tint", "done", 5_000), "X-Txn: same\r\n")).status(), "200");
+}
+
 #[test]
 fn what_is_no_job_gets_a_counted_answer_and_no_claim() {
     let rig = Rig::new();
@@ -357,7 +508,12 @@
     let mut table = String::new();
     for (what, request) in [
         ("method", good.replacen("POST", "PUT", 1)),
-        ("no id", good.replace("X-Txn: 9b1f\r\n", "")),
+        ("no id", with_id(&good, "")),
+        ("an empty id", with_id(&good, "X-Txn:\r\n")),
+        ("two ids", with_id(&good, "X-Txn: 1\r\nX-Txn: 2\r\n")),
+        ("an id with a gap", with_id(&good, "X-Txn: 1 2\r\n")),
+        ("an unprintable id", with_id(&good, "X-Txn: \u{e9}\r\n")),
+        ("an id to be left out", good.replace("Cookie", "Connection: x-txn\r\nCookie")),
         ("no class", good.replace("X-Lane: tint\r\n", "")),
         ("other class in the path", good.replace("/tint/", "/pour/")),
         ("unknown class", good.replace("tint", "bake")),
@@ -365,6 +521,9 @@
         ("unknown tenant", good.replace("acme", "nobody")),
         ("no time", good.replace("X-Remaining-Ms: 5000\r\n", "")),
         ("time no number", good.replace("5000", "soon")),
+        ("time below none", good.replace("5000", "-5000")),
+        ("two times", good.replace("X-Remaining-Ms: 5000", "X-Remaining-Ms: 1\r\nX-Remaining-Ms: 5000")),
+        ("slots no number", good.replace("Cookie", "X-Labels: slots=many\r\nCookie")),
         ("long body", good.replace("Length: 5", "Length: 65537").replace("ocean", &"x".repeat(65_537))),
         ("no HTTP", "hello\r\n\r\n".to_owned()),
     ] {
@@ -373,6 +532,11 @@
     assert_snapshot!(table, @r"
     method: 405
     no id: 400
+    an empty id: 400
+    two ids: 400
+    an id with a gap: 400
+    an unprintable id: 400
+    an id to be left out: 400
     no class: 400
     other class in the path: 400
     unknown class: 404
@@ -380,20 +544,26 @@
     unknown tenant: 400
     no time: 400
     time no number: 400
+    time below none: 400
+    two times: 400
+    slots no number: 400
     long body: 413
     no HTTP: 400
     ");
-    let counts = until("all counts", || Some(rig.counters("bad_input")).filter(|counts| counts.len() == 9));
+    let counts = until("all counts", || Some(rig.counters("bad_input")).filter(|counts| counts.len() == 12));
     assert_snapshot!(counts.join("\n"), @r"
     bad_input.body_too_long=1
     bad_input.class_in_path=1
     bad_input.class_unknown=1
+    bad_input.connection=1
     bad_input.method=1
     bad_input.not_http=1
+    bad_input.unprintable=1
+    bad_input.x_labels=1
     bad_input.x_lane=1
     bad_input.x_org=2
-    bad_input.x_remaining_ms=2
-    bad_input.x_txn=1
+    bad_input.x_remaining_ms=4
+    bad_input.x_txn=4
     ");
     assert_eq!(rig.seen(|seen| seen.requests.len()), 0);
     let longest = good.replace("Length: 5", "Length: 65536").replace("ocean", &"x".repeat(65_536));
