Count what no node can use as the job's fault, not as failures of the nodes

Now: 4xx is an outcome of its own that costs no trust; a second node that says the same ends the job with 400.

--- a/dispatcher/src/broker.rs
+++ b/dispatcher/src/broker.rs
@@ -34,6 +34,8 @@
     },
     /// Failed: nothing is promised.
     Failed,
+    /// Failed, as no node can use it.
+    Unusable,
 }
 
 /// What the broker wants done on the network.
@@ -66,6 +68,8 @@
     errand: Rc<Errand>,
     until_ms: f64,
     answer: oneshot::Sender<Answer>,
+    /// What its last claim came to.
+    unusable: bool,
 }
 
 struct Table {
@@ -189,7 +193,9 @@
         let mut table = self.table.borrow_mut();
         let job = table.next;
         table.next += 1;
-        table.jobs.insert(job, Open { id, errand: Rc::new(errand), until_ms, answer: sender });
+        table
+            .jobs
+            .insert(job, Open { id, errand: Rc::new(errand), until_ms, answer: sender, unusable: false });
         let steps = table.facade.pick(now, job, &facts);
         self.counters.count("jobs", "taken");
         self.counters.highest("jobs", "open_at_once", table.jobs.len() as u64);
@@ -228,7 +234,10 @@
         if let Some(result) = result {
             self.answer(&mut self.table.borrow_mut(), claim.0, Answer::Served(result));
         }
-        let closed = !self.table.borrow().jobs.contains_key(&claim.0);
+        let open = self.table.borrow_mut().jobs.get_mut(&claim.0).map(|open| {
+            open.unusable = outcome == Outcome::Unusable;
+        });
+        let closed = open.is_none();
         self.report(claim, Report::Ended { outcome, closed, load });
     }
 
@@ -292,7 +301,10 @@
                 Step::Claim { job, claim, machine } => self.claim(table, (job, claim), &machine),
                 Step::Withdraw { job, claim } => self.order(Order::Withdraw { claim: (job, claim) }),
                 Step::Refuse { job, wait_ms } => self.answer(table, job, Answer::Refused { wait_ms }),
-                Step::Fail { job } => self.answer(table, job, Answer::Failed),
+                Step::Fail { job } => {
+                    let unusable = table.jobs.get(&job).is_some_and(|open| open.unusable);
+                    self.answer(table, job, if unusable { Answer::Unusable } else { Answer::Failed });
+                }
                 Step::AskForList => self.order(Order::AskForList),
                 Step::WakeAt(at) => self.order(Order::WakeAt(at)),
                 Step::Say(line) => self.counters.say(self.clock.now(), line),
@@ -323,6 +335,7 @@
                 Answer::Served(_) => "served",
                 Answer::Refused { .. } => "refused",
                 Answer::Failed => "failed",
+                Answer::Unusable => "unusable",
             },
         );
         // The submitter may have left this very moment: then nobody is told.
@@ -345,6 +358,8 @@
         Outcome::Reset => "reset",
         Outcome::Cancelled => "withdrawn",
         Outcome::Skipped => "never_sent",
+        Outcome::Unusable => "not_usable",
+        Outcome::Broken => "kept_broken",
     }
 }
 
--- a/dispatcher/src/claims.rs
+++ b/dispatcher/src/claims.rs
@@ -164,8 +164,12 @@
             let load =
                 response.headers().get("x-pressure").and_then(|value| value.to_str().ok()).map(read_header);
             *tail = Some(response);
-            let outcome =
-                if matches!(status, 503 | 504) && turned_away { Outcome::Full } else { Outcome::Error };
+            let outcome = match status {
+                503 | 504 if turned_away => Outcome::Full,
+                // Guards nodes against jobs that no node can use: those are no failures of theirs.
+                400..=499 => Outcome::Unusable,
+                _ => Outcome::Error,
+            };
             return End { outcome, result: None, load };
         }
         let mut lines = BytesMut::new();
--- a/dispatcher/src/front.rs
+++ b/dispatcher/src/front.rs
@@ -545,6 +545,7 @@
             response
         }
         Answer::Failed => Response::with_body(StatusCode::BAD_GATEWAY, Bytes::new()),
+        Answer::Unusable => Response::with_body(StatusCode::BAD_REQUEST, Bytes::new()),
     }
 }
 
--- a/dispatcher/tests/process.rs
+++ b/dispatcher/tests/process.rs
@@ -105,6 +105,7 @@
                 format!("{head}{started}{running}{done}{last}")
             }
             "failed" | "returned" | "lost" => format!("{head}{started}{}{last}", line(&how, load)),
+            "400" => "HTTP/1.1 400 What\r\nContent-Length: 0\r\n\r\n".to_owned(),
             "500" => "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n".to_owned(),
             "503" => "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nX-Pressure: TEXT x0=0, util=0.9\r\n\
                       Content-Length: 0\r\n\r\n"
@@ -317,7 +318,7 @@
 fn outcomes_are_told_apart_and_what_may_have_run_is_never_sent_again_or_refused() {
     let rig = Rig::new();
     let mut table = String::new();
-    for how in ["failed", "500", "lost", "ends", "breaks", "gone", "returned", "503"] {
+    for how in ["failed", "400", "500", "lost", "ends", "breaks", "gone", "returned", "503"] {
         let before = rig.seen(|seen| seen.requests.len());
         let answer = rig.ask(&job("pour", how, 700));
         let claims = rig.seen(|seen| seen.requests.len()) - before;
@@ -328,6 +329,7 @@
     }
     assert_snapshot!(table, @r"
     failed: pour 502 sent once, wait false; tint 503
+    400: pour 400 sent once, wait false; tint 400
     500: pour 502 sent once, wait false; tint 503
     lost: pour 502 sent once, wait false; tint 503
     ends: pour 502 sent once, wait false; tint 503
@@ -336,7 +338,7 @@
     returned: pour 503 sent again, wait true; tint 503
     503: pour 503 sent again, wait true; tint 503
     ");
-    assert_eq!(rig.counters("answers"), ["answers.failed=6", "answers.refused=10"]);
+    assert_eq!(rig.counters("answers"), ["answers.failed=6", "answers.refused=10", "answers.unusable=2"]);
 }
 
 #[test]
--- a/src/answers.rs
+++ b/src/answers.rs
@@ -21,6 +21,8 @@
             Effect::Keyed { .. } | Effect::Unsafe => !request.may_have_run(),
         };
         let wait = self.come_back();
+        // What no worker can use does no better later.
+        let harmless = harmless && !request.unusable();
         out.push(if harmless { Action::Refuse { request: id, wait } } else { Action::Fail { request: id } });
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -320,6 +320,10 @@
     Cancelled,
     /// Never sent.
     Skipped,
+    /// The worker could not use the request; it may have run. That says nothing of the worker.
+    Unusable,
+    /// A connection kept from before broke under it; it may have run. That says nothing of the worker.
+    Broken,
 }
 
 impl Outcome {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -190,7 +190,7 @@
             _ => return,
         }
         let effect = self.settings.classes[request.new.class.0].effect;
-        let spent = request.attempts.len() >= self.settings.limits.max_attempts;
+        let spent = request.attempts.len() >= self.settings.limits.max_attempts || request.unusable();
         if spent || request.expires <= self.now || (effect == Effect::Unsafe && request.may_have_run()) {
             self.finish(id, out);
         } else {
@@ -234,7 +234,7 @@
         match outcome {
             Outcome::Served => self.served(&flight),
             Outcome::Full | Outcome::Cancelled => self.full(flight.worker),
-            Outcome::Skipped => {}
+            Outcome::Skipped | Outcome::Unusable | Outcome::Broken => {}
             _ => self.failed(flight.worker),
         }
     }
@@ -452,7 +452,8 @@
         let class = &self.settings.classes[request.new.class.0];
         let fits = class.kind.is_none() || worker.member.kind == class.kind;
         let just_tried = request.attempts.last().is_some_and(|attempt| {
-            attempt.worker == worker.member.worker && attempt.outcome != Some(Outcome::Skipped)
+            let told = !matches!(attempt.outcome, Some(Outcome::Skipped | Outcome::Broken));
+            attempt.worker == worker.member.worker && told
         });
         worker.ready()
             && fits
--- a/src/state.rs
+++ b/src/state.rs
@@ -349,6 +349,12 @@
         self.attempts.last().is_some_and(|attempt| attempt.outcome.is_none())
     }
 
+    /// Two workers could not use it: the fault is its own, and a third one would do no better.
+    pub fn unusable(&self) -> bool {
+        let unusable = |attempt: &&Attempt| attempt.outcome == Some(Outcome::Unusable);
+        self.attempts.iter().filter(unusable).count() > 1
+    }
+
     pub fn may_have_run(&self) -> bool {
         self.attempts.iter().any(Attempt::may_have_run)
     }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -257,6 +257,29 @@
     assert!(more > 0, "trust is back");
 }
 
+#[test]
+fn what_says_nothing_of_a_worker_costs_it_no_trust() {
+    for outcome in [Outcome::Unusable, Outcome::Broken] {
+        let mut rig = Rig::new(settings(), 3);
+        let first = sends(&rig.round(0, &[request(1, 0)]));
+        let out = rig.round(MS, &[ended(1, 0, outcome, None)]);
+        assert_eq!(sends(&out).len(), 1, "{outcome:?}: a harmless one is sent again at once");
+        assert!(notes(&out).is_empty(), "{outcome:?}: nobody is distrusted");
+        // A second worker that cannot use it ends it, and coming back would not help; a broken connection does not.
+        let out = rig.round(MS, &[ended(1, 1, outcome, None)]);
+        let failed = out.contains(&Action::Fail { request: RequestId(1) });
+        assert_eq!(
+            (failed, sends(&out).len()),
+            if outcome == Outcome::Unusable { (true, 0) } else { (false, 1) }
+        );
+        assert_eq!(first.len(), 1);
+        // What must not run twice is not sent again, as it may have run.
+        rig.round(MS, &[request(2, 1)]);
+        let out = rig.round(MS, &[ended(2, 0, outcome, None)]);
+        assert!(out.contains(&Action::Fail { request: RequestId(2) }), "{outcome:?}");
+    }
+}
+
 #[test]
 fn with_every_worker_in_doubt_the_pointer_still_serves() {
     let mut rig = Rig::new(settings(), 1);
