Let a late job as wide as a worker go while another worker stays free

A late job asks for one slot more than it needs, left free behind it (logic.rs choose), and no worker has five: it could never go, and was kept until its end. Kept: it goes while another worker could take it, too.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -400,7 +400,11 @@
         // are all there is: what is worth little for its work leaves the doubt about them to dearer work.
         let late = request.latest_start < self.now;
         let modest = !self.settings.tells_start && request.density() < self.density * NEWEST;
-        let spare = f64::from(u8::from(late)) + if modest { FREE } else { 0.0 };
+        // One that with the slot left free would ask for more than any worker has leaves another worker free.
+        let roomy = |worker: &&&Worker| self.room(worker) >= request.need() - 1.0 + FREE;
+        let widest = sound.iter().map(|worker| worker.slots).fold(1.0, f64::max);
+        let alone = request.need() + 1.0 <= widest || sound.iter().filter(roomy).count() < 2;
+        let spare = f64::from(u8::from(late && alone)) + if modest { FREE } else { 0.0 };
         let fits = request.need() - 1.0 + FREE + spare;
         // Idle workers first, then free slots of partly busy ones, at home before elsewhere; doubtful slots
         // last, as a job that has to wait for a slot at home gains nothing by it.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -325,6 +325,26 @@
     assert_eq!(sends(&two), [(5, 0)]);
 }
 
+#[test]
+fn a_late_request_as_wide_as_a_worker_goes_once_another_worker_stays_free() {
+    // Guards wide late jobs: with a slot to be left free behind them they asked for more than any worker has, and were
+    // held in vain until their end.
+    let mut settings = settings();
+    settings.classes[0].late_worth = 0.3;
+    let mut rig = Rig::new(settings, 2);
+    rig.teach_slots(2, 2.0);
+    let wide = |id, class| Event::Request(NewRequest { slots: 2.0, ..new_request(id, class) });
+    rig.round(0, &[wide(1, 1), wide(2, 1)]);
+    rig.round(MS, &[started(1, 0), started(2, 0)]);
+    assert_eq!(sends(&rig.round(MS, &[wide(3, 1)])).len(), 1, "one stays on the pointer");
+    assert!(sends(&rig.round(MS, &[wide(4, 0)])).is_empty(), "the next one is held");
+    rig.pass(600 * MS, 10 * MS);
+    let end = |id| ended(id, 0, Outcome::Served, Some((2.0, 0.0)));
+    rig.round(MS, &[end(1), end(2), started(3, 0)]);
+    assert!(sends(&rig.round(MS, &[])).is_empty(), "one worker is free: left to what may still be in time");
+    assert_eq!(sends(&rig.round(200 * MS, &[end(3)])).len(), 1, "two are: it takes one");
+}
+
 #[test]
 fn where_starts_are_not_told_work_worth_little_leaves_doubtful_slots_to_dearer_work() {
     // i716774: short dear work queued on workers whose last slots went to long cheap work on a guess.
