Tell kept connections from new ones, and take nothing but a job's own lines for news

A trace of outcomes: of some 35 fragile jobs that failed, about half broke before a word of the answer. At fault: claims.rs could not tell a kept connection from a new one and used the one idle for longest first; idle ones had no bound; read_line ignored id and from, and served an empty result where none was given. logic.rs distrusted a worker for a harmless running job that it stopped for a dearer one (half of all resets: started, then ended within 0.3 s). Now: one client for each connection, the one used last first, all within the descriptors. A break on a kept one says nothing of the node, and the job goes on by a new one. Where more than 3.6 % of kept claims break, fragile jobs take new connections.

--- a/dispatcher/src/broker.rs
+++ b/dispatcher/src/broker.rs
@@ -14,7 +14,7 @@
 };
 use tokio::sync::{mpsc, oneshot};
 
-use crate::claims::Errand;
+use crate::claims::{Claim, Errand};
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::machine_list::ListNews;
@@ -39,19 +39,9 @@
 }
 
 /// What the broker wants done on the network.
-#[derive(Debug)]
 pub enum Order {
     /// Claim an execute node for a job.
-    Claim {
-        /// The claim: job and number.
-        claim: (u64, usize),
-        /// Where the node listens.
-        address: SocketAddr,
-        /// What to bring to it.
-        errand: Rc<Errand>,
-        /// When the wait for it ends.
-        until_ms: f64,
-    },
+    Claim(Claim),
     /// Give a claim up.
     Withdraw {
         /// The claim.
@@ -70,6 +60,8 @@
     answer: oneshot::Sender<Answer>,
     /// What its last claim came to.
     unusable: bool,
+    /// A kept connection has failed it: its next claim goes by a new one.
+    fresh: bool,
 }
 
 struct Table {
@@ -175,14 +167,8 @@
 
     /// Takes a job in, which came at `came_ms`. None if a job of this id is open: nodes know jobs by their ids, so a
     /// second one would be claimed for as the first, and might get its result.
-    pub fn submit(
-        self: &Rc<Self>,
-        came_ms: f64,
-        id: &str,
-        mut facts: JobFacts,
-        errand: Errand,
-    ) -> Option<Pending> {
-        let id: Rc<str> = id.into();
+    pub fn submit(self: &Rc<Self>, came_ms: f64, mut facts: JobFacts, errand: Errand) -> Option<Pending> {
+        let id: Rc<str> = errand.id.as_str().into();
         if !self.table.borrow_mut().ids.insert(id.clone()) {
             return None;
         }
@@ -193,9 +179,10 @@
         let mut table = self.table.borrow_mut();
         let job = table.next;
         table.next += 1;
-        table
-            .jobs
-            .insert(job, Open { id, errand: Rc::new(errand), until_ms, answer: sender, unusable: false });
+        table.jobs.insert(
+            job,
+            Open { id, errand: Rc::new(errand), until_ms, answer: sender, unusable: false, fresh: false },
+        );
         let steps = table.facade.pick(now, job, &facts);
         self.counters.count("jobs", "taken");
         self.counters.highest("jobs", "open_at_once", table.jobs.len() as u64);
@@ -236,6 +223,7 @@
         }
         let open = self.table.borrow_mut().jobs.get_mut(&claim.0).map(|open| {
             open.unusable = outcome == Outcome::Unusable;
+            open.fresh |= matches!(outcome, Outcome::Broken | Outcome::Skipped);
         });
         let closed = open.is_none();
         self.report(claim, Report::Ended { outcome, closed, load });
@@ -298,7 +286,7 @@
     fn take(&self, table: &mut Table, steps: Vec<Step>) {
         for step in steps {
             match step {
-                Step::Claim { job, claim, machine } => self.claim(table, (job, claim), &machine),
+                Step::Claim { job, claim, machine, once } => self.claim(table, (job, claim), machine, once),
                 Step::Withdraw { job, claim } => self.order(Order::Withdraw { claim: (job, claim) }),
                 Step::Refuse { job, wait_ms } => self.answer(table, job, Answer::Refused { wait_ms }),
                 Step::Fail { job } => {
@@ -312,8 +300,8 @@
         }
     }
 
-    fn claim(&self, table: &mut Table, claim: (u64, usize), machine: &str) {
-        let address = table.addresses.get(machine).copied();
+    fn claim(&self, table: &mut Table, claim: (u64, usize), node: String, once: bool) {
+        let address = table.addresses.get(&node).copied();
         let Some((open, address)) = table.jobs.get(&claim.0).zip(address) else {
             // Guards against a machine without an address and a job that has just ended: the claim was never sent.
             let closed = !table.jobs.contains_key(&claim.0);
@@ -322,8 +310,8 @@
             return self.take(table, steps);
         };
         self.counters.count("claims", "made");
-        let (errand, until_ms) = (open.errand.clone(), open.until_ms);
-        self.order(Order::Claim { claim, address, errand, until_ms });
+        let (errand, until_ms, fresh) = (open.errand.clone(), open.until_ms, open.fresh);
+        self.order(Order::Claim(Claim { claim, node, address, errand, until_ms, once, fresh }));
     }
 
     /// The one place where a job gets its final answer: it leaves the table with it.
@@ -404,19 +392,19 @@
                 hint_ms: None,
             };
             let errand = Errand {
+                id: self.broker.table.borrow().next.to_string(),
                 method: actix_http::Method::POST,
                 target: "/".to_owned(),
                 headers: actix_http::header::HeaderMap::new(),
                 body: Bytes::new(),
             };
-            let id = self.broker.table.borrow().next.to_string();
-            self.broker.submit(self.broker.clock.now(), &id, facts, errand).unwrap()
+            self.broker.submit(self.broker.clock.now(), facts, errand).unwrap()
         }
 
         /// The claims and withdrawals ordered since the last call.
         fn ordered(&mut self) -> Vec<(&'static str, (u64, usize))> {
             let order = |order| match order {
-                Order::Claim { claim, .. } => Some(("claim", claim)),
+                Order::Claim(claim) => Some(("claim", claim.claim)),
                 Order::Withdraw { claim } => Some(("withdraw", claim)),
                 _ => None,
             };
--- a/dispatcher/src/claims.rs
+++ b/dispatcher/src/claims.rs
@@ -1,38 +1,59 @@
-//! Owns the connections to execute nodes: one claim is one request there, its stream of news, and exactly one outcome.
-//! It must never send a claim again by itself, choose a node, or take a connection that broke after the request may have
-//! gone out for one that never came up.
+//! Owns the connections to execute nodes, those kept between claims too: one claim is one request there, its stream of
+//! news, and exactly one outcome. It must never send a claim again by itself, choose a node, hold more connections than
+//! it is allowed, take a connection that broke after the request may have gone out for one that never came up, or take
+//! another job's news or a torn line for a result.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use actix_http::{Method, header::HeaderMap};
+use actix_rt::net::{ActixStream, Ready};
+use actix_service::fn_service;
+use actix_tls::connect::{ConnectError as TcpError, ConnectInfo, Connection};
 use awc::error::{ConnectError, SendRequestError};
-use awc::{Client, Connector};
+use awc::{Client, Connector, http::Uri};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 use ruddervalve::{LoadReport, Outcome};
 use ruddervalve_settings::Network;
 use serde::Deserialize;
-use serde_json::value::RawValue;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use tokio::time::Sleep;
 
 use crate::broker::Broker;
 use crate::clock::{Clock, span};
+use crate::counters::Counters;
 
 /// The longest line of news that is read: a result fills a body at most, and escapes may double it.
 const LONGEST_LINE: usize = 256 << 10;
-/// Claims at one node at once, far above what its slots and queue take from one dispatcher: keeps the idle connections
-/// that remain behind a jam within the descriptors.
+/// Claims at one node at once, far above what its slots and queue take from one dispatcher.
 const AT_ONE_NODE: usize = 32;
 /// After its last line a stream ends at once; one that does not loses its connection.
 const TAIL: Duration = Duration::from_secs(1);
+/// A job that must not run twice is sent but for its last byte, which follows so much later: longer than the way to a
+/// node and back, and nothing beside the run of such a job.
+const HELD_BACK: Duration = Duration::from_millis(15);
+/// Where so large a part of the claims on kept connections breaks, what must not run twice goes by new ones: such a break
+/// ends the job, and a new connection costs about that part of what a job is worth.
+const BREAKS_TOO_OFTEN: f64 = 0.036;
+/// How much the newest claim counts in that part.
+const NEWEST: f64 = 1.0 / 16.0;
+/// The most free slots or waiting jobs that a report can tell of and mean.
+const LARGEST_LOAD: f64 = 4_096.0;
 
 /// A job as it goes to an execute node: the bytes that came.
 #[derive(Debug)]
 pub struct Errand {
+    /// The submitter's id of the job, by which nodes know it.
+    pub id: String,
     /// The method.
     pub method: Method,
     /// Path and query.
@@ -43,25 +64,149 @@
     pub body: Bytes,
 }
 
-/// The client for execute nodes and discovery: no retries, no redirects, no time-out but that of connecting.
+/// A connection to a node. Before the last byte of a request that must not run twice it waits a little, and looks
+/// whether the node still is there: a kept connection may have ended at the other side, and what breaks before the last
+/// byte is written never ran.
+#[derive(Debug)]
+struct Socket {
+    stream: TcpStream,
+    /// The next bytes written begin such a request.
+    careful: Rc<Cell<bool>>,
+    held_back: Option<Pin<Box<Sleep>>>,
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if self.careful.get() && buf.len() > 1 {
+            let written = ready!(Pin::new(&mut self.stream).poll_write(cx, &buf[..buf.len() - 1]))?;
+            if written == buf.len() - 1 {
+                self.careful.set(false);
+                self.held_back = Some(Box::pin(tokio::time::sleep(HELD_BACK)));
+            }
+            return Poll::Ready(Ok(written));
+        }
+        if let Some(held_back) = &mut self.held_back {
+            ready!(held_back.as_mut().poll(cx));
+            self.held_back = None;
+            let mut byte = [0];
+            if let Poll::Ready(ended) = self.stream.poll_peek(cx, &mut ReadBuf::new(&mut byte))
+                && ended? == 0
+            {
+                return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+            }
+        }
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+impl ActixStream for Socket {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.stream, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.stream, cx)
+    }
+}
+
+/// A client that holds one connection at most, so that it is known whether a claim went out on a kept one.
+struct Lane {
+    client: Client,
+    /// Connections made so far.
+    made: Rc<Cell<usize>>,
+    careful: Rc<Cell<bool>>,
+    idle_since_ms: f64,
+}
+
+impl Lane {
+    fn new(network: &Network) -> Self {
+        let (made, careful) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(false)));
+        let (count, careful_there) = (made.clone(), careful.clone());
+        let connect = fn_service(move |info: ConnectInfo<Uri>| {
+            let (count, careful) = (count.clone(), careful_there.clone());
+            async move {
+                let address = info.addrs().next().ok_or(TcpError::Unresolved)?;
+                let stream = TcpStream::connect(address).await.map_err(TcpError::Io)?;
+                stream.set_nodelay(true).map_err(TcpError::Io)?;
+                count.set(count.get() + 1);
+                Ok(Connection::new(info.request().clone(), Socket { stream, careful, held_back: None }))
+            }
+        });
+        let connector = Connector::new().connector(connect).timeout(span(network.connect_timeout_ms));
+        // How long a connection is kept is looked at here, not in the pool.
+        let connector = connector.conn_keep_alive(FOR_EVER).conn_lifetime(FOR_EVER);
+        let builder = Client::builder().connector(connector).disable_timeout().disable_redirects();
+        Self { client: builder.no_default_headers().finish(), made, careful, idle_since_ms: 0.0 }
+    }
+}
+
+const FOR_EVER: Duration = Duration::from_secs(86_400);
+
+/// The client for discovery: no retries, no redirects, no time-out but that of connecting.
 pub fn client(network: &Network) -> Client {
-    let connector = Connector::new()
-        .timeout(span(network.connect_timeout_ms))
-        // A node closes idle connections after `conn_idle`; a claim written to one then would be lost.
-        .conn_keep_alive(span(network.conn_idle_ms * 0.8))
-        .conn_lifetime(Duration::from_secs(86_400))
-        // The pool would make a claim beyond its limit wait, and reach a node that drains by then: [`Claims`] counts.
-        .limit(0);
+    let connector = Connector::new().timeout(span(network.connect_timeout_ms));
     Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
 }
 
-/// The claims that are out.
+/// The claims that are out and the connections kept for further ones.
 pub struct Claims {
-    client: RefCell<Client>,
     broker: Rc<Broker>,
     clock: Clock,
+    counters: Rc<Counters>,
+    network: RefCell<Network>,
+    /// Connections to nodes that may be held.
     limit: Cell<usize>,
     out: RefCell<BTreeMap<(u64, usize), (SocketAddr, AbortHandle)>>,
+    /// Lanes in use, those whose streams are read to their ends too.
+    busy: Cell<usize>,
+    /// The part of the claims on kept connections that broke.
+    breaks: Cell<f64>,
+    idle: RefCell<BTreeMap<SocketAddr, Vec<Lane>>>,
+}
+
+/// What a claim is to do.
+pub struct Claim {
+    /// The claim: job and number.
+    pub claim: (u64, usize),
+    /// The node's name.
+    pub node: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What to bring to it.
+    pub errand: Rc<Errand>,
+    /// When the wait for it ends.
+    pub until_ms: f64,
+    /// The job must not run twice.
+    pub once: bool,
+    /// A kept connection has failed the job before.
+    pub fresh: bool,
+}
+
+/// Counts a lane as busy for as long as it lives.
+struct Busy(Rc<Claims>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.busy.set(self.0.busy.get() - 1);
+    }
 }
 
 /// How a claim ended.
@@ -78,38 +223,74 @@
 }
 
 impl Claims {
-    /// Claims for a broker, so many at once at most.
-    pub fn new(client: Client, broker: Rc<Broker>, clock: Clock, limit: usize) -> Rc<Self> {
-        let (client, limit) = (RefCell::new(client), Cell::new(limit));
-        Rc::new(Self { client, broker, clock, limit, out: RefCell::new(BTreeMap::new()) })
+    /// Claims for a broker, on so many connections at most.
+    pub fn new(
+        network: Network,
+        broker: Rc<Broker>,
+        clock: Clock,
+        counters: Rc<Counters>,
+        limit: usize,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            broker,
+            clock,
+            counters,
+            network: RefCell::new(network),
+            limit: Cell::new(limit),
+            out: RefCell::default(),
+            busy: Cell::new(0),
+            breaks: Cell::new(0.0),
+            idle: RefCell::default(),
+        })
     }
 
-    /// From now on so many claims at once at most.
-    pub fn limit_to(&self, limit: usize) {
+    /// Takes new limits; claims that are out and connections that are kept stay as they are.
+    pub fn limit_to(&self, limit: usize, network: &Network) {
         self.limit.set(limit);
-    }
-
-    /// Further claims go by this client; those that are out end as they began.
-    pub fn go_by(&self, client: Client) {
-        self.client.replace(client);
+        self.network.replace(network.clone());
     }
 
     /// Starts a claim.
-    pub fn start(
-        self: &Rc<Self>,
-        claim: (u64, usize),
-        address: SocketAddr,
-        errand: Rc<Errand>,
-        until_ms: f64,
-    ) {
-        let there = self.out.borrow().values().filter(|out| out.0 == address).count();
-        if self.out.borrow().len() >= self.limit.get() || there >= AT_ONE_NODE {
-            return self.broker.ended(claim, Outcome::Skipped, None, None);
+    pub fn start(self: &Rc<Self>, claim: Claim) {
+        let there = self.out.borrow().values().filter(|out| out.0 == claim.address).count();
+        if self.busy.get() >= self.limit.get() || there >= AT_ONE_NODE {
+            return self.broker.ended(claim.claim, Outcome::Skipped, None, None);
         }
-        let this = self.clone();
+        let fresh = claim.fresh || (claim.once && self.breaks.get() > BREAKS_TOO_OFTEN);
+        let lane = self.lane(claim.address, fresh);
+        self.busy.set(self.busy.get() + 1);
+        let (this, busy) = (self.clone(), Busy(self.clone()));
+        let (number, address) = (claim.claim, claim.address);
         // Registered before the task first runs: tasks of this thread start only after this call.
-        let task = actix_rt::spawn(async move { this.run(claim, address, errand, until_ms).await });
-        self.out.borrow_mut().insert(claim, (address, task.abort_handle()));
+        let task = actix_rt::spawn(async move {
+            this.run(claim, lane).await;
+            drop(busy);
+        });
+        self.out.borrow_mut().insert(number, (address, task.abort_handle()));
+    }
+
+    /// A lane to a node: the one used last, which the node is likeliest to have kept, or a new one, for which the one
+    /// idle for longest makes room.
+    fn lane(&self, address: SocketAddr, fresh: bool) -> Lane {
+        let mut idle = self.idle.borrow_mut();
+        // A node closes connections that were idle for `conn_idle`; a claim written to one then would be lost.
+        let oldest = self.clock.now() - self.network.borrow().conn_idle_ms * 0.8;
+        for lanes in idle.values_mut() {
+            lanes.retain(|lane| lane.idle_since_ms > oldest);
+        }
+        idle.retain(|_, lanes| !lanes.is_empty());
+        if !fresh && let Some(lane) = idle.get_mut(&address).and_then(Vec::pop) {
+            return lane;
+        }
+        while self.busy.get() + idle.values().map(Vec::len).sum::<usize>() >= self.limit.get() {
+            let since = |lanes: &Vec<Lane>| lanes.first().map_or(f64::MAX, |lane| lane.idle_since_ms);
+            let longest = idle.values_mut().min_by(|left, right| since(left).total_cmp(&since(right)));
+            match longest {
+                Some(lanes) if !lanes.is_empty() => drop(lanes.remove(0)),
+                _ => break,
+            }
+        }
+        Lane::new(&self.network.borrow())
     }
 
     /// Gives a claim up: its connection is closed, whatever has come on it.
@@ -121,42 +302,42 @@
         self.broker.ended(claim, Outcome::Cancelled, None, None);
     }
 
-    async fn run(&self, claim: (u64, usize), address: SocketAddr, errand: Rc<Errand>, until_ms: f64) {
+    async fn run(&self, claim: Claim, mut lane: Lane) {
         let mut tail = None;
-        let wait = self.clock.until(until_ms);
-        let end =
-            tokio::time::timeout(wait, self.perform(claim, address, &errand, until_ms, &mut tail)).await;
+        let wait = self.clock.until(claim.until_ms);
+        let end = tokio::time::timeout(wait, self.perform(&claim, &lane, &mut tail)).await;
         let End { outcome, result, load } = end.unwrap_or_else(|_| Outcome::TimedOut.into());
         // Whoever takes the claim off the table tells its outcome.
-        if self.out.borrow_mut().remove(&claim).is_none() {
+        if self.out.borrow_mut().remove(&claim.claim).is_none() {
             return;
         }
-        self.broker.ended(claim, outcome, result, load);
-        // Only a stream read to its end gives its connection back.
-        if let Some(mut stream) = tail {
-            let _ =
-                tokio::time::timeout(TAIL, async { while let Some(Ok(_)) = stream.next().await {} }).await;
+        self.broker.ended(claim.claim, outcome, result, load);
+        // Only a stream read to its end, with nothing behind its last line, gives its connection back.
+        let Some(mut stream) = tail else { return };
+        if let Ok(None) = tokio::time::timeout(TAIL, stream.next()).await {
+            lane.idle_since_ms = self.clock.now();
+            self.idle.borrow_mut().entry(claim.address).or_default().push(lane);
         }
     }
 
-    async fn perform(
-        &self,
-        claim: (u64, usize),
-        address: SocketAddr,
-        errand: &Errand,
-        until_ms: f64,
-        tail: &mut Option<awc::ClientResponse>,
-    ) -> End {
-        let client = self.client.borrow().clone();
-        let mut request = client
-            .request(errand.method.clone(), format!("http://{address}{}", errand.target))
-            .address(address);
+    async fn perform(&self, claim: &Claim, lane: &Lane, tail: &mut Option<awc::ClientResponse>) -> End {
+        let errand = &claim.errand;
+        let url = format!("http://{}{}", claim.address, errand.target);
+        let mut request = lane.client.request(errand.method.clone(), url).address(claim.address);
         *request.headers_mut() = errand.headers.clone();
-        let left = (until_ms - self.clock.now()).max(0.0) as u64;
+        let left = (claim.until_ms - self.clock.now()).max(0.0) as u64;
         request = request.insert_header(("x-remaining-ms", left));
-        let mut response = match request.send_body(errand.body.clone()).await {
+        let made = lane.made.get();
+        lane.careful.set(claim.once);
+        let sent = request.send_body(errand.body.clone()).await;
+        let kept = made > 0 && lane.made.get() == made;
+        if kept {
+            let broke = f64::from(u8::from(sent.is_err()));
+            self.breaks.set(self.breaks.get() + (broke - self.breaks.get()) * NEWEST);
+        }
+        let mut response = match sent {
             Ok(response) => response,
-            Err(error) => return outcome_of(&error).into(),
+            Err(error) => return outcome_of(&error, kept).into(),
         };
         let status = response.status().as_u16();
         if status != 200 {
@@ -172,19 +353,24 @@
             };
             return End { outcome, result: None, load };
         }
-        let mut lines = BytesMut::new();
+        let (mut lines, mut clean) = (BytesMut::new(), true);
         while let Some(Ok(bytes)) = response.next().await {
             lines.extend_from_slice(&bytes);
             while let Some(end) = lines.iter().position(|byte| *byte == b'\n') {
                 let line = lines.split_to(end + 1);
-                match read_line(&line) {
-                    Some(News::Started) => self.broker.started(claim),
-                    Some(News::Progress(done)) => self.broker.progress(claim, done),
-                    Some(News::End(end)) => {
-                        *tail = Some(response);
+                match read_line(&line, &errand.id, &claim.node) {
+                    News::Started => self.broker.started(claim.claim),
+                    News::Progress(done) => self.broker.progress(claim.claim, done),
+                    News::End(end) => {
+                        *tail = (clean && lines.is_empty()).then_some(response);
                         return end;
                     }
-                    None => {}
+                    News::Empty => {}
+                    // The job's own last line may still come; a connection so confused is not used again.
+                    News::Unread => {
+                        clean = false;
+                        self.counters.count("claims", "lines_not_read");
+                    }
                 }
             }
             if lines.len() > LONGEST_LINE {
@@ -198,9 +384,18 @@
 
 /// What a failed request says of the job. It never ran only if its last byte surely was not written: no connection came
 /// up, or a write failed. A connection that ended before the answer is reported among the connect errors, too, but then
-/// the request had been written.
-fn outcome_of(error: &SendRequestError) -> Outcome {
+/// the request had been written. On a kept connection none of this says anything of the node: it may have closed it
+/// long before.
+fn outcome_of(error: &SendRequestError, kept: bool) -> Outcome {
+    use actix_http::error::ParseError;
     match error {
+        SendRequestError::Send(_) if kept => Outcome::Skipped,
+        SendRequestError::Connect(ConnectError::Disconnected)
+        | SendRequestError::Response(ParseError::Io(_) | ParseError::Incomplete)
+            if kept =>
+        {
+            Outcome::Broken
+        }
         SendRequestError::Connect(ConnectError::Disconnected) => Outcome::Reset,
         SendRequestError::Connect(_) | SendRequestError::Send(_) | SendRequestError::Url(_) => {
             Outcome::ConnectFailed
@@ -213,52 +408,67 @@
     Started,
     Progress(f64),
     End(End),
+    /// An empty line.
+    Empty,
+    /// Torn, garbled, unknown, or of another job or node.
+    Unread,
 }
 
 #[derive(Deserialize)]
 struct Line<'a> {
+    #[serde(borrow)]
+    id: std::borrow::Cow<'a, str>,
+    #[serde(borrow)]
+    from: std::borrow::Cow<'a, str>,
     #[serde(borrow)]
     state: std::borrow::Cow<'a, str>,
     share: Option<f64>,
-    #[serde(borrow)]
-    result: Option<&'a RawValue>,
+    result: Option<String>,
     load: Option<BTreeMap<String, serde_json::Value>>,
 }
 
-/// One line of a node's stream; none if it says nothing that is known.
-fn read_line(line: &[u8]) -> Option<News> {
-    let line: Line = serde_json::from_slice(line).ok()?;
+/// One line of a node's stream about a job.
+fn read_line(line: &[u8], id: &str, node: &str) -> News {
+    if line.iter().all(u8::is_ascii_whitespace) {
+        return News::Empty;
+    }
+    let Ok(line) = serde_json::from_slice::<Line<'_>>(line) else { return News::Unread };
+    if line.id != id || line.from != node {
+        return News::Unread;
+    }
     let load = line.load.as_ref().map(|load| {
         let value = |name: &str| load.get(name).and_then(serde_json::Value::as_f64);
-        LoadReport { free_slots: value("x0"), queued: value("queue").or(value("backlog")) }
+        report(value("x0"), value("queue").or(value("backlog")))
     });
-    let end = |outcome| Some(News::End(End { outcome, result: None, load }));
-    match line.state.as_ref() {
-        "started" => Some(News::Started),
-        "running" => Some(News::Progress(line.share.unwrap_or(0.0))),
-        "done" => {
-            // The result of a text is the text, of anything else its JSON as it came.
-            let raw = line.result.map_or("\"\"", RawValue::get);
-            let text = serde_json::from_str::<String>(raw).unwrap_or_else(|_| raw.to_owned());
-            Some(News::End(End { outcome: Outcome::Served, result: Some(Bytes::from(text)), load }))
-        }
-        "failed" => end(Outcome::Error),
-        "returned" => end(Outcome::Full),
-        "lost" => end(Outcome::Reset),
-        _ => None,
+    let end = |outcome, result| News::End(End { outcome, result, load });
+    match (line.state.as_ref(), line.result) {
+        ("started", _) => News::Started,
+        ("running", _) => News::Progress(line.share.unwrap_or(0.0)),
+        ("done", Some(result)) => end(Outcome::Served, Some(Bytes::from(result))),
+        ("failed", _) => end(Outcome::Error, None),
+        ("returned", _) => end(Outcome::Full, None),
+        ("lost", _) => end(Outcome::Reset, None),
+        // Without a result there is nothing to serve.
+        _ => News::Unread,
     }
 }
 
+/// A report of amounts that make sense.
+fn report(free_slots: Option<f64>, queued: Option<f64>) -> LoadReport {
+    let sound = |amount: &f64| (0.0..=LARGEST_LOAD).contains(amount);
+    LoadReport { free_slots: free_slots.filter(sound), queued: queued.filter(sound) }
+}
+
 /// A load report in a header: `TEXT name=value, name=value`.
 fn read_header(text: &str) -> LoadReport {
     let pairs = text.trim_start_matches("TEXT").split(',').filter_map(|pair| pair.trim().split_once('='));
-    let mut load = LoadReport::default();
+    let (mut free_slots, mut queued) = (None, None);
     for (name, value) in pairs {
         match name.trim() {
-            "x0" => load.free_slots = value.trim().parse().ok(),
-            "queue" | "backlog" => load.queued = value.trim().parse().ok(),
+            "x0" => free_slots = value.trim().parse().ok(),
+            "queue" | "backlog" => queued = value.trim().parse().ok(),
             _ => {}
         }
     }
-    load
+    report(free_slots, queued)
 }
--- a/dispatcher/src/front.rs
+++ b/dispatcher/src/front.rs
@@ -404,12 +404,13 @@
             return Ok(Made::Answer(response));
         }
         let errand = Errand {
+            id,
             method: request.method().clone(),
             target: (request.uri().path_and_query()).map_or("/", |target| target.as_str()).to_owned(),
             headers: passed_on(request.headers()),
             body,
         };
-        let Some(pending) = self.broker.submit(came_ms, &id, facts, errand) else {
+        let Some(pending) = self.broker.submit(came_ms, facts, errand) else {
             return Err(Bad::Told(StatusCode::CONFLICT, "x_txn_open"));
         };
         wire.enter(Phase::Job, self.clock.now());
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -56,8 +56,8 @@
     }
 }
 
-/// Claims at once and connections of submitters: two fifths of the descriptors each, as each job out has one of both.
-/// What is idle to nodes, discovery and the program itself take the rest.
+/// Connections to nodes and of submitters: two fifths of the descriptors each, as each job out has one of both. Those
+/// that are ending, discovery and the program itself take the rest.
 fn share(sockets: usize) -> usize {
     sockets * 2 / 5
 }
@@ -73,7 +73,7 @@
     let limit = share(config.sockets);
     let facade = Facade::new(config.settings.clone(), config.names.clone(), config.seed)?;
     let (broker, orders) = Broker::new(facade, clock.clone(), counters.clone());
-    let claims = Claims::new(claims::client(&config.network), broker.clone(), clock.clone(), limit);
+    let claims = Claims::new(config.network.clone(), broker.clone(), clock.clone(), counters.clone(), limit);
     let list = MachineList::new(claims::client(&config.network), config.discovery, broker.clone());
     let list = Rc::new(list);
     actix_rt::spawn(obey(orders, claims.clone(), list.clone(), broker.clone(), clock.clone()));
@@ -108,11 +108,7 @@
                             counters.say(clock.now(), line);
                         }
                         front.limit_to(share(new.sockets), &new.network);
-                        claims.limit_to(share(new.sockets));
-                        // Only then: a new client has no connections yet.
-                        if new.network != config.network {
-                            claims.go_by(claims::client(&new.network));
-                        }
+                        claims.limit_to(share(new.sockets), &new.network);
                         list.follow(new.discovery);
                         config = new;
                     }
@@ -148,9 +144,7 @@
             biased;
             order = orders.recv() => match order {
                 None => return,
-                Some(Order::Claim { claim, address, errand, until_ms }) => {
-                    claims.start(claim, address, errand, until_ms);
-                }
+                Some(Order::Claim(claim)) => claims.start(claim),
                 Some(Order::Withdraw { claim }) => claims.withdraw(claim),
                 Some(Order::AskForList) => list.ask(),
                 Some(Order::WakeAt(at)) => drop(wakes.insert((at * 1e3).ceil() as u64)),
--- a/dispatcher/tests/process.rs
+++ b/dispatcher/tests/process.rs
@@ -91,14 +91,18 @@
     let mut from = BufReader::new(stream.try_clone().unwrap());
     while let Some(request) = Message::read(&mut from) {
         let how = request.first.split(['=', ' ']).nth(2).unwrap_or_default().to_owned();
+        let id = request.headers["x-txn"].clone();
         seen.lock().unwrap().requests.push(request);
         let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
         let line = |state: &str, more: &str| {
-            chunk(&format!("{{\"id\":\"t\",\"from\":\"a\",\"state\":\"{state}\"{more}}}\n"))
+            chunk(&format!("{{\"id\":\"{id}\",\"from\":\"a\",\"state\":\"{state}\"{more}}}\n"))
         };
         let (started, last) = (line("started", ""), "0\r\n\r\n");
         let running = line("running", ",\"share\":0.4");
         let load = ",\"load\":{\"x0\":4,\"util\":0.1}";
+        let done = format!("{{\"id\":\"{id}\",\"from\":\"a\",\"state\":\"done\",\"result\":\"its own\"}}\n");
+        let other =
+            |field: &str| chunk(&done.replace(&format!("\"{field}\":\""), &format!("\"{field}\":\"z")));
         let answer = match how.as_str() {
             "done" => {
                 let done = line("done", &format!(",\"result\":\"a \\\"red\\\" tint\"{load}"));
@@ -113,6 +117,19 @@
             "ends" => format!("{head}{started}{last}"),
             "breaks" => format!("{head}{started}"),
             "gone" => String::new(),
+            // Cut short, of another job or node, or without its result: none of these is a result.
+            "torn" => format!("{head}{started}{}{last}", chunk(&done[..done.len() - 2])),
+            "foreign" => format!("{head}{started}{}{}{last}", other("id"), other("from")),
+            "nothing" => format!("{head}{started}{}{last}", line("done", load)),
+            "garbled" => {
+                format!("{head}{}{}{}{}{last}", other("id"), chunk("{\"id\":\n"), other("from"), chunk(&done))
+            }
+            // Ends the kept connection as soon as anything more comes on it.
+            "bait" => {
+                stream.write_all(format!("{head}{}{last}", chunk(&done)).as_bytes()).unwrap();
+                let _ = stream.peek(&mut [0]);
+                return;
+            }
             // Runs until the other side closes.
             "runs" => {
                 stream.write_all(format!("{head}{started}").as_bytes()).unwrap();
@@ -318,7 +335,10 @@
 fn outcomes_are_told_apart_and_what_may_have_run_is_never_sent_again_or_refused() {
     let rig = Rig::new();
     let mut table = String::new();
-    for how in ["failed", "400", "500", "lost", "ends", "breaks", "gone", "returned", "503"] {
+    for how in [
+        "torn", "foreign", "nothing", "failed", "400", "500", "lost", "ends", "breaks", "gone", "returned",
+        "503",
+    ] {
         let before = rig.seen(|seen| seen.requests.len());
         let answer = rig.ask(&job("pour", how, 700));
         let claims = rig.seen(|seen| seen.requests.len()) - before;
@@ -328,6 +348,9 @@
         table += &format!("{how}: pour {} {again}, wait {wait}; tint {}\n", answer.status(), safe.status());
     }
     assert_snapshot!(table, @r"
+    torn: pour 502 sent once, wait false; tint 503
+    foreign: pour 502 sent once, wait false; tint 503
+    nothing: pour 502 sent once, wait false; tint 503
     failed: pour 502 sent once, wait false; tint 503
     400: pour 400 sent once, wait false; tint 400
     500: pour 502 sent once, wait false; tint 503
@@ -338,7 +361,40 @@
     returned: pour 503 sent again, wait true; tint 503
     503: pour 503 sent again, wait true; tint 503
     ");
-    assert_eq!(rig.counters("answers"), ["answers.failed=6", "answers.refused=10", "answers.unusable=2"]);
+    assert_eq!(rig.counters("answers"), ["answers.failed=9", "answers.refused=13", "answers.unusable=2"]);
+}
+
+#[test]
+fn a_jobs_own_last_line_is_found_among_others() {
+    let rig = Rig::new();
+    let answer = rig.ask(&job("pour", "garbled", 5_000));
+    assert_eq!((answer.status(), answer.body.as_str()), ("200", "its own"));
+    assert_eq!(rig.counters("claims.lines"), ["claims.lines_not_read=3"]);
+    assert_eq!(rig.ask(&job("tint", "done", 5_000)).status(), "200");
+    assert_eq!(rig.seen(|seen| seen.connections), 2, "a connection so confused is not used again");
+}
+
+#[test]
+fn a_kept_connection_that_ends_under_a_job_costs_neither_the_job_nor_the_node() {
+    // One that may run twice is sent again, on a new connection.
+    let rig = Rig::new();
+    assert_eq!(rig.ask(&job("tint", "bait", 5_000)).status(), "200");
+    assert_eq!(rig.ask(&job("tint", "done", 5_000)).status(), "200");
+    assert_eq!(rig.counters("claims.kept"), ["claims.kept_broken=1"]);
+    assert_eq!(rig.seen(|seen| (seen.connections, seen.requests.len())), (2, 2));
+    // From then on one that must not run twice goes by a new connection, though there is a kept one.
+    assert_eq!(rig.ask(&job("pour", "done", 25_000)).status(), "200");
+    assert_eq!(rig.seen(|seen| seen.connections), 3);
+    assert!(
+        !rig.lines.lock().unwrap().iter().any(|line| line.contains("failed")),
+        "the node keeps its trust"
+    );
+    // The first such job: the node ended the connection before the last byte was written, so it never ran.
+    let rig = Rig::new();
+    assert_eq!(rig.ask(&job("tint", "bait", 5_000)).status(), "200");
+    assert_eq!(rig.ask(&job("pour", "done", 25_000)).status(), "200");
+    assert_eq!(rig.counters("claims.never"), ["claims.never_sent=1"]);
+    assert_eq!(rig.seen(|seen| (seen.connections, seen.requests.len())), (2, 2));
 }
 
 #[test]
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -88,6 +88,8 @@
         claim: usize,
         /// The machine's name.
         machine: String,
+        /// The job must not run twice.
+        once: bool,
     },
     /// Give a claim up.
     Withdraw {
@@ -270,7 +272,8 @@
             Action::Send { request, worker } => {
                 let made = self.claims.entry(request.0).or_default();
                 *made += 1;
-                Step::Claim { job: request.0, claim: *made - 1, machine: self.name(worker) }
+                let (claim, once) = (*made - 1, self.dispatcher.must_run_once(request));
+                Step::Claim { job: request.0, claim, machine: self.name(worker), once }
             }
             Action::Cancel { request, attempt } => Step::Withdraw { job: request.0, claim: attempt },
             Action::Refuse { request, wait } => {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -234,11 +234,17 @@
         match outcome {
             Outcome::Served => self.served(&flight),
             Outcome::Full | Outcome::Cancelled => self.full(flight.worker),
+            // A running harmless job gives way to work that is not: its slots are taken, nothing is wrong.
+            Outcome::Reset if flight.started.is_some() && self.harmless(&flight) => self.full(flight.worker),
             Outcome::Skipped | Outcome::Unusable | Outcome::Broken => {}
             _ => self.failed(flight.worker),
         }
     }
 
+    fn harmless(&self, flight: &Flight) -> bool {
+        self.settings.classes[flight.class].effect == Effect::Safe
+    }
+
     fn served(&mut self, flight: &Flight) {
         self.learn_run(flight);
         let Some(worker) = self.workers.get_mut(&flight.worker) else { return };
--- a/src/state.rs
+++ b/src/state.rs
@@ -107,6 +107,12 @@
         Ok(())
     }
 
+    /// Whether an open request may be harmed by a repeat.
+    pub(crate) fn must_run_once(&self, id: RequestId) -> bool {
+        let class = |request: &Request| self.settings.classes[request.new.class.0].effect;
+        self.requests.get(&id).is_some_and(|request| class(request) != Effect::Safe)
+    }
+
     /// The scale of spans of time: how long a job usually runs here, as far as seen.
     pub(crate) fn typical_run(&self) -> f64 {
         self.run.unwrap_or(SECOND as f64)
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -280,6 +280,22 @@
     }
 }
 
+#[test]
+fn a_harmless_running_job_that_gives_way_costs_no_trust() {
+    // Guards workers that stop harmless jobs for dearer ones: each such reset withheld a sound worker for a typical run.
+    for (class, runs, distrusted) in [(0, true, false), (0, false, true), (1, true, true)] {
+        let mut rig = Rig::new(settings(), 1);
+        rig.teach_slots(1, 2.0);
+        rig.round(0, &[request(1, class)]);
+        rig.round(MS, &if runs { vec![started(1, 0)] } else { vec![] });
+        let out = rig.round(MS, &[ended(1, 0, Outcome::Reset, None)]);
+        assert_eq!(!notes(&out).is_empty(), distrusted, "class {class}, runs {runs}: {out:?}");
+        // Its slots are taken all the same: nothing goes there before it is heard of again.
+        let next = sends(&rig.round(MS, &[request(2, class)]));
+        assert!(distrusted || next.is_empty(), "class {class}: {next:?}");
+    }
+}
+
 #[test]
 fn with_every_worker_in_doubt_the_pointer_still_serves() {
     let mut rig = Rig::new(settings(), 1);
