Keep fragile jobs away from nodes of whose answers many are errors

Each served trial made them trusted again (logic.rs served: failures set to none), and a node that fails fast looks idle. Now: a moving part of errors among a node's answers; above a tenth what must not run twice stays away, harmless jobs go as before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -23,6 +23,8 @@
 const MISSES: usize = 16;
 /// The first span of distrust is a typical run; each further failure doubles it, so many times at most.
 const DOUBT_DOUBLINGS: u32 = 2;
+/// A worker errs often where more than this part of its answers are errors, the newest counting most.
+const ERRS_OFTEN: f64 = 0.1;
 /// Parts of a cold worker's budget: for the dispatchers in turn, and for all others together. A window may
 /// hold two turns.
 const IN_TURN: f64 = 0.4;
@@ -230,6 +232,12 @@
         worker.own = worker.own.saturating_sub(1);
         worker.taken = if worker.own == 0 { 0.0 } else { worker.taken - flight.need };
         worker.unstarted = worker.unstarted.saturating_sub(usize::from(flight.started.is_none()));
+        // An error says more than the answers between: most of the doubt is gone after six of them.
+        match outcome {
+            Outcome::Error => worker.errs += (1.0 - worker.errs) * NEWEST,
+            Outcome::Served => worker.errs -= worker.errs * NEWEST / 2.0,
+            _ => {}
+        }
         report.into_iter().for_each(|report| self.report(flight.worker, report, flight.need));
         match outcome {
             Outcome::Served => self.served(&flight),
@@ -523,11 +531,12 @@
         (worker.member.booted > 0 && up < 1.0).then_some(rules.cold_share + (1.0 - rules.cold_share) * up)
     }
 
-    /// A worker in doubt gets nothing until the doubt is over, then one harmless job as a trial.
+    /// A worker in doubt gets nothing until the doubt is over, then one harmless job as a trial. What an error
+    /// ends for good stays away for longer: a worker that errs now and then serves a trial now and then.
     fn trusted(&self, request: &Request, worker: &Worker) -> bool {
         let safe = self.settings.classes[request.new.class.0].effect == Effect::Safe;
         let over = worker.doubted_until <= self.now && worker.touched < worker.doubted_until;
-        worker.failures == 0 || (safe && over)
+        if safe { worker.failures == 0 || over } else { worker.failures == 0 && worker.errs <= ERRS_OFTEN }
     }
 
     fn send(&mut self, id: RequestId, to: WorkerId, out: &mut Vec<Action>) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -246,6 +246,8 @@
     pub unstarted: usize,
     pub touched: Micros,
     pub failures: u32,
+    /// The part of its answers that were errors.
+    pub errs: f64,
     pub doubted_until: Micros,
     pub probing: bool,
     pub probed: Micros,
@@ -312,6 +314,7 @@
             unstarted: 0,
             touched: 0,
             failures: 0,
+            errs: 0.0,
             doubted_until: 0,
             probing: false,
             probed: 0,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -296,6 +296,32 @@
     }
 }
 
+#[test]
+fn what_an_error_ends_for_good_stays_away_from_a_worker_that_errs_now_and_then() {
+    // A node that failed every other job within 50 ms was trusted with fragile jobs after each one it served.
+    let mut rig = Rig::new(settings(), 2);
+    rig.teach_slots(2, 4.0);
+    let mut id = 10;
+    let mut job = |rig: &mut Rig, class: usize, outcome: Outcome| {
+        id += 1;
+        let sent = sends(&rig.round(SECOND, &[request(id, class)]))[0].1;
+        rig.round(MS, &[started(id, 0)]);
+        // Worker 0 serves all.
+        let outcome = if sent == 0 { Outcome::Served } else { outcome };
+        rig.round(100 * MS, &[ended(id, 0, outcome, Some((4.0, 0.0)))]);
+        rig.round(MS, &[Event::ClientGone { request: RequestId(id) }, ended(id, 1, Outcome::Skipped, None)]);
+        sent
+    };
+    while job(&mut rig, 0, Outcome::Error) == 0 {}
+    while job(&mut rig, 0, Outcome::Served) == 0 {}
+    for _ in 0..20 {
+        assert_eq!(job(&mut rig, 1, Outcome::Served), 0, "trusted with harmless ones only");
+    }
+    let served = (0..60).filter(|_| job(&mut rig, 0, Outcome::Served) == 1).count();
+    assert!(served > 6, "harmless ones go there: {served}");
+    assert!((0..60).any(|_| job(&mut rig, 1, Outcome::Served) == 1), "after enough of them, all do");
+}
+
 #[test]
 fn with_every_worker_in_doubt_the_pointer_still_serves() {
     let mut rig = Rig::new(settings(), 1);
