Take no load report on the time before a node's restart for news

Read in the code: attempt_ended (logic.rs) took the report of a claim that outlived the node's restart, and so believed the new process to be as loaded as the old one. The test fails without the change.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -238,7 +238,9 @@
             Outcome::Served => worker.errs -= worker.errs * NEWEST / 2.0,
             _ => {}
         }
-        report.into_iter().for_each(|report| self.report(flight.worker, report, flight.need));
+        // What was sent before the worker's start was reported on before it, too.
+        let news = report.filter(|_| flight.sent >= worker.member.booted);
+        news.into_iter().for_each(|report| self.report(flight.worker, report, flight.need));
         match outcome {
             Outcome::Served => self.served(&flight),
             Outcome::Full | Outcome::Cancelled => self.full(flight.worker),
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -322,6 +322,21 @@
     assert!((0..60).any(|_| job(&mut rig, 1, Outcome::Served) == 1), "after enough of them, all do");
 }
 
+#[test]
+fn a_report_on_the_time_before_a_restart_is_no_news() {
+    // A claim that outlived the node's restart ended with the load of the process before.
+    let mut rig = Rig::new(settings(), 2);
+    let sent = sends(&rig.round(0, &[request(1, 0)]))[0].1;
+    rig.now += SECOND;
+    let booted = rig.now;
+    rig.round(0, &[list(ListKind::Changes, [Member { booted, ..member(sent) }])]);
+    rig.now += 20 * SECOND;
+    rig.round(0, &[ended(1, 0, Outcome::Served, Some((0.0, 5.0)))]);
+    let used: BTreeSet<u64> =
+        sends(&rig.round(MS, &[request(2, 0), request(3, 0)])).iter().map(|send| send.1).collect();
+    assert_eq!(used, BTreeSet::from([0, 1]), "both are held for idle");
+}
+
 #[test]
 fn with_every_worker_in_doubt_the_pointer_still_serves() {
     let mut rig = Rig::new(settings(), 1);
