--- a/src/logic.rs
+++ b/src/logic.rs
@@ -538,7 +538,10 @@
     fn trusted(&self, request: &Request, worker: &Worker) -> bool {
         let safe = self.settings.classes[request.new.class.0].effect == Effect::Safe;
         let over = worker.doubted_until <= self.now && worker.touched < worker.doubted_until;
-        if safe { worker.failures == 0 || over } else { worker.failures == 0 && worker.errs <= ERRS_OFTEN }
+        match safe {
+            true => worker.failures == 0 || over,
+            false => worker.failures == 0 && worker.errs <= ERRS_OFTEN,
+        }
     }
 
     fn send(&mut self, id: RequestId, to: WorkerId, out: &mut Vec<Action>) {
