--- a/src/logic.rs
+++ b/src/logic.rs
@@ -533,8 +533,8 @@
         (worker.member.booted > 0 && up < 1.0).then_some(rules.cold_share + (1.0 - rules.cold_share) * up)
     }
 
-    /// A worker in doubt gets nothing until the doubt is over, then one harmless job as a trial. What an error
-    /// ends for good stays away for longer: a worker that errs now and then serves a trial now and then.
+    /// A worker in doubt gets nothing until the doubt is over, then one harmless job as a trial. What an
+    /// error ends for good stays away for longer: who errs now and then serves a trial now and then.
     fn trusted(&self, request: &Request, worker: &Worker) -> bool {
         let safe = self.settings.classes[request.new.class.0].effect == Effect::Safe;
         let over = worker.doubted_until <= self.now && worker.touched < worker.doubted_until;
