Give operators an address of their own, with check, drain-on and drain-off

Checked: the front's task for an idle connection now waits on the one standing kept by the broker instead of on a flag and a watch of its own (front.rs, `closing` and `stop` are gone), and main waits for the last connection to end instead of looking every 10 ms. Ruled out: taking jobs for as long as the connection lives after a drain; one taken 1.9 s after the call may be out when the dispatcher has to be empty.

--- a/dispatcher/src/claims.rs
+++ b/dispatcher/src/claims.rs
@@ -29,7 +29,7 @@
 use tokio::time::Sleep;
 
 use crate::broker::Broker;
-use crate::clock::{Clock, span};
+use crate::clock::{Clock, FOR_EVER, span};
 use crate::counters::Counters;
 
 /// The longest line of news that is read: a result fills a body at most, and escapes may double it.
@@ -158,8 +158,6 @@
     }
 }
 
-const FOR_EVER: Duration = Duration::from_secs(86_400);
-
 /// The client for discovery: no retries, no redirects, no time-out but that of connecting.
 pub fn client(network: &Network) -> Client {
     let connector = Connector::new().timeout(span(network.connect_timeout_ms));
--- a/dispatcher/src/clock.rs
+++ b/dispatcher/src/clock.rs
@@ -4,6 +4,9 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Longer than any wait.
+pub const FOR_EVER: Duration = Duration::from_secs(86_400);
+
 /// The clock; its copies tell the same time.
 #[derive(Debug, Clone)]
 pub enum Clock {
@@ -45,5 +48,5 @@
 pub fn span(ms: f64) -> Duration {
     // What is no number becomes none, too: `clamp` alone would let it through.
     let seconds = if ms > 0.0 { ms / 1e3 } else { 0.0 };
-    Duration::from_secs_f64(seconds.min(86_400.0))
+    Duration::from_secs_f64(seconds.min(FOR_EVER.as_secs_f64()))
 }
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -28,6 +28,8 @@
     #[serde(default)]
     listen: Option<String>,
     #[serde(default)]
+    control: Option<String>,
+    #[serde(default)]
     discovery: Option<String>,
     #[serde(default)]
     seed: Option<String>,
@@ -52,6 +54,10 @@
     pub listen: SocketAddr,
     /// What the file says of it, which a variable may have won over.
     listen_in_file: Option<String>,
+    /// Where operators call, if anywhere.
+    pub control: Option<SocketAddr>,
+    /// What the file says of it.
+    control_in_file: Option<String>,
     /// Where the machine list is had.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -89,6 +95,7 @@
     /// newer.
     pub fn fixed_keys_changed(&self, new: &Self) -> Vec<&'static str> {
         let changed = [
+            ("control", self.control_in_file != new.control_in_file),
             ("listen", self.listen_in_file != new.listen_in_file),
             ("name", self.name != new.name),
             ("seed", self.seed != new.seed),
@@ -116,6 +123,10 @@
             let value = value.ok_or_else(|| fault(key, "is missing".to_owned()))?;
             value.parse().map_err(|_| fault(key, format!("'{value}' is no address with a port")))
         };
+        let control = match variable("ROUTER_CONTROL").is_some() || given.control.is_some() {
+            true => Some(address("control", "ROUTER_CONTROL", given.control.clone())?),
+            false => None,
+        };
         let seed = match &given.seed {
             None => 0,
             Some(seed) => u64::from_str_radix(seed, 16)
@@ -136,6 +147,8 @@
         }
         Ok(Self {
             name: variable("ROUTER_NAME").or(given.name).unwrap_or_else(|| "ruddervalve".to_owned()),
+            control,
+            control_in_file: given.control,
             listen_in_file: given.listen.clone(),
             listen: address("listen", "ROUTER_LISTEN", given.listen)?,
             discovery: address("discovery", "ROUTER_DISCOVERY", given.discovery)?,
--- a/dispatcher/src/front.rs
+++ b/dispatcher/src/front.rs
@@ -21,13 +21,13 @@
 use ruddervalve_settings::Network;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::AbortHandle;
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
-use crate::broker::{Answer, Broker};
+use crate::broker::{Answer, Broker, NotTaken, Standing};
 use crate::claims::Errand;
-use crate::clock::Clock;
+use crate::clock::{Clock, FOR_EVER};
 use crate::counters::Counters;
 
 /// The longest body.
@@ -42,6 +42,13 @@
 /// After its last answer a connection is read on for so long and what comes is dropped: a close over unread bytes would
 /// reset the answer away.
 const LINGER: Duration = Duration::from_secs(1);
+/// For so long after the program's end has begun new connections keep arriving.
+const KEEP_ACCEPTING_MS: f64 = 600.0;
+/// So long after the dispatcher was drained its silent and idle connections go: new ones have stopped by then, and what
+/// is sent on them until then is answered in time.
+const DRAINED_IDLE_MS: f64 = 1_000.0;
+/// A connection that comes up later than that still has so long to say something, as those who ask for health do.
+const FIRST_WORD_MS: f64 = 500.0;
 /// What is read at once.
 const READ: usize = 4 << 10;
 /// What is dropped at once.
@@ -58,8 +65,6 @@
     broker: Rc<Broker>,
     clock: Clock,
     counters: Rc<Counters>,
-    /// Answers say that the connection ends.
-    closing: Cell<bool>,
     /// By number, so that the first is the oldest.
     connections: RefCell<BTreeMap<u64, Rc<Connection>>>,
     /// Connections that submitters may hold; on further ones nothing is taken.
@@ -68,6 +73,8 @@
     crowded_wait_ms: Cell<f64>,
     /// Where bytes are read to that nobody wants.
     dropped: RefCell<Vec<u8>>,
+    /// Told whenever a connection has ended.
+    ended: Notify,
 }
 
 /// What a connection is busy with, in the order in which connections are given up where too many are held.
@@ -99,6 +106,8 @@
     codec: Codec,
     inbox: BytesMut,
     connection: Rc<Connection>,
+    /// When it came up.
+    opened_ms: f64,
     /// When the request that is being read must be whole.
     due_ms: f64,
 }
@@ -112,6 +121,7 @@
 impl Drop for Registered {
     fn drop(&mut self) {
         self.front.connections.borrow_mut().remove(&self.number);
+        self.front.ended.notify_one();
     }
 }
 
@@ -145,11 +155,11 @@
             broker,
             clock,
             counters,
-            closing: Cell::new(false),
             connections: RefCell::default(),
             most: Cell::new(most),
             crowded_wait_ms: Cell::new(0.0),
             dropped: RefCell::new(vec![0; DROP]),
+            ended: Notify::new(),
         };
         front.limit_to(most, network);
         Rc::new(front)
@@ -161,26 +171,29 @@
         self.crowded_wait_ms.set(network.max_retry_after_ms.min(CROWDED_WAIT_MS));
     }
 
-    /// From now on each answer ends its connection.
-    pub fn close_after_answers(&self) {
-        self.closing.set(true);
-    }
-
     /// How many connections submitters hold.
-    pub fn connections(&self) -> usize {
+    fn connections(&self) -> usize {
         self.connections.borrow().len()
     }
 
-    /// Serves connections until `stop` says so; those that are busy are then finished, idle ones closed.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+    /// Waits until submitters hold no connection.
+    pub async fn empty(&self) {
+        while self.connections() > 0 {
+            self.ended.notified().await;
+        }
+    }
+
+    /// Serves connections until the program ends and no new ones come any more; those that are held go on.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         let config = ServiceConfigBuilder::new().keep_alive(KeepAlive::Os).build();
+        let mut standing = self.broker.standing();
         for number in 0.. {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                _ = stop.wait_for(|stop| *stop) => return,
+                () = self.passed(&mut standing, no_more_accepted) => return,
             };
             match accepted {
-                Ok((stream, _)) => self.take(number, stream, &config, stop.clone()),
+                Ok((stream, _)) => self.take(number, stream, &config),
                 Err(error) => {
                     self.counters.count("connections", "accept_failed");
                     self.counters.say(self.clock.now(), format_args!("accept: {error}"));
@@ -193,13 +206,19 @@
         }
     }
 
-    fn take(
-        self: &Rc<Self>,
-        number: u64,
-        stream: TcpStream,
-        config: &ServiceConfig,
-        stop: watch::Receiver<bool>,
-    ) {
+    /// Waits until the time has passed that follows from the standing, whatever becomes of that meanwhile.
+    async fn passed(&self, standing: &mut watch::Receiver<Standing>, when: impl Fn(Standing) -> Option<f64>) {
+        loop {
+            let at = when(*standing.borrow_and_update());
+            let wait = at.map_or(FOR_EVER, |at| self.clock.until(at));
+            tokio::select! {
+                Ok(()) = standing.changed() => {}
+                () = tokio::time::sleep(wait) => return,
+            }
+        }
+    }
+
+    fn take(self: &Rc<Self>, number: u64, stream: TcpStream, config: &ServiceConfig) {
         let _ = stream.set_nodelay(true);
         if self.connections() >= self.most.get() {
             self.make_room();
@@ -214,10 +233,17 @@
         self.counters.highest("connections", "submitters_at_once", self.connections() as u64);
         self.counters.count("connections", "submitters");
         let (codec, inbox) = (Codec::new(config.clone()), BytesMut::new());
-        let wire = Wire { stream, codec, inbox, connection: connection.clone(), due_ms: now + WHOLE_MS };
+        let wire = Wire {
+            stream,
+            codec,
+            inbox,
+            connection: connection.clone(),
+            opened_ms: now,
+            due_ms: now + WHOLE_MS,
+        };
         let registered = Registered { front: self.clone(), number };
         let task = actix_rt::spawn(async move {
-            registered.front.converse(wire, stop).await;
+            registered.front.converse(wire).await;
             drop(registered);
         });
         connection.task.replace(Some(task.abort_handle()));
@@ -246,9 +272,10 @@
     }
 
     /// One connection, from its first byte to its end.
-    async fn converse(&self, mut wire: Wire, mut stop: watch::Receiver<bool>) {
+    async fn converse(&self, mut wire: Wire) {
+        let mut standing = self.broker.standing();
         loop {
-            let made = match self.head(&mut wire, &mut stop).await {
+            let made = match self.head(&mut wire, &mut standing).await {
                 Ok(request) => self.handle(&mut wire, request).await,
                 Err(bad) => Err(bad),
             };
@@ -268,7 +295,7 @@
                     response
                 }
             };
-            if self.closing.get() {
+            if *standing.borrow() != Standing::Serving {
                 response.head_mut().set_connection_type(ConnectionType::Close);
             }
             let written = tokio::time::timeout(READS, wire.write(response)).await;
@@ -299,18 +326,31 @@
     }
 
     /// Waits for a whole head.
-    async fn head(&self, wire: &mut Wire, stop: &mut watch::Receiver<bool>) -> Result<Request, Bad> {
-        if wire.connection.phase.get() == Phase::Kept {
-            if wire.inbox.is_empty() {
-                // Between requests a submitter may stay idle for as long as there is room.
-                let read = tokio::select! {
-                    read = wire.read() => read,
-                    _ = stop.wait_for(|stop| *stop) => wire.read_now(),
-                };
-                if !matches!(read, Ok(1..)) {
-                    return Err(Bad::Left);
-                }
+    async fn head(&self, wire: &mut Wire, standing: &mut watch::Receiver<Standing>) -> Result<Request, Bad> {
+        let kept = wire.connection.phase.get() == Phase::Kept;
+        if wire.inbox.is_empty() {
+            // Between requests a submitter may stay idle for as long as there is room; its first one is waited for.
+            let most = if kept { FOR_EVER } else { self.clock.until(wire.due_ms) };
+            let opened_ms = wire.opened_ms;
+            let no_more_idle =
+                |standing| no_more_idle(standing).map(|at: f64| at.max(opened_ms + FIRST_WORD_MS));
+            let read = tokio::select! {
+                biased;
+                read = wire.read() => read,
+                // Never closed over bytes that wait unread.
+                () = self.passed(standing, no_more_idle) => match wire.read_now() {
+                    Err(_) => return Err(Bad::Left),
+                    read => read,
+                },
+                () = tokio::time::sleep(most) => return Err(Bad::Silent("silent")),
+            };
+            match read {
+                Ok(1..) => {}
+                _ if kept => return Err(Bad::Left),
+                _ => return Err(Bad::Silent("nothing_sent")),
             }
+        }
+        if kept {
             wire.due_ms = self.clock.now() + WHOLE_MS;
             wire.enter(Phase::Head, self.clock.now());
         }
@@ -338,9 +378,7 @@
             let late = self.clock.until(wire.due_ms);
             match tokio::time::timeout(late, wire.read()).await {
                 Ok(Ok(1..)) => {}
-                Ok(_) if wire.inbox.is_empty() => return Err(Bad::Silent("nothing_sent")),
                 Ok(_) => return Err(Bad::Silent("half_a_head")),
-                Err(_) if wire.inbox.is_empty() => return Err(Bad::Silent("silent")),
                 Err(_) => return Err(Bad::Told(StatusCode::REQUEST_TIMEOUT, "slow_head")),
             }
         }
@@ -389,7 +427,7 @@
         let came_ms = self.clock.now();
         if request.path() == "/healthz" {
             self.body(wire, &request).await?;
-            let ready = self.broker.ready() && !self.closing.get();
+            let ready = self.broker.ready() && *self.broker.standing().borrow() == Standing::Serving;
             let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             return Ok(Made::Answer(Response::with_body(status, Bytes::new())));
         }
@@ -410,8 +448,13 @@
             headers: passed_on(request.headers()),
             body,
         };
-        let Some(pending) = self.broker.submit(came_ms, facts, errand) else {
-            return Err(Bad::Told(StatusCode::CONFLICT, "x_txn_open"));
+        let pending = match self.broker.submit(came_ms, facts, errand) {
+            Ok(pending) => pending,
+            Err(NotTaken::IdOpen) => return Err(Bad::Told(StatusCode::CONFLICT, "x_txn_open")),
+            Err(NotTaken::Drained) => {
+                let wait_ms = self.crowded_wait_ms.get();
+                return Ok(Made::Answer(worded(Answer::Refused { wait_ms })));
+            }
         };
         wire.enter(Phase::Job, self.clock.now());
         tokio::select! {
@@ -525,6 +568,23 @@
     }
 }
 
+/// From when on no connection is accepted any more.
+fn no_more_accepted(standing: Standing) -> Option<f64> {
+    match standing {
+        Standing::Serving | Standing::Drained { .. } => None,
+        Standing::Ending { since_ms } => Some(since_ms + KEEP_ACCEPTING_MS),
+    }
+}
+
+/// From when on a connection may not be idle any more.
+fn no_more_idle(standing: Standing) -> Option<f64> {
+    match standing {
+        Standing::Serving => None,
+        Standing::Drained { since_ms } => Some(since_ms + DRAINED_IDLE_MS),
+        Standing::Ending { since_ms } => Some(since_ms + KEEP_ACCEPTING_MS),
+    }
+}
+
 /// How what cannot be read is answered.
 fn unreadable(error: &ParseError) -> Bad {
     match error {
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -6,6 +6,7 @@
 mod claims;
 mod clock;
 mod config;
+mod control;
 mod counters;
 mod front;
 mod machine_list;
@@ -16,21 +17,17 @@
 
 use ruddervalve::{Facade, ListKind};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 
 use broker::{Broker, Order};
 use claims::Claims;
 use clock::Clock;
 use config::Config;
+use control::Control;
 use counters::Counters;
 use front::Front;
 use machine_list::MachineList;
 
-/// New connections keep arriving for so long after SIGTERM.
-const KEEP_ACCEPTING: Duration = Duration::from_millis(600);
-/// How often the end is looked for once nothing new is taken.
-const LOOK: Duration = Duration::from_millis(10);
-
 fn variable(name: &str) -> Option<String> {
     std::env::var(name).ok()
 }
@@ -56,10 +53,10 @@
     }
 }
 
-/// Connections to nodes and of submitters: two fifths of the descriptors each, as each job out has one of both. Those
-/// that are ending, discovery and the program itself take the rest.
+/// Connections to nodes and of submitters: two fifths each of the descriptors that are not set aside for operators, as
+/// each job out has one of both. Those that are ending, discovery and the program itself take the rest.
 fn share(sockets: usize) -> usize {
-    sockets * 2 / 5
+    (sockets - control::SET_ASIDE) * 2 / 5
 }
 
 async fn run(mut config: Config) -> Result<(), Box<dyn std::error::Error>> {
@@ -81,9 +78,14 @@
         broker.list(ListKind::Cached, known);
     }
     broker.tick();
-    let (stop, stopped) = watch::channel(false);
+    if let Some(address) = config.control {
+        let listener = tokio::net::TcpListener::bind(address).await?;
+        counters.say(clock.now(), format_args!("operators call at {}", listener.local_addr()?));
+        let control = Control::new(broker.clone(), clock.clone(), counters.clone());
+        actix_rt::spawn(control.serve(listener));
+    }
     let front = Front::new(broker.clone(), clock.clone(), counters.clone(), limit, &config.network);
-    let serving = actix_rt::spawn(front.clone().serve(listener, stopped));
+    let serving = actix_rt::spawn(front.clone().serve(listener));
     counters.say(clock.now(), format_args!("{} listens on {at}", config.name));
     loop {
         tokio::select! {
@@ -116,13 +118,10 @@
             }
         }
     }
-    front.close_after_answers();
-    tokio::time::sleep(KEEP_ACCEPTING).await;
-    let _ = stop.send(true);
+    broker.end();
     let _ = serving.await;
-    while broker.open() > 0 || front.connections() > 0 {
-        tokio::time::sleep(LOOK).await;
-    }
+    // A job is open for as long as its connection.
+    front.empty().await;
     eprintln!("ruddervalve: {counters}");
     Ok(())
 }
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -163,6 +163,12 @@
             || name.is_some_and(|name| position(&self.in_force.tenants, name).is_some())
     }
 
+    /// The longest time that submitters of any class wait.
+    pub fn longest_deadline_ms(&self) -> f64 {
+        let deadlines = self.dispatcher.settings().classes.iter().map(|class| class.deadline);
+        deadlines.max().unwrap_or_default() as f64 / 1e3
+    }
+
     /// Takes new settings while jobs are open. Names keep their numbers, so that open jobs and what was learnt stay as
     /// they are: what the new settings no longer name serves out what is open, what they add comes behind.
     pub fn reconfigure(&mut self, mut settings: Settings, names: Names) -> Result<(), SettingsError> {
