Tell operators the figures, each counted where its event is final

Checked: `relayed` is counted at the first read on a node's connection after a write (claims.rs, Socket): the client writes head and body in one flush and reads only then, also where the last byte is held back; the figure equals what the test's node read whole. Ruled out: counting at the start of a claim (connections that never come up) and at the first line of news (nodes that take a job and say nothing). The front's own 503 counts in the class it turned away. Test: the real program, each way to answer once, a file turned down and one that adds a class, a node that leaves.

--- a/dispatcher/src/broker.rs
+++ b/dispatcher/src/broker.rs
@@ -87,6 +87,7 @@
 
 struct Open {
     id: Rc<str>,
+    class: String,
     errand: Rc<Errand>,
     until_ms: f64,
     answer: oneshot::Sender<Answer>,
@@ -153,6 +154,7 @@
         counters: Rc<Counters>,
     ) -> (Rc<Self>, mpsc::UnboundedReceiver<Order>) {
         let (orders, receiver) = mpsc::unbounded_channel();
+        facade.classes().iter().for_each(|class| counters.show_class(class));
         let table = Table {
             facade,
             jobs: BTreeMap::new(),
@@ -213,9 +215,30 @@
         self.table.borrow().facade.knows_tenant(name)
     }
 
+    /// A job of a class was refused before it was taken in.
+    pub fn refused(&self, class: &str) {
+        self.counters.answered(class, |answered| answered.refused += 1);
+    }
+
+    /// How many jobs are open.
+    pub fn open(&self) -> usize {
+        self.table.borrow().jobs.len()
+    }
+
+    /// How many nodes are on the machine list.
+    pub fn listed(&self) -> usize {
+        self.table.borrow().addresses.len()
+    }
+
+    /// How many of them the decisions avoid at present.
+    pub fn out_of_rotation(&self) -> usize {
+        self.table.borrow().facade.out_of_rotation()
+    }
+
     /// Takes new settings for the decisions. Jobs, claims and what was learnt of nodes stay.
     pub fn reconfigure(&self, settings: Settings, names: Names) -> Result<(), SettingsError> {
         self.table.borrow_mut().facade.reconfigure(settings, names)?;
+        self.table.borrow().facade.classes().iter().for_each(|class| self.counters.show_class(class));
         self.tick();
         Ok(())
     }
@@ -235,6 +258,7 @@
             Standing::Drained { since_ms } if now < since_ms + DRAINED_MS => {}
             Standing::Drained { .. } => {
                 self.counters.count("answers", "drained");
+                self.refused(&facts.class);
                 return Err(NotTaken::Drained);
             }
             // Guards against the platform's patience: what is still out when it kills the program is lost.
@@ -254,7 +278,15 @@
         table.next += 1;
         table.jobs.insert(
             job,
-            Open { id, errand: Rc::new(errand), until_ms, answer: sender, unusable: false, fresh: false },
+            Open {
+                id,
+                class: facts.class.clone(),
+                errand: Rc::new(errand),
+                until_ms,
+                answer: sender,
+                unusable: false,
+                fresh: false,
+            },
         );
         let steps = table.facade.pick(now, job, &facts);
         self.counters.count("jobs", "taken");
@@ -399,6 +431,11 @@
                 Answer::Unusable => "unusable",
             },
         );
+        self.counters.answered(&open.class, |answered| match answer {
+            Answer::Served(_) => answered.served += 1,
+            Answer::Refused { .. } => answered.refused += 1,
+            Answer::Failed | Answer::Unusable => answered.failed += 1,
+        });
         // The submitter may have left this very moment: then nobody is told.
         let _ = open.answer.send(answer);
     }
@@ -427,6 +464,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::counters::Answered;
     use crate::machine_list::read_news;
 
     struct Rig {
@@ -506,7 +544,9 @@
         rig.broker.ended((0, 0), Outcome::Served, Some(Bytes::from_static(b"blue")), None);
         assert_eq!(Rig::answer(&mut job), Some(Answer::Served(Bytes::from_static(b"red"))));
         drop(job);
-        assert!(rig.ordered().is_empty() && rig.broker.table.borrow().jobs.is_empty());
+        assert!(rig.ordered().is_empty() && rig.broker.open() == 0);
+        let one = Answered { served: 1, ..Answered::default() };
+        assert_eq!(rig.counters.classes()["tint"], one, "counted once, too");
         assert_eq!(
             rig.counters.to_string(),
             "counters answers.served=1 claims.made=1 claims.served=2 jobs.open_at_once=1 jobs.taken=1 list.whole=1"
--- a/dispatcher/src/claims.rs
+++ b/dispatcher/src/claims.rs
@@ -73,6 +73,18 @@
     /// The next bytes written begin such a request.
     careful: Rc<Cell<bool>>,
     held_back: Option<Pin<Box<Sleep>>>,
+    /// Part of a request was written, and no answer to it waited for yet.
+    writing: Cell<bool>,
+    counters: Rc<Counters>,
+}
+
+impl Socket {
+    /// The client reads only once it has written a request whole.
+    fn reads(&self) {
+        if self.writing.take() {
+            self.counters.claim_written();
+        }
+    }
 }
 
 impl AsyncRead for Socket {
@@ -81,12 +93,14 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.reads();
         Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
 
 impl AsyncWrite for Socket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.writing.set(true);
         if self.careful.get() && buf.len() > 1 {
             let written = ready!(Pin::new(&mut self.stream).poll_write(cx, &buf[..buf.len() - 1]))?;
             if written == buf.len() - 1 {
@@ -119,6 +133,7 @@
 
 impl ActixStream for Socket {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        self.reads();
         ActixStream::poll_read_ready(&self.stream, cx)
     }
 
@@ -137,17 +152,19 @@
 }
 
 impl Lane {
-    fn new(network: &Network) -> Self {
+    fn new(network: &Network, counters: &Rc<Counters>) -> Self {
+        let counters = counters.clone();
         let (made, careful) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(false)));
         let (count, careful_there) = (made.clone(), careful.clone());
         let connect = fn_service(move |info: ConnectInfo<Uri>| {
-            let (count, careful) = (count.clone(), careful_there.clone());
+            let (count, careful, counters) = (count.clone(), careful_there.clone(), counters.clone());
             async move {
                 let address = info.addrs().next().ok_or(TcpError::Unresolved)?;
                 let stream = TcpStream::connect(address).await.map_err(TcpError::Io)?;
                 stream.set_nodelay(true).map_err(TcpError::Io)?;
                 count.set(count.get() + 1);
-                Ok(Connection::new(info.request().clone(), Socket { stream, careful, held_back: None }))
+                let socket = Socket { stream, careful, held_back: None, writing: Cell::new(false), counters };
+                Ok(Connection::new(info.request().clone(), socket))
             }
         });
         let connector = Connector::new().connector(connect).timeout(span(network.connect_timeout_ms));
@@ -288,7 +305,7 @@
                 _ => break,
             }
         }
-        Lane::new(&self.network.borrow())
+        Lane::new(&self.network.borrow(), &self.counters)
     }
 
     /// Gives a claim up: its connection is closed, whatever has come on it.
--- a/dispatcher/src/control.rs
+++ b/dispatcher/src/control.rs
@@ -26,6 +26,8 @@
 const PATIENCE: Duration = Duration::from_secs(2);
 /// What still comes after the line is read for so long and dropped: a close over unread bytes would reset the answer away.
 const LINGER: Duration = Duration::from_millis(250);
+/// What the names of the figures begin with.
+const PREFIX: &str = "edge_router";
 /// After an error of accepting.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 
@@ -113,6 +115,7 @@
     fn answer(&self, line: &str) -> String {
         self.counters.count("control", "calls");
         match line {
+            "vars" => self.figures(),
             "check" if self.broker.ready() => "OK\n".to_owned(),
             "check" => self.error("no machine list yet"),
             "drain-on" => {
@@ -125,6 +128,24 @@
         }
     }
 
+    /// The figures, a line each, and the line that ends them.
+    fn figures(&self) -> String {
+        let mut text = String::new();
+        let mut say = |name: &str, value: u64| text += &format!("{PREFIX}.{name}={value}\n");
+        for (class, answered) in self.counters.classes() {
+            say(&format!("fulfilled.{class}"), answered.served);
+            say(&format!("throttled.{class}"), answered.refused);
+            say(&format!("faulted.{class}"), answered.failed);
+        }
+        say("relayed", self.counters.claims_written());
+        say("open_requests", self.broker.open() as u64);
+        say("registry_entries", self.broker.listed() as u64);
+        say("out_of_rotation", self.broker.out_of_rotation() as u64);
+        say("cfg_accepted", self.counters.so_far("reloads", "taken"));
+        say("cfg_invalid", self.counters.so_far("reloads", "faulty"));
+        text + "END\n"
+    }
+
     fn error(&self, problem: &str) -> String {
         self.counters.count("control", "errors");
         format!("ERR {problem}\n")
--- a/dispatcher/src/counters.rs
+++ b/dispatcher/src/counters.rs
@@ -13,6 +13,20 @@
 pub struct Counters {
     counts: RefCell<BTreeMap<(&'static str, &'static str), u64>>,
     said: Cell<(u64, u32)>,
+    /// Final answers, by class.
+    classes: RefCell<BTreeMap<String, Answered>>,
+    relayed: Cell<u64>,
+}
+
+/// The final answers to the jobs of one class.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Answered {
+    /// With a result.
+    pub served: u64,
+    /// With a refusal, whoever worded it.
+    pub refused: u64,
+    /// With anything else.
+    pub failed: u64,
 }
 
 impl Counters {
@@ -28,6 +42,39 @@
         *highest = value.max(*highest);
     }
 
+    /// From now on a class is shown, if only with zeros.
+    pub fn show_class(&self, class: &str) {
+        self.classes.borrow_mut().entry(class.to_owned()).or_default();
+    }
+
+    /// A job of a class has had its final answer.
+    pub fn answered(&self, class: &str, count: impl FnOnce(&mut Answered)) {
+        // Nobody but those who set the classes may add to them: the names that come with jobs have no end.
+        if let Some(answered) = self.classes.borrow_mut().get_mut(class) {
+            count(answered);
+        }
+    }
+
+    /// The last byte of a claim was written to its node.
+    pub fn claim_written(&self) {
+        self.relayed.set(self.relayed.get() + 1);
+    }
+
+    /// The final answers so far, by class.
+    pub fn classes(&self) -> BTreeMap<String, Answered> {
+        self.classes.borrow().clone()
+    }
+
+    /// The claims written whole so far.
+    pub fn claims_written(&self) -> u64 {
+        self.relayed.get()
+    }
+
+    /// A count so far.
+    pub fn so_far(&self, group: &'static str, name: &'static str) -> u64 {
+        self.counts.borrow().get(&(group, name)).copied().unwrap_or_default()
+    }
+
     /// Says a line on standard error, a few in any second at most; the rest are counted.
     pub fn say(&self, now_ms: f64, line: impl fmt::Display) {
         let second = (now_ms / 1e3) as u64;
--- a/dispatcher/src/front.rs
+++ b/dispatcher/src/front.rs
@@ -437,6 +437,7 @@
         if self.connections.borrow().values().filter(jobs).count() >= self.most.get() {
             // Guards against running out of descriptors: a dispatcher that cannot claim or accept would lose what it took.
             self.counters.count("answers", "crowded");
+            self.broker.refused(&facts.class);
             let mut response = worded(Answer::Refused { wait_ms: self.crowded_wait_ms.get() });
             response.head_mut().set_connection_type(ConnectionType::Close);
             return Ok(Made::Answer(response));
--- a/dispatcher/tests/process.rs
+++ b/dispatcher/tests/process.rs
@@ -758,6 +758,60 @@
     assert_eq!(rig.call("check\n"), "OK\n");
 }
 
+#[test]
+fn the_figures_count_each_event_once_where_it_is_final() {
+    let rig = Rig::configured(with_control);
+    assert!(
+        rig.call("vars\n").contains("edge_router.fulfilled.pour=0\n"),
+        "every class shows from the start"
+    );
+    for (class, how) in
+        [("tint", "done"), ("pour", "done"), ("pour", "failed"), ("tint", "400"), ("pour", "503")]
+    {
+        rig.ask(&job(class, how, 700));
+    }
+    // What is no job of a class counts under none.
+    rig.ask(&job("tint", "done", 700).replace("tint", "bake"));
+    let _held = rig.send(&job("pour", "waits", 25_000));
+    until("the node has it", || {
+        rig.seen(|seen| seen.requests.iter().any(|request| request.first.contains("waits"))).then_some(())
+    });
+    let claims = rig.seen(|seen| seen.requests.len());
+    std::fs::write(config_path(), "").unwrap();
+    rig.signal("-HUP");
+    until("it is turned down", || rig.call("vars\n").contains("cfg_invalid=1").then_some(()));
+    let more =
+        "{ \"name\": \"dip\", \"aim\": 1, \"deadline\": 9, \"semantics\": \"retryable\", \"worth\": 1.0 }, ";
+    let added = rig.config.replace("{ \"name\": \"tint\"", &format!("{more}{{ \"name\": \"tint\""));
+    rig.reload(
+        &added.replace("[-1, 0]", "[-1, -1, 0]").replace("[2.0, 2.0]", "[2.0, 2.0, 2.0]"),
+        "reloads.taken=1",
+    );
+    let leaving = chunk(&list(8, false, rig.node, "leaving"));
+    rig.seen.lock().unwrap().watches[0].1.write_all(leaving.as_bytes()).unwrap();
+    let figures = until("the list is taken", || {
+        Some(rig.call("vars\r\n")).filter(|figures| figures.contains("out_of_rotation=1"))
+    });
+    assert_snapshot!(figures.replace(&format!("relayed={claims}\n"), "relayed=[as many as the node read]\n"), @r"
+    edge_router.fulfilled.dip=0
+    edge_router.throttled.dip=0
+    edge_router.faulted.dip=0
+    edge_router.fulfilled.pour=1
+    edge_router.throttled.pour=1
+    edge_router.faulted.pour=1
+    edge_router.fulfilled.tint=1
+    edge_router.throttled.tint=0
+    edge_router.faulted.tint=1
+    edge_router.relayed=[as many as the node read]
+    edge_router.open_requests=1
+    edge_router.registry_entries=1
+    edge_router.out_of_rotation=1
+    edge_router.cfg_accepted=1
+    edge_router.cfg_invalid=1
+    END
+    ");
+}
+
 #[test]
 fn a_drained_dispatcher_sends_submitters_away_without_losing_one_and_takes_them_again() {
     let rig = Rig::configured(with_control);
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -163,6 +163,16 @@
             || name.is_some_and(|name| position(&self.in_force.tenants, name).is_some())
     }
 
+    /// The names of the classes in force.
+    pub fn classes(&self) -> &[String] {
+        &self.in_force.classes
+    }
+
+    /// How many listed machines get no work at present, or a trial at most.
+    pub fn out_of_rotation(&self) -> usize {
+        self.dispatcher.out_of_rotation()
+    }
+
     /// The longest time that submitters of any class wait.
     pub fn longest_deadline_ms(&self) -> f64 {
         let deadlines = self.dispatcher.settings().classes.iter().map(|class| class.deadline);
--- a/src/state.rs
+++ b/src/state.rs
@@ -157,6 +157,12 @@
         self.kept.iter().filter_map(|id| self.workers.get(id))
     }
 
+    /// How many listed workers are avoided: they are leaving, or have failed and served nothing since.
+    pub(crate) fn out_of_rotation(&self) -> usize {
+        let avoided = |worker: &&Worker| worker.listed && (!worker.ready() || worker.failures > 0);
+        self.workers.values().filter(avoided).count()
+    }
+
     /// Forgets the workers that are gone, as soon as no own job is left there.
     pub(crate) fn forget_gone(&mut self) {
         let stays = |worker: &Worker| worker.listed && worker.member.availability != Availability::Gone;
