--- a/dispatcher/src/broker.rs
+++ b/dispatcher/src/broker.rs
@@ -2,14 +2,14 @@
 //! serves, is drained or ends. It alone calls the decisions and it alone gives final answers, one for each job. It must
 //! never speak HTTP or open a socket, so that any front can hand it jobs; what is to be sent leaves it as orders.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use ruddervalve::{
-    Availability, Facade, JobFacts, ListKind, LoadReport, Machine, Names, Outcome, Report, Settings,
+    Availability, Facade, JobFacts, Learnt, ListKind, LoadReport, Machine, Names, Outcome, Report, Settings,
     SettingsError, Step,
 };
 use tokio::sync::{mpsc, oneshot, watch};
@@ -17,16 +17,18 @@
 use crate::claims::{Claim, Errand};
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::machine_list::ListNews;
+use crate::machine_list::{ListNews, write_news};
 
 /// The submitter's time is counted from its sending and the answer has to travel: so much of it is kept back.
 const MARGIN_MS: f64 = 10.0;
 /// So long after it was drained the dispatcher takes no job any more: by then nobody should send one.
 const DRAINED_MS: f64 = 1_900.0;
-/// The platform kills a program that is told to end so long after its longest deadline, and no sooner than after the
-/// least one.
+/// The platform kills a program that is told to end so long after the longest deadline, which counts for no more than
+/// this. What came before that span is over may be cut off, what came later is lost if it is.
 const KILLED_AFTER_MS: f64 = 700.0;
-const LEAST_DEADLINE_MS: f64 = 3_000.0;
+const LONGEST_DEADLINE_MS: f64 = 3_000.0;
+/// What has to be said before that is said so much sooner.
+const BEFORE_KILLED_MS: f64 = 150.0;
 
 /// What the dispatcher is doing. Fronts and the operators' address read it, nobody else keeps a copy.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -42,6 +44,8 @@
     Ending {
         /// Since when.
         since_ms: f64,
+        /// Others accept on its socket, or will: new connections are theirs.
+        succeeded: bool,
     },
 }
 
@@ -103,7 +107,8 @@
     /// The submitters' ids of the jobs that are open.
     ids: BTreeSet<Rc<str>>,
     next: u64,
-    addresses: BTreeMap<String, SocketAddr>,
+    /// The machine list in hand.
+    nodes: BTreeMap<String, (Machine, SocketAddr)>,
 }
 
 /// The job table.
@@ -112,8 +117,8 @@
     orders: mpsc::UnboundedSender<Order>,
     clock: Clock,
     counters: Rc<Counters>,
-    version: Cell<u64>,
-    ready: Cell<bool>,
+    version: watch::Sender<u64>,
+    ready: watch::Sender<bool>,
     standing: watch::Sender<Standing>,
 }
 
@@ -155,20 +160,15 @@
     ) -> (Rc<Self>, mpsc::UnboundedReceiver<Order>) {
         let (orders, receiver) = mpsc::unbounded_channel();
         facade.classes().iter().for_each(|class| counters.show_class(class));
-        let table = Table {
-            facade,
-            jobs: BTreeMap::new(),
-            ids: BTreeSet::new(),
-            next: 0,
-            addresses: BTreeMap::new(),
-        };
+        let table =
+            Table { facade, jobs: BTreeMap::new(), ids: BTreeSet::new(), next: 0, nodes: BTreeMap::new() };
         let broker = Self {
             table: RefCell::new(table),
             orders,
             clock,
             counters,
-            version: Cell::new(0),
-            ready: Cell::new(false),
+            version: watch::Sender::new(0),
+            ready: watch::Sender::new(false),
             standing: watch::Sender::new(Standing::Serving),
         };
         (Rc::new(broker), receiver)
@@ -176,7 +176,13 @@
 
     /// Whether jobs can be served: a machine list was had.
     pub fn ready(&self) -> bool {
-        self.ready.get()
+        *self.ready.borrow()
+    }
+
+    /// Waits until jobs can be served.
+    pub async fn until_ready(&self) {
+        // The sender lives in here.
+        let _ = self.ready.subscribe().wait_for(|ready| *ready).await;
     }
 
     /// What the dispatcher is doing, now and when it changes.
@@ -200,9 +206,22 @@
         !ending
     }
 
-    /// The program ends; there is no way back.
-    pub fn end(&self) {
-        self.standing.send_replace(Standing::Ending { since_ms: self.clock.now() });
+    /// The program ends; there is no way back. `succeeded`: others accept on its socket.
+    pub fn end(&self, succeeded: bool) {
+        let since_ms = self.clock.now();
+        self.standing.send_replace(Standing::Ending { since_ms, succeeded });
+        if succeeded {
+            let last_words_ms = self.last_words_ms(since_ms);
+            let mut table = self.table.borrow_mut();
+            let steps = table.facade.ends(since_ms, last_words_ms);
+            self.take(&mut table, steps);
+        }
+    }
+
+    /// When the last answer has to be out, if the end began then.
+    fn last_words_ms(&self, since_ms: f64) -> f64 {
+        let longest = self.table.borrow().facade.longest_deadline_ms();
+        since_ms + longest.min(LONGEST_DEADLINE_MS) + KILLED_AFTER_MS - BEFORE_KILLED_MS
     }
 
     /// Whether a class goes by this name.
@@ -227,7 +246,7 @@
 
     /// How many nodes are on the machine list.
     pub fn listed(&self) -> usize {
-        self.table.borrow().addresses.len()
+        self.table.borrow().nodes.len()
     }
 
     /// How many of them the decisions avoid at present.
@@ -262,10 +281,10 @@
                 return Err(NotTaken::Drained);
             }
             // Guards against the platform's patience: what is still out when it kills the program is lost.
-            Standing::Ending { since_ms } => {
-                let longest = self.table.borrow().facade.longest_deadline_ms().max(LEAST_DEADLINE_MS);
-                until_ms = until_ms.min(since_ms + longest + KILLED_AFTER_MS / 2.0);
+            Standing::Ending { since_ms, .. } if now > since_ms + KILLED_AFTER_MS - BEFORE_KILLED_MS => {
+                until_ms = until_ms.min(self.last_words_ms(since_ms));
             }
+            Standing::Ending { .. } => {}
         }
         let id: Rc<str> = errand.id.as_str().into();
         if !self.table.borrow_mut().ids.insert(id.clone()) {
@@ -347,28 +366,73 @@
         self.take(&mut table, steps);
     }
 
-    /// The version of the machine list in hand.
-    pub fn list_version(&self) -> u64 {
-        self.version.get()
+    /// The version of the machine list in hand, now and when it changes.
+    pub fn list_version(&self) -> watch::Receiver<u64> {
+        self.version.subscribe()
+    }
+
+    /// The machine list in hand, as discovery words a whole one.
+    pub fn list_in_hand(&self) -> String {
+        let table = self.table.borrow();
+        write_news(&ListNews {
+            version: *self.version.borrow(),
+            full: true,
+            machines: table.nodes.values().map(|(machine, _)| machine.clone()).collect(),
+            addresses: table.nodes.iter().map(|(name, (_, address))| (name.clone(), *address)).collect(),
+        })
+    }
+
+    /// What was learnt so far.
+    pub fn learnt(&self) -> Learnt {
+        self.table.borrow().facade.learnt()
+    }
+
+    /// Goes on from the list and what was learnt by an earlier process of this dispatcher. False if that makes no sense:
+    /// then nothing of it is taken.
+    pub fn inherit(&self, news: ListNews, learnt: &Learnt) -> bool {
+        // What is learnt is learnt of listed machines: checked on a list that could be put back would be no simpler.
+        if !news.full || news.machines.is_empty() || !learnt.sound(self.clock.now()) {
+            return false;
+        }
+        self.list(ListKind::Cached, news);
+        self.table.borrow_mut().facade.inherit(self.clock.now(), learnt)
+    }
+
+    /// Another process of this dispatcher has come to take its place, or has gone again.
+    pub fn succeeded(&self, succeeded: bool) {
+        self.table.borrow_mut().facade.succeeded(succeeded);
+    }
+
+    /// A list that another process of this dispatcher has in hand, taken if it is newer.
+    pub fn list_from_kin(&self, news: ListNews) {
+        if news.full && news.version > *self.version.borrow() {
+            self.list(ListKind::Cached, news);
+        }
     }
 
     /// Takes news of the machine list.
     pub fn list(&self, kind: ListKind, news: ListNews) {
         self.counters.count("list", if kind == ListKind::Changes { "changes" } else { "whole" });
-        self.version.set(news.version);
-        self.ready.set(self.ready.get() || !news.machines.is_empty());
         let mut table = self.table.borrow_mut();
         if kind != ListKind::Changes {
-            table.addresses.clear();
+            table.nodes.clear();
         }
-        table.addresses.extend(news.addresses);
-        // Machines come and go for as long as the program runs: what is gone is forgotten.
-        let gone = |machine: &&Machine| machine.availability == Availability::Gone;
-        for machine in news.machines.iter().filter(gone) {
-            table.addresses.remove(&machine.name);
+        for machine in &news.machines {
+            // Machines come and go for as long as the program runs: what is gone is forgotten.
+            match news.addresses.get(&machine.name) {
+                Some(address) if machine.availability != Availability::Gone => {
+                    table.nodes.insert(machine.name.clone(), (machine.clone(), *address));
+                }
+                _ => drop(table.nodes.remove(&machine.name)),
+            }
         }
         let steps = table.facade.list(self.clock.now(), kind, &news.machines);
         self.take(&mut table, steps);
+        drop(table);
+        if !news.machines.is_empty() {
+            self.ready.send_replace(true);
+        }
+        self.version.send_replace(news.version);
     }
 
     /// A call for the list was answered, and there is no news.
@@ -406,7 +470,7 @@
     }
 
     fn claim(&self, table: &mut Table, claim: (u64, usize), node: String, once: bool) {
-        let address = table.addresses.get(&node).copied();
+        let address = table.nodes.get(&node).map(|(_, address)| *address);
         let Some((open, address)) = table.jobs.get(&claim.0).zip(address) else {
             // Guards against a machine without an address and a job that has just ended: the claim was never sent.
             let closed = !table.jobs.contains_key(&claim.0);
@@ -463,6 +527,8 @@
 
 #[cfg(test)]
 mod tests {
+    use std::cell::Cell;
+
     use super::*;
     use crate::counters::Answered;
     use crate::machine_list::read_news;
@@ -590,7 +656,7 @@
         rig.broker.drain(); // said again, it counts from the first time
         assert_eq!(rig.try_submit("pour").err(), Some(NotTaken::Drained));
         assert!(rig.broker.drain_off() && rig.try_submit("pour").is_ok());
-        rig.broker.end();
+        rig.broker.end(false);
         assert!(!rig.broker.drain_off(), "there is no way back from the end");
         drop(first);
     }
@@ -598,14 +664,35 @@
     #[test]
     fn a_job_that_comes_after_the_end_began_is_answered_before_the_program_is_killed() {
         let rig = Rig::new();
-        rig.broker.end();
-        rig.time.set(rig.time.get() + 5_000.0);
+        rig.broker.end(false);
+        rig.time.set(rig.time.get() + 1_000.0);
         let mut late = rig.submit_for("pour", 25_000.0);
-        rig.time.set(rig.time.get() + 20_400.0);
+        rig.time.set(rig.time.get() + 2_550.0);
         rig.broker.tick();
         assert_eq!(Rig::answer(&mut late), Some(Answer::Failed));
     }
 
+    #[test]
+    fn with_a_successor_what_cannot_end_in_time_is_sent_there_and_nothing_is_cut_off() {
+        // Runs take 2.5 s; one runs and one is held behind it, as no second may wait on the one node.
+        let mut rig = Rig::new();
+        let mut out = rig.submit_for("pour", 25_000.0);
+        assert_eq!(rig.ordered(), [("claim", (0, 0))]);
+        rig.time.set(rig.time.get() + 2_500.0);
+        rig.broker.ended((0, 0), Outcome::Served, Some(Bytes::new()), None);
+        assert_eq!(Rig::answer(&mut out), Some(Answer::Served(Bytes::new())));
+        let mut runs = rig.submit_for("pour", 25_000.0);
+        assert_eq!(rig.ordered(), [("claim", (1, 0))]);
+        let mut last = rig.submit_for("pour", 25_000.0);
+        rig.broker.end(true);
+        assert!(matches!(Rig::answer(&mut last), Some(Answer::Refused { .. })), "at once, not in the end");
+        assert!(matches!(Rig::answer(&mut rig.submit_for("pour", 25_000.0)), Some(Answer::Refused { .. })));
+        assert_eq!(Rig::answer(&mut runs), None, "what runs is waited for");
+        rig.time.set(rig.time.get() + 3_550.0);
+        rig.broker.tick();
+        assert_eq!(Rig::answer(&mut runs), Some(Answer::Failed), "before the program is killed");
+    }
+
     #[test]
     fn a_submitter_that_leaves_has_its_claim_withdrawn() {
         let mut rig = Rig::new();
--- a/dispatcher/src/claims.rs
+++ b/dispatcher/src/claims.rs
@@ -259,10 +259,11 @@
         })
     }
 
-    /// Takes new limits; claims that are out and connections that are kept stay as they are.
+    /// Takes new limits; claims that are out stay as they are, and so do kept connections as far as they fit.
     pub fn limit_to(&self, limit: usize, network: &Network) {
         self.limit.set(limit);
         self.network.replace(network.clone());
+        self.make_room(&mut self.idle.borrow_mut(), limit + 1);
     }
 
     /// Starts a claim.
@@ -297,7 +298,13 @@
         if !fresh && let Some(lane) = idle.get_mut(&address).and_then(Vec::pop) {
             return lane;
         }
-        while self.busy.get() + idle.values().map(Vec::len).sum::<usize>() >= self.limit.get() {
+        self.make_room(&mut idle, self.limit.get());
+        Lane::new(&self.network.borrow(), &self.counters)
+    }
+
+    /// Closes those idle for longest until fewer than this are held.
+    fn make_room(&self, idle: &mut BTreeMap<SocketAddr, Vec<Lane>>, fewer_than: usize) {
+        while self.busy.get() + idle.values().map(Vec::len).sum::<usize>() >= fewer_than {
             let since = |lanes: &Vec<Lane>| lanes.first().map_or(f64::MAX, |lane| lane.idle_since_ms);
             let longest = idle.values_mut().min_by(|left, right| since(left).total_cmp(&since(right)));
             match longest {
@@ -305,7 +312,6 @@
                 _ => break,
             }
         }
-        Lane::new(&self.network.borrow(), &self.counters)
     }
 
     /// Gives a claim up: its connection is closed, whatever has come on it.
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -54,6 +54,8 @@
     pub listen: SocketAddr,
     /// What the file says of it, which a variable may have won over.
     listen_in_file: Option<String>,
+    /// The descriptor of a socket that listens already, which is accepted from instead.
+    pub accept_fd: Option<i32>,
     /// Where operators call, if anywhere.
     pub control: Option<SocketAddr>,
     /// What the file says of it.
@@ -127,6 +129,12 @@
             true => Some(address("control", "ROUTER_CONTROL", given.control.clone())?),
             false => None,
         };
+        let accept_fd = variable("ROUTER_ACCEPT_FD").map(|value| match value.parse() {
+            // The first three are the program's own.
+            Ok(fd @ 3..) => Ok(fd),
+            _ => Err(fault("ROUTER_ACCEPT_FD", format!("'{value}' is no descriptor from 3 on"))),
+        });
+        let accept_fd = accept_fd.transpose()?;
         let seed = match &given.seed {
             None => 0,
             Some(seed) => u64::from_str_radix(seed, 16)
@@ -147,6 +155,7 @@
         }
         Ok(Self {
             name: variable("ROUTER_NAME").or(given.name).unwrap_or_else(|| "ruddervalve".to_owned()),
+            accept_fd,
             control,
             control_in_file: given.control,
             listen_in_file: given.listen.clone(),
--- a/dispatcher/src/front.rs
+++ b/dispatcher/src/front.rs
@@ -47,6 +47,9 @@
 /// So long after the dispatcher was drained its silent and idle connections go: new ones have stopped by then, and what
 /// is sent on them until then is answered in time.
 const DRAINED_IDLE_MS: f64 = 1_000.0;
+/// Where another process accepts, connections stay open for so long after the end has begun: most are used once more, and
+/// end with an answer.
+const SUCCEEDED_IDLE_MS: f64 = 2_000.0;
 /// A connection that comes up later than that still has so long to say something, as those who ask for health do.
 const FIRST_WORD_MS: f64 = 500.0;
 /// What is read at once.
@@ -183,14 +186,22 @@
         }
     }
 
-    /// Serves connections until the program ends and no new ones come any more; those that are held go on.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+    /// Serves connections until the program ends and no new ones come any more; those that are held go on. On a socket
+    /// shared with other processes none is accepted that cannot be served.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, shared: bool) {
         let config = ServiceConfigBuilder::new().keep_alive(KeepAlive::Os).build();
         let mut standing = self.broker.standing();
+        if shared {
+            tokio::select! {
+                () = self.broker.until_ready() => {}
+                () = self.passed(&mut standing, no_more_accepted) => return,
+            }
+        }
         for number in 0.. {
             let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
+                biased;
                 () = self.passed(&mut standing, no_more_accepted) => return,
+                accepted = listener.accept() => accepted,
             };
             match accepted {
                 Ok((stream, _)) => self.take(number, stream, &config),
@@ -573,7 +584,8 @@
 fn no_more_accepted(standing: Standing) -> Option<f64> {
     match standing {
         Standing::Serving | Standing::Drained { .. } => None,
-        Standing::Ending { since_ms } => Some(since_ms + KEEP_ACCEPTING_MS),
+        Standing::Ending { since_ms, succeeded: true } => Some(since_ms),
+        Standing::Ending { since_ms, .. } => Some(since_ms + KEEP_ACCEPTING_MS),
     }
 }
 
@@ -582,7 +594,8 @@
     match standing {
         Standing::Serving => None,
         Standing::Drained { since_ms } => Some(since_ms + DRAINED_IDLE_MS),
-        Standing::Ending { since_ms } => Some(since_ms + KEEP_ACCEPTING_MS),
+        Standing::Ending { since_ms, succeeded: true } => Some(since_ms + SUCCEEDED_IDLE_MS),
+        Standing::Ending { since_ms, .. } => Some(since_ms + KEEP_ACCEPTING_MS),
     }
 }
 
--- /dev/null
+++ b/dispatcher/src/handover.rs
@@ -0,0 +1,247 @@
+//! Owns what the process of a dispatcher that serves tells a newer one that is to take its place: the machine list with
+//! its version and what was learnt, over a local socket in `$TMPDIR`, and newer lists both ways for as long as both run.
+//! It must never take what it does not understand or what is another dispatcher's, keep a process from starting, or
+//! decide what follows from the other's being there.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use ruddervalve::Learnt;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::watch;
+
+use crate::broker::Broker;
+use crate::clock::Clock;
+use crate::counters::Counters;
+use crate::machine_list::read_news;
+
+/// The form of what is said here; a process that speaks another one is not understood.
+const FORMAT: u32 = 1;
+/// The socket's name in `$TMPDIR`.
+const NAME: &str = "ruddervalve.handover";
+/// How long a process waits for the other's first words: at a start nothing else goes on meanwhile.
+const PATIENCE: Duration = Duration::from_millis(1_000);
+/// What was said longer ago than this is no news.
+const STALE_MS: f64 = 10_000.0;
+/// The longest line: some thousand machines.
+const LONGEST_LINE: usize = 4 << 20;
+/// After an error of accepting.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What the newer process says first.
+#[derive(Debug, Serialize, Deserialize)]
+struct Greeting {
+    format: u32,
+    /// The dispatcher's name.
+    name: String,
+}
+
+/// What the older process answers.
+#[derive(Debug, Serialize, Deserialize)]
+struct Hello {
+    format: u32,
+    name: String,
+    at_ms: f64,
+    /// Whose list it is: versions are a service's own.
+    discovery: SocketAddr,
+    /// In discovery's form.
+    list: Box<RawValue>,
+    learnt: Learnt,
+}
+
+/// One end of a link, and what was read of the next line.
+struct Link {
+    stream: UnixStream,
+    inbox: BytesMut,
+}
+
+/// The two processes of a dispatcher.
+pub struct Handover {
+    name: String,
+    path: PathBuf,
+    broker: Rc<Broker>,
+    clock: Clock,
+    counters: Rc<Counters>,
+    discovery: watch::Receiver<SocketAddr>,
+    linked: watch::Sender<bool>,
+}
+
+impl Link {
+    fn new(stream: UnixStream) -> Self {
+        Self { stream, inbox: BytesMut::new() }
+    }
+
+    /// The next line; an error at the end. Nothing is lost if the wait is given up.
+    async fn line(&mut self) -> io::Result<BytesMut> {
+        loop {
+            if let Some(end) = self.inbox.iter().position(|byte| *byte == b'\n') {
+                return Ok(self.inbox.split_to(end + 1));
+            }
+            if self.inbox.len() > LONGEST_LINE {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+            if self.stream.read_buf(&mut self.inbox).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    async fn say(&mut self, line: &impl Serialize) -> io::Result<()> {
+        let mut line = serde_json::to_vec(line)?;
+        line.push(b'\n');
+        self.stream.write_all(&line).await
+    }
+}
+
+impl Handover {
+    /// The link of the dispatcher of this name, in this folder.
+    pub fn new(
+        name: String,
+        folder: &Path,
+        broker: Rc<Broker>,
+        clock: Clock,
+        counters: Rc<Counters>,
+        discovery: watch::Receiver<SocketAddr>,
+    ) -> Rc<Self> {
+        let (path, linked) = (folder.join(NAME), watch::Sender::new(false));
+        Rc::new(Self { name, path, broker, clock, counters, discovery, linked })
+    }
+
+    /// Whether another process of this dispatcher is there, now and when it changes.
+    pub fn linked(&self) -> watch::Receiver<bool> {
+        self.linked.subscribe()
+    }
+
+    /// Takes over from the process that serves, if there is one, then waits for a newer one. Whatever goes wrong here,
+    /// the process starts as though it were alone.
+    pub async fn take_over(self: &Rc<Self>) {
+        match tokio::time::timeout(PATIENCE, self.ask()).await {
+            Ok(Ok(link)) => {
+                self.counters.count("handover", "taken");
+                self.linked.send_replace(true);
+                let this = self.clone();
+                actix_rt::spawn(async move {
+                    this.keep_up(link).await;
+                    this.linked.send_replace(false);
+                });
+            }
+            Ok(Err(error)) if matches!(error.kind(), io::ErrorKind::NotFound) => {}
+            Ok(Err(error)) => self.failed(&error),
+            Err(_) => self.failed(&io::ErrorKind::TimedOut.into()),
+        }
+        match self.listen() {
+            Ok(listener) => drop(actix_rt::spawn(self.clone().serve(listener))),
+            Err(error) => self.failed(&error),
+        }
+    }
+
+    fn failed(&self, error: &io::Error) {
+        self.counters.count("handover", "failed");
+        self.counters.say(self.clock.now(), format_args!("handover: {error}"));
+    }
+
+    /// The newer process's first words, and what it takes from the answer.
+    async fn ask(&self) -> io::Result<Link> {
+        let mut link = Link::new(UnixStream::connect(&self.path).await?);
+        link.say(&Greeting { format: FORMAT, name: self.name.clone() }).await?;
+        let line = link.line().await?;
+        let hello: Hello = serde_json::from_slice(&line)?;
+        let unsound = |problem: &str| io::Error::new(io::ErrorKind::InvalidData, problem);
+        if hello.format != FORMAT || hello.name != self.name {
+            return Err(unsound("another format or dispatcher"));
+        }
+        if (self.clock.now() - hello.at_ms).abs() > STALE_MS {
+            return Err(unsound("stale"));
+        }
+        let mut news = read_news(hello.list.get().as_bytes()).map_err(|problem| unsound(&problem))?;
+        if hello.discovery != *self.discovery.borrow() {
+            news.version = 0;
+        }
+        if !self.broker.inherit(news, &hello.learnt) {
+            return Err(unsound("what was learnt makes no sense"));
+        }
+        Ok(link)
+    }
+
+    /// Under a name of its own first: whoever looks finds a socket that listens, the older process's or this one.
+    fn listen(&self) -> io::Result<UnixListener> {
+        let own = self.path.with_extension(std::process::id().to_string());
+        let _ = std::fs::remove_file(&own);
+        let listener = UnixListener::bind(&own)?;
+        std::fs::rename(&own, &self.path)?;
+        Ok(listener)
+    }
+
+    /// Tells newer processes, one at a time.
+    async fn serve(self: Rc<Self>, listener: UnixListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => self.hand_on(Link::new(stream)).await,
+                Err(error) => {
+                    self.failed(&error);
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn hand_on(&self, mut link: Link) {
+        let greeting = tokio::time::timeout(PATIENCE, link.line()).await;
+        let greeting = greeting.ok().and_then(Result::ok);
+        let greeting = greeting.and_then(|line| serde_json::from_slice::<Greeting>(&line).ok());
+        if !greeting.is_some_and(|other| other.format == FORMAT && other.name == self.name) {
+            return self.counters.count("handover", "not_understood");
+        }
+        // From here on the other one spends the budgets, so what it is told of them is all that was spent.
+        self.broker.succeeded(true);
+        if self.tell(&mut link).await.is_ok() {
+            self.counters.count("handover", "handed_on");
+            self.linked.send_replace(true);
+            self.keep_up(link).await;
+            self.linked.send_replace(false);
+        }
+        self.broker.succeeded(false);
+    }
+
+    async fn tell(&self, link: &mut Link) -> io::Result<()> {
+        let hello = Hello {
+            format: FORMAT,
+            name: self.name.clone(),
+            at_ms: self.clock.now(),
+            discovery: *self.discovery.borrow(),
+            list: RawValue::from_string(self.broker.list_in_hand())?,
+            learnt: self.broker.learnt(),
+        };
+        link.say(&hello).await
+    }
+
+    /// Tells the other process of newer lists and takes those it tells of, until it has gone.
+    async fn keep_up(&self, mut link: Link) {
+        let mut version = self.broker.list_version();
+        version.mark_changed();
+        loop {
+            tokio::select! {
+                line = link.line() => {
+                    let Ok(line) = line else { return };
+                    match read_news(&line) {
+                        Ok(news) => self.broker.list_from_kin(news),
+                        Err(_) => return self.counters.count("handover", "not_understood"),
+                    }
+                }
+                Ok(()) = version.changed() => {
+                    let Ok(list) = RawValue::from_string(self.broker.list_in_hand()) else { return };
+                    if link.say(&list).await.is_err() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
--- a/dispatcher/src/machine_list.rs
+++ b/dispatcher/src/machine_list.rs
@@ -11,7 +11,8 @@
 use bytes::BytesMut;
 use futures_util::StreamExt as _;
 use ruddervalve::{Availability, ListKind, Machine};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::broker::Broker;
@@ -34,14 +35,14 @@
     pub addresses: BTreeMap<String, SocketAddr>,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 struct Line {
     version: u64,
     full: bool,
     servers: Vec<Entry>,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 struct Entry {
     id: String,
     addr: String,
@@ -85,10 +86,34 @@
     Ok(news)
 }
 
+/// Words a list as discovery does.
+pub fn write_news(news: &ListNews) -> String {
+    let entry = |machine: &Machine| {
+        let state = match machine.availability {
+            Availability::Ready => "active",
+            Availability::Draining => "leaving",
+            Availability::Gone => "left",
+        };
+        Some(Entry {
+            id: machine.name.clone(),
+            addr: news.addresses.get(&machine.name)?.to_string(),
+            zone: machine.zone.clone(),
+            kind: machine.kind.clone(),
+            cell: machine.cell,
+            state: state.to_owned(),
+            weight: Some(machine.weight),
+            started_ms: machine.started_ms,
+        })
+    };
+    let servers = news.machines.iter().filter_map(entry).collect();
+    let line = Line { version: news.version, full: news.full, servers };
+    serde_json::to_string(&line).unwrap_or_default()
+}
+
 /// Follows the list, one watch at a time.
 pub struct MachineList {
     client: Client,
-    discovery: Cell<SocketAddr>,
+    discovery: watch::Sender<SocketAddr>,
     /// The list in hand is this discovery's: its version is one to go on from.
     same_service: Rc<Cell<bool>>,
     broker: Rc<Broker>,
@@ -98,14 +123,19 @@
 impl MachineList {
     /// Follows the list of a discovery service for a broker.
     pub fn new(client: Client, discovery: SocketAddr, broker: Rc<Broker>) -> Self {
-        let (discovery, watch) = (Cell::new(discovery), RefCell::new(None));
+        let (discovery, watch) = (watch::Sender::new(discovery), RefCell::new(None));
         Self { client, discovery, same_service: Rc::new(Cell::new(true)), broker, watch }
     }
 
+    /// Where the list is had, now and when it changes.
+    pub fn discovery(&self) -> watch::Receiver<SocketAddr> {
+        self.discovery.subscribe()
+    }
+
     /// From now on the list is had elsewhere: the watch there is opened at once, and the list in hand stays meanwhile.
     /// The old watch is given up untold, so that its end counts against nobody.
     pub fn follow(&self, discovery: SocketAddr) {
-        if self.discovery.replace(discovery) != discovery {
+        if self.discovery.send_replace(discovery) != discovery {
             self.same_service.set(false);
             self.ask();
         }
@@ -117,12 +147,13 @@
             watch.abort();
         }
         // Versions are a service's own: another one is asked for its whole list.
-        let version = if self.same_service.get() { self.broker.list_version() } else { 0 };
-        let url = format!("http://{}/v1/servers?stream=1&index={version}", self.discovery.get());
-        let (client, address, broker) = (self.client.clone(), self.discovery.get(), self.broker.clone());
+        let version = if self.same_service.get() { *self.broker.list_version().borrow() } else { 0 };
+        let address = *self.discovery.borrow();
+        let url = format!("http://{address}/v1/servers?stream=1&index={version}");
+        let (client, broker) = (self.client.clone(), self.broker.clone());
         let same_service = self.same_service.clone();
         let watch = actix_rt::spawn(async move {
-            let problem = watch(client, address, url, &broker, &same_service).await;
+            let problem = follow(client, address, url, &broker, &same_service).await;
             broker.list_failed(&problem);
         });
         self.watch.replace(Some(watch));
@@ -130,7 +161,7 @@
 }
 
 /// One watch, from its call to its end, which always is a failure.
-async fn watch(
+async fn follow(
     client: Client,
     address: SocketAddr,
     url: String,
@@ -166,6 +197,14 @@
             }
             told = true;
             match read_news(&line) {
+                // The other process of an upgrade was told sooner, and this one by it.
+                Ok(news)
+                    if !news.full
+                        && same_service.get()
+                        && news.version <= *broker.list_version().borrow() =>
+                {
+                    broker.unchanged();
+                }
                 Ok(news) => {
                     let kind = if news.full { ListKind::Full } else { ListKind::Changes };
                     same_service.set(true);
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -9,6 +9,7 @@
 mod control;
 mod counters;
 mod front;
+mod handover;
 mod machine_list;
 
 use std::process::ExitCode;
@@ -16,8 +17,11 @@
 use std::time::Duration;
 
 use ruddervalve::{Facade, ListKind};
+use socket2::{SockRef, Type};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
+use tokio_listener::{ListenerAddress, SystemOptions, UserOptions};
 
 use broker::{Broker, Order};
 use claims::Claims;
@@ -26,6 +30,7 @@
 use control::Control;
 use counters::Counters;
 use front::Front;
+use handover::Handover;
 use machine_list::MachineList;
 
 fn variable(name: &str) -> Option<String> {
@@ -44,6 +49,13 @@
             return ExitCode::from(2);
         }
     };
+    // Before anything here is opened that could have its number.
+    if let Some(fd) = config.accept_fd
+        && let Err(problem) = is_socket(fd)
+    {
+        eprintln!("ruddervalve: ROUTER_ACCEPT_FD: {problem}");
+        return ExitCode::from(2);
+    }
     match actix_rt::System::new().block_on(run(config)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -55,8 +67,32 @@
 
 /// Connections to nodes and of submitters: two fifths each of the descriptors that are not set aside for operators, as
 /// each job out has one of both. Those that are ending, discovery and the program itself take the rest.
-fn share(sockets: usize) -> usize {
-    (sockets - control::SET_ASIDE) * 2 / 5
+/// The two processes of an upgrade take half each.
+fn share(sockets: usize, linked: bool) -> usize {
+    (sockets - control::SET_ASIDE) * 2 / if linked { 10 } else { 5 }
+}
+
+fn is_socket(fd: i32) -> Result<(), String> {
+    match std::fs::read_link(format!("/proc/self/fd/{fd}")) {
+        Ok(what) if what.to_string_lossy().starts_with("socket:") => Ok(()),
+        Ok(_) => Err(format!("descriptor {fd} is no socket")),
+        Err(_) => Err(format!("descriptor {fd} is not open")),
+    }
+}
+
+/// The listening socket that the platform holds.
+async fn inherited(fd: i32) -> Result<TcpListener, String> {
+    let mut options = UserOptions::default();
+    options.sd_accept_ignore_environment = true;
+    let address = ListenerAddress::FromFd(fd);
+    let taken = tokio_listener::Listener::bind(&address, &SystemOptions::default(), &options).await;
+    let taken = taken.map_err(|error| error.to_string())?;
+    let listener = taken.try_into_tcp_listener().map_err(|_| "is no TCP socket".to_owned())?;
+    let socket = SockRef::from(&listener);
+    match socket.r#type().is_ok_and(|kind| kind == Type::STREAM) && socket.is_listener().unwrap_or(false) {
+        true => Ok(listener),
+        false => Err(format!("descriptor {fd} is no listening TCP socket")),
+    }
 }
 
 async fn run(mut config: Config) -> Result<(), Box<dyn std::error::Error>> {
@@ -65,9 +101,12 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut print = signal(SignalKind::user_defined1())?;
     let mut hang_up = signal(SignalKind::hangup())?;
-    let listener = tokio::net::TcpListener::bind(config.listen).await?;
+    let listener = match config.accept_fd {
+        None => TcpListener::bind(config.listen).await?,
+        Some(fd) => inherited(fd).await.map_err(|problem| format!("ROUTER_ACCEPT_FD: {problem}"))?,
+    };
     let at = listener.local_addr()?;
-    let limit = share(config.sockets);
+    let limit = share(config.sockets, false);
     let facade = Facade::new(config.settings.clone(), config.names.clone(), config.seed)?;
     let (broker, orders) = Broker::new(facade, clock.clone(), counters.clone());
     let claims = Claims::new(config.network.clone(), broker.clone(), clock.clone(), counters.clone(), limit);
@@ -77,21 +116,39 @@
     if let Some(known) = config.known.take() {
         broker.list(ListKind::Cached, known);
     }
+    // Where the platform holds the socket, another process of this dispatcher may serve already.
+    let folder = std::env::var_os("TMPDIR").filter(|_| config.accept_fd.is_some());
+    let handover = folder.map(|folder| {
+        let (name, discovery) = (config.name.clone(), list.discovery());
+        let (broker, clock, counters) = (broker.clone(), clock.clone(), counters.clone());
+        Handover::new(name, folder.as_ref(), broker, clock, counters, discovery)
+    });
+    if let Some(handover) = &handover {
+        handover.take_over().await;
+    }
+    let mut linked =
+        handover.as_ref().map_or_else(|| watch::Sender::new(false).subscribe(), |link| link.linked());
+    linked.mark_changed();
     broker.tick();
     if let Some(address) = config.control {
-        let listener = tokio::net::TcpListener::bind(address).await?;
+        let listener = TcpListener::bind(address).await?;
         counters.say(clock.now(), format_args!("operators call at {}", listener.local_addr()?));
         let control = Control::new(broker.clone(), clock.clone(), counters.clone());
         actix_rt::spawn(control.serve(listener));
     }
     let front = Front::new(broker.clone(), clock.clone(), counters.clone(), limit, &config.network);
-    let serving = actix_rt::spawn(front.clone().serve(listener));
     counters.say(clock.now(), format_args!("{} listens on {at}", config.name));
+    let serving = actix_rt::spawn(front.clone().serve(listener, config.accept_fd.is_some()));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
             _ = print.recv() => eprintln!("ruddervalve: {counters}"),
+            Ok(()) = linked.changed() => {
+                let most = share(config.sockets, *linked.borrow_and_update());
+                front.limit_to(most, &config.network);
+                claims.limit_to(most, &config.network);
+            }
             _ = hang_up.recv() => {
                 let put = |new: &Config| broker.reconfigure(new.settings.clone(), new.names.clone());
                 let read = Config::read_again(variable, file);
@@ -109,8 +166,9 @@
                             let line = format_args!("configuration: {key} takes effect with the next start");
                             counters.say(clock.now(), line);
                         }
-                        front.limit_to(share(new.sockets), &new.network);
-                        claims.limit_to(share(new.sockets), &new.network);
+                        let most = share(new.sockets, *linked.borrow());
+                        front.limit_to(most, &new.network);
+                        claims.limit_to(most, &new.network);
                         list.follow(new.discovery);
                         config = new;
                     }
@@ -118,7 +176,7 @@
             }
         }
     }
-    broker.end();
+    broker.end(config.accept_fd.is_some());
     let _ = serving.await;
     // A job is open for as long as its connection.
     front.empty().await;
--- a/dispatcher/tests/process.rs
+++ b/dispatcher/tests/process.rs
@@ -3,7 +3,10 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
@@ -202,27 +205,42 @@
         let config = config.replace("127.0.0.1:8500", &discovery.to_string());
         let config = change(&config);
         // The variable stays set for the program's life, as a platform leaves it.
-        let mut child = start(&config, &[("ROUTER_DISCOVERY", &discovery.to_string())]);
+        let child = start(&config, &[("ROUTER_DISCOVERY", &discovery.to_string())]);
+        let rig = Self::started(child, seen, node, config);
+        until("ready", || (rig.ask(HEALTH).status() == "200").then_some(()));
+        rig
+    }
+
+    /// A process on a socket and in a folder that it shares with others.
+    fn beside(seen: &Shared, node: SocketAddr, config: &str, shared: &Socket) -> Self {
+        let child = start_on(shared, config, "3");
+        Self::started(child, seen.clone(), node, config.to_owned())
+    }
+
+    fn started(mut child: Child, seen: Shared, node: SocketAddr, config: String) -> Self {
         let mut from = BufReader::new(child.stderr.take().unwrap());
-        let mut said = || {
+        let mut said = |what: &str| {
             let mut line = String::new();
-            from.read_line(&mut line).unwrap();
+            while !line.contains(what) {
+                line.clear();
+                assert!(from.read_line(&mut line).unwrap() > 0, "it ended before {what}");
+            }
             line.trim().rsplit(' ').next().unwrap().parse().expect(&line)
         };
-        let control = config.contains("\"control\"").then(&mut said);
-        let address = said();
+        let control = config.contains("\"control\"").then(|| said("operators call at"));
+        let address = said("listens on");
         let lines = Arc::new(Mutex::new(Vec::new()));
         let kept = lines.clone();
         thread::spawn(move || {
             from.lines().map_while(Result::ok).for_each(|line| kept.lock().unwrap().push(line))
         });
-        let rig = Self { child, address, node, seen, lines, config, control };
-        until("ready", || (rig.ask(HEALTH).status() == "200").then_some(()));
-        rig
+        Self { child, address, node, seen, lines, config, control }
     }
 
     fn send(&self, request: &str) -> BufReader<TcpStream> {
         let mut stream = TcpStream::connect(self.address).unwrap();
+        // Far beyond any wait here: a test that fails must not hang.
+        stream.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
         stream.write_all(request.as_bytes()).unwrap();
         BufReader::new(stream)
     }
@@ -281,7 +299,7 @@
 }
 
 /// A file of each test's own.
-fn config_path() -> std::path::PathBuf {
+fn config_path() -> PathBuf {
     let name = format!("ruddervalve-{}-{:?}.json", std::process::id(), thread::current().id());
     std::env::temp_dir().join(name)
 }
@@ -291,6 +309,44 @@
     Command::new(env!("CARGO_BIN_EXE_ruddervalve"))
         .env("ROUTER_CONFIG", config_path())
         .envs(variables.iter().copied())
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap()
+}
+
+/// What a platform holds for the processes of one dispatcher: the listening socket and a folder.
+struct Socket {
+    listener: OwnedFd,
+    folder: PathBuf,
+}
+
+impl Socket {
+    fn new(listener: impl Into<OwnedFd>) -> Self {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let name = format!("ruddervalve-{}-{}", std::process::id(), NEXT.fetch_add(1, Relaxed));
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).unwrap();
+        Self { listener: listener.into(), folder }
+    }
+}
+
+impl Drop for Socket {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Starts the program with the socket as its descriptor 3.
+fn start_on(shared: &Socket, config: &str, fd: &str) -> Child {
+    std::fs::write(config_path(), config).unwrap();
+    Command::new("sh")
+        .args(["-c", "exec \"$0\" 3<&0 </dev/null", env!("CARGO_BIN_EXE_ruddervalve")])
+        .env("ROUTER_CONFIG", config_path())
+        .env("ROUTER_ACCEPT_FD", fd)
+        .env("TMPDIR", &shared.folder)
+        .stdin(Stdio::from(shared.listener.try_clone().unwrap()))
+        .stdout(Stdio::null())
         .stderr(Stdio::piped())
         .spawn()
         .unwrap()
@@ -843,6 +899,104 @@
     assert_eq!(Message::read(&mut busy).unwrap().status(), "200", "connections are kept again");
 }
 
+#[test]
+fn a_newer_process_takes_over_on_the_socket_and_the_older_one_leaves_nothing_behind() {
+    let (seen, listener) = (Shared::default(), TcpListener::bind("127.0.0.1:0").unwrap());
+    let (node, address) = (node(&seen), listener.local_addr().unwrap());
+    let shared = Socket::new(listener);
+    let config = with_control(CONFIG).replace("127.0.0.1:8000", &address.to_string());
+    let found = config.replace("127.0.0.1:8500", &discovery(&seen, node).to_string());
+    let mut old = Rig::beside(&seen, node, &found, &shared);
+    until("the older one serves", || (old.call("check\n") == "OK\n").then_some(()));
+    let mut busy = old.send(&job("tint", "waits", 25_000));
+    until("the node has it", || old.seen(|seen| seen.requests.len() == 1).then_some(()));
+    let mut idle = old.send(HEALTH);
+    assert_eq!(Message::read(&mut idle).unwrap().status(), "200");
+    // The newer one's discovery is down, and it knows of no list but the older one's.
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let new = Rig::beside(&seen, node, &config.replace("127.0.0.1:8500", &closed.to_string()), &shared);
+    until("the newer one serves", || (new.call("check\n") == "OK\n").then_some(()));
+    assert_eq!(old.counters("handover"), ["handover.handed_on=1"]);
+    old.signal("-TERM");
+    // Whoever connects from now on is the newer one's, and both hear of a node that leaves.
+    until("the newer one is asked", || {
+        assert_eq!(new.ask(&job("tint", "done", 25_000)).status(), "200");
+        new.call("vars\n").contains("fulfilled.tint=1\n").then_some(())
+    });
+    let leaving = chunk(&list(8, false, node, "leaving"));
+    seen.lock().unwrap().watches[0].1.write_all(leaving.as_bytes()).unwrap();
+    until("the newer one is told", || new.call("vars\n").contains("out_of_rotation=1\n").then_some(()));
+    // The older one answers what it has and closes what is idle, then it ends.
+    idle.get_mut().write_all(HEALTH.as_bytes()).unwrap();
+    let answer = Message::read(&mut idle).unwrap();
+    assert_eq!((answer.status(), &*answer.headers["connection"]), ("503", "close"));
+    seen.lock().unwrap().watches.clear();
+    assert_eq!(Message::read(&mut busy).unwrap().body, "late");
+    assert!(old.ended().success());
+    assert_eq!(new.call("check\n"), "OK\n");
+}
+
+#[test]
+fn what_another_process_leaves_or_says_wrongly_keeps_none_from_starting() {
+    let greet: fn(&str) -> String = |hello| format!("{hello}\n");
+    for said in ["", "not ours", "{\"format\":2}", "{\"format\":1,\"name\":\"n0\",\"at_ms\":1e999}"] {
+        let (seen, listener) = (Shared::default(), TcpListener::bind("127.0.0.1:0").unwrap());
+        let (node, address) = (node(&seen), listener.local_addr().unwrap());
+        let shared = Socket::new(listener);
+        let path = shared.folder.join("ruddervalve.handover");
+        match said {
+            "" => std::fs::write(path, "left by a crash").unwrap(),
+            _ => {
+                let other = UnixListener::bind(path).unwrap();
+                thread::spawn(move || {
+                    let (mut stream, _) = other.accept().unwrap();
+                    stream.write_all(greet(said).as_bytes()).unwrap();
+                    let _ = stream.read_to_end(&mut Vec::new());
+                });
+            }
+        }
+        let config = with_control(CONFIG).replace("127.0.0.1:8000", &address.to_string());
+        let config = config.replace("127.0.0.1:8500", &discovery(&seen, node).to_string());
+        let rig = Rig::beside(&seen, node, &config, &shared);
+        until("it serves", || (rig.call("check\n") == "OK\n").then_some(()));
+        assert_eq!(rig.counters("handover"), ["handover.failed=1"], "{said}");
+        // Those it does not understand, in turn, are told nothing.
+        let mut stranger = UnixStream::connect(shared.folder.join("ruddervalve.handover")).unwrap();
+        stranger.write_all(b"{\"format\":1,\"name\":\"n7\"}\n").unwrap();
+        let mut told = String::new();
+        let _ = stranger.read_to_string(&mut told);
+        assert_eq!(told, "");
+    }
+}
+
+#[test]
+fn a_descriptor_that_is_no_listening_socket_is_a_fault_of_its_variable() {
+    let (ours, theirs) = (TcpListener::bind("127.0.0.1:0").unwrap(), UdpSocket::bind("127.0.0.1:0").unwrap());
+    let stream = TcpStream::connect(ours.local_addr().unwrap()).unwrap();
+    let null = std::fs::File::open("/dev/null").unwrap();
+    let mut table = String::new();
+    for (socket, fd) in [
+        (Socket::new(ours), "4000"),
+        (Socket::new(theirs), "3"),
+        (Socket::new(stream), "3"),
+        (Socket::new(null), "3"),
+        (Socket::new(TcpListener::bind("127.0.0.1:0").unwrap()), "0"),
+        (Socket::new(TcpListener::bind("127.0.0.1:0").unwrap()), "three"),
+    ] {
+        let output = start_on(&socket, CONFIG, fd).wait_with_output().unwrap();
+        assert!(!output.status.success());
+        table += &String::from_utf8(output.stderr).unwrap();
+    }
+    assert_snapshot!(table, @r"
+    ruddervalve: ROUTER_ACCEPT_FD: descriptor 4000 is not open
+    ruddervalve: ROUTER_ACCEPT_FD: descriptor 3 is no listening TCP socket
+    ruddervalve: ROUTER_ACCEPT_FD: descriptor 3 is no listening TCP socket
+    ruddervalve: ROUTER_ACCEPT_FD: descriptor 3 is no socket
+    ruddervalve: ROUTER_ACCEPT_FD: '0' is no descriptor from 3 on
+    ruddervalve: ROUTER_ACCEPT_FD: 'three' is no descriptor from 3 on
+    ");
+}
+
 #[test]
 fn a_configuration_at_fault_names_its_key() {
     let good = CONFIG.replace("8c1f30d27a5be964", "0c").replace("127.0.0.1:8000", "127.0.0.1:0");
--- a/src/answers.rs
+++ b/src/answers.rs
@@ -7,6 +7,9 @@
 use crate::logic::NEWEST;
 use crate::state::{Dispatcher, Request, Worker};
 
+/// Where another process takes what this one cannot finish, a job is kept that so many expected runs fit for.
+const ENDS: f64 = 1.5;
+
 impl Dispatcher {
     /// Final answer by the dispatcher: refused where trying again is harmless, else failed.
     pub(crate) fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
@@ -46,7 +49,10 @@
             self.checks.remove(&(at, id));
             let Some(request) = self.requests.get(&id) else { continue };
             let (end, next) = match request.pending() {
-                true => (request.expires, self.half_way(request)),
+                true => (
+                    self.ends.map_or(request.expires, |ends| ends.min(request.expires)),
+                    self.half_way(request),
+                ),
                 false => (self.give_up_at(request), self.cross_at(request)),
             };
             if end <= self.now {
@@ -66,6 +72,8 @@
         let class = &self.settings.classes[request.new.class.0];
         let last =
             request.expires.saturating_sub(((request.work * NEWEST) as Micros).max(2 * self.settings.tick));
+        let last =
+            self.ends.map_or(last, |ends| last.min(ends.saturating_sub((request.work * ENDS) as Micros)));
         if class.late_worth > 0.0 { last } else { request.latest_start.min(last) }
     }
 
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -6,9 +6,10 @@
 use std::hash::Hasher as _;
 
 use fnv::FnvHasher;
+use serde::{Deserialize, Serialize};
 
 use crate::interface::*;
-use crate::state::Dispatcher;
+use crate::state::{Believed, Dispatcher};
 
 /// The names by which classes, tenants, zones and kinds are told.
 #[derive(Debug, Clone, Default)]
@@ -118,6 +119,95 @@
     Say(String),
 }
 
+/// What one process of a dispatcher hands on to the next, by name and in milliseconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Learnt {
+    /// Since when cold machines' budgets have been kept.
+    pub since_ms: f64,
+    /// How long a job usually runs.
+    pub run_ms: Option<f64>,
+    /// What runs take beside their hints, on roomy machines and on crowded ones.
+    pub pace: (f64, f64),
+    /// By class.
+    pub classes: Vec<LearntClass>,
+    /// By machine.
+    pub machines: Vec<LearntMachine>,
+}
+
+/// What was seen of a class.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LearntClass {
+    /// Its name.
+    pub name: String,
+    /// How long its jobs usually run.
+    pub run_ms: Option<f64>,
+    /// The longest time that a submitter granted.
+    pub longest_grant_ms: f64,
+    /// What was asked for of late, in worth.
+    pub asked: f64,
+    /// The part that was kept in time.
+    pub kept: f64,
+}
+
+/// What is believed of a machine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LearntMachine {
+    /// Its name.
+    pub name: String,
+    /// The start of its process that this is about.
+    pub started_ms: f64,
+    /// Its idle token is held.
+    pub idle: bool,
+    /// Its slots.
+    pub slots: f64,
+    /// Slots in use.
+    pub used: f64,
+    /// When that was reported.
+    pub reported_ms: f64,
+    /// Failures since it last served.
+    pub failures: u32,
+    /// The part of its answers that were errors.
+    pub errs: f64,
+    /// Until when it gets nothing.
+    pub doubted_until_ms: f64,
+    /// What it was sent while cold: when, and how much work in microseconds.
+    pub cold_sends: Vec<(f64, f64)>,
+}
+
+/// Far above what can be believed of anything; what is learnt is checked against it.
+const MOST: f64 = 1e9;
+/// Doubts and starts further ahead than this are none of this clock's.
+const AHEAD_MS: f64 = 60_000.0;
+
+impl Learnt {
+    /// Whether all of it can be meant, on a clock that shows `now_ms`.
+    pub fn sound(&self, now_ms: f64) -> bool {
+        let amount = |value: f64| (0.0..=MOST).contains(&value);
+        let past = |at: f64| (0.0..=now_ms + 1.0).contains(&at);
+        let run = |run: Option<f64>| run.is_none_or(|run| run > 0.0 && amount(run));
+        let pace = |pace: f64| (0.01..=100.0).contains(&pace);
+        let class = |class: &LearntClass| {
+            run(class.run_ms) && amount(class.longest_grant_ms) && amount(class.asked) && amount(class.kept)
+        };
+        let machine = |machine: &LearntMachine| {
+            amount(machine.slots)
+                && amount(machine.used)
+                && past(machine.reported_ms)
+                && past(machine.started_ms)
+                && (0.0..=1.0).contains(&machine.errs)
+                && machine.failures < 1_000
+                && (0.0..=now_ms + AHEAD_MS).contains(&machine.doubted_until_ms)
+                && machine.cold_sends.iter().all(|(at, work)| past(*at) && amount(*work / 1e3))
+        };
+        past(self.since_ms)
+            && run(self.run_ms)
+            && pace(self.pace.0)
+            && pace(self.pace.1)
+            && self.classes.iter().all(class)
+            && self.machines.iter().all(machine)
+    }
+}
+
 /// The decisions of one dispatcher behind plain calls.
 #[derive(Debug)]
 pub struct Facade {
@@ -173,6 +263,86 @@
         self.dispatcher.out_of_rotation()
     }
 
+    /// What another process of this dispatcher can go on from.
+    pub fn learnt(&self) -> Learnt {
+        let known = &self.dispatcher;
+        let ms = |at: Micros| at as f64 / 1e3;
+        let class = |(name, seen): (&String, &crate::state::Seen)| LearntClass {
+            name: name.clone(),
+            run_ms: seen.run.map(|run| run / 1e3),
+            longest_grant_ms: ms(seen.longest_grant),
+            asked: seen.asked,
+            kept: seen.kept,
+        };
+        let machine = |worker: &crate::state::Worker| {
+            let believed = worker.believed();
+            LearntMachine {
+                name: self.name(worker.member.worker),
+                started_ms: ms(worker.member.booted),
+                idle: believed.token,
+                slots: believed.slots,
+                used: believed.others,
+                reported_ms: ms(believed.reported),
+                failures: believed.failures,
+                errs: believed.errs,
+                doubted_until_ms: ms(believed.doubted_until),
+                cold_sends: believed.cold_sends.iter().map(|(at, work)| (ms(*at), *work)).collect(),
+            }
+        };
+        Learnt {
+            since_ms: ms(known.born.unwrap_or(known.now)),
+            run_ms: known.run.map(|run| run / 1e3),
+            pace: (known.pace, known.crowding),
+            classes: self.names.classes.iter().zip(&known.seen).map(class).collect(),
+            machines: known.workers.values().map(machine).collect(),
+        }
+    }
+
+    /// Goes on from what an earlier process of this dispatcher learnt, of the machines listed now. False if it makes no
+    /// sense: then nothing of it is taken.
+    pub fn inherit(&mut self, now_ms: f64, learnt: &Learnt) -> bool {
+        if !learnt.sound(now_ms) {
+            return false;
+        }
+        let known = &mut self.dispatcher;
+        let since = micros(learnt.since_ms);
+        known.born = Some(known.born.map_or(since, |born| born.min(since)));
+        known.run = known.run.or(learnt.run_ms.map(|run| run * 1e3));
+        (known.pace, known.crowding) = learnt.pace;
+        for class in &learnt.classes {
+            let Some(number) = position(&self.names.classes, &class.name) else { continue };
+            let seen = &mut known.seen[number];
+            seen.run = seen.run.or(class.run_ms.map(|run| run * 1e3));
+            seen.longest_grant = seen.longest_grant.max(micros(class.longest_grant_ms));
+            (seen.asked, seen.kept) = (class.asked, class.kept);
+        }
+        for machine in &learnt.machines {
+            let told = Believed {
+                token: machine.idle,
+                slots: machine.slots,
+                others: machine.used,
+                reported: micros(machine.reported_ms),
+                failures: machine.failures,
+                errs: machine.errs,
+                doubted_until: micros(machine.doubted_until_ms),
+                cold_sends: machine.cold_sends.iter().map(|(at, work)| (micros(*at), *work)).collect(),
+            };
+            known.inherit(WorkerId::named(&machine.name), micros(machine.started_ms), told);
+        }
+        true
+    }
+
+    /// Another process of this dispatcher has come, or has gone again: only one of them may send to cold machines.
+    pub fn succeeded(&mut self, succeeded: bool) {
+        self.dispatcher.succeeded(succeeded);
+    }
+
+    /// The program ends then, and another one takes jobs that cannot be done here until then.
+    pub fn ends(&mut self, now_ms: f64, at_ms: f64) -> Vec<Step> {
+        self.dispatcher.ends(micros(at_ms));
+        self.happened(now_ms, Event::Wake)
+    }
+
     /// The longest time that submitters of any class wait.
     pub fn longest_deadline_ms(&self) -> f64 {
         let deadlines = self.dispatcher.settings().classes.iter().map(|class| class.deadline);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -478,6 +478,7 @@
         worker.ready()
             && fits
             && request.expires > self.now
+            && (self.ends.is_none() || self.give_up_at(request) > self.now)
             && !(just_tried && self.workers.len() > 1)
             && self.repeat_allowed(request, worker, class.effect)
             && self.cold_budget(request, worker)
@@ -506,7 +507,7 @@
         let remembered = self.born.is_some_and(|born| born <= since);
         let sent: f64 = worker.cold_sends.iter().filter(|send| send.0 > since).map(|send| send.1).sum();
         let budget = rules.fall_multiple * part * self.slots(worker) * rules.fall_after as f64;
-        remembered && sent + request.load() <= budget * self.cold_part(worker).1
+        !self.succeeded && remembered && sent + request.load() <= budget * self.cold_part(worker).1
     }
 
     /// This dispatcher's part of a cold worker's budget: as equal shares hold no larger job, in turns of
--- a/src/state.rs
+++ b/src/state.rs
@@ -48,6 +48,10 @@
     pub(crate) gave_up: Option<Micros>,
     pub(crate) notes: Vec<Note>,
     pub(crate) noted: (Micros, usize),
+    /// Another process of this dispatcher spends the budgets of cold workers.
+    pub(crate) succeeded: bool,
+    /// When the program ends, where another one is there to take what cannot be done here until then.
+    pub(crate) ends: Option<Micros>,
 }
 
 impl Dispatcher {
@@ -86,6 +90,8 @@
             gave_up: None,
             notes: Vec::new(),
             noted: (0, 0),
+            succeeded: false,
+            ends: None,
             settings,
         })
     }
@@ -107,6 +113,34 @@
         Ok(())
     }
 
+    /// Another process of this dispatcher takes over the budgets of cold workers, or has gone again: what it spent
+    /// meanwhile is not known here.
+    pub(crate) fn succeeded(&mut self, succeeded: bool) {
+        if !std::mem::replace(&mut self.succeeded, succeeded) || succeeded {
+            return;
+        }
+        self.born = Some(self.now);
+    }
+
+    /// The program ends then: each open request is looked at anew.
+    pub(crate) fn ends(&mut self, at: Micros) {
+        self.ends = Some(at);
+        let open: Vec<RequestId> = self.requests.keys().copied().collect();
+        open.into_iter().for_each(|id| self.check_at(id, self.now));
+    }
+
+    /// What an earlier process of this dispatcher believed of a worker; its own jobs there count as others'. Nothing is
+    /// believed of a worker that has restarted since, or is not listed.
+    pub(crate) fn inherit(&mut self, id: WorkerId, booted: Micros, told: Believed) {
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        if worker.member.booted == booted {
+            worker.slots = worker.slots.max(told.slots);
+            (worker.token, worker.others, worker.reported) = (told.token, told.others, told.reported);
+            (worker.failures, worker.errs) = (told.failures, told.errs);
+            (worker.doubted_until, worker.cold_sends) = (told.doubted_until, told.cold_sends);
+        }
+    }
+
     /// Whether an open request may be harmed by a repeat.
     pub(crate) fn must_run_once(&self, id: RequestId) -> bool {
         let class = |request: &Request| self.settings.classes[request.new.class.0].effect;
@@ -260,6 +294,19 @@
     pub cold_sends: Vec<(Micros, f64)>,
 }
 
+/// What one process of a dispatcher hands on of a worker.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Believed {
+    pub token: bool,
+    pub slots: f64,
+    pub others: f64,
+    pub reported: Micros,
+    pub failures: u32,
+    pub errs: f64,
+    pub doubted_until: Micros,
+    pub cold_sends: Vec<(Micros, f64)>,
+}
+
 /// An open request.
 #[derive(Debug)]
 pub struct Request {
@@ -338,6 +385,20 @@
         self.size = self.size.max(member.weight);
     }
 
+    /// What another process of this dispatcher is to believe of it.
+    pub fn believed(&self) -> Believed {
+        Believed {
+            token: self.token && self.own == 0,
+            slots: self.slots,
+            others: self.others + self.taken,
+            reported: self.reported,
+            failures: self.failures,
+            errs: self.errs,
+            doubted_until: self.doubted_until,
+            cold_sends: self.cold_sends.clone(),
+        }
+    }
+
     pub fn ready(&self) -> bool {
         self.listed && self.member.availability == Availability::Ready
     }
