Let open jobs keep the class they came with, and turn down files that leave out a key

Lines at fault: every look at `settings.classes[request.new.class.0]` in logic.rs, answers.rs and state.rs gave an open job its new effect and deadline; config.rs fell back on ROUTER_DISCOVERY and on defaults.

Checked: a job that was fragile when it came is failed after a reset though its class may be repeated by now, and a job keeps its number of claims (both fail without the change). Ruled out: new numbers for changed classes, which would split what is learnt. The lists of family_info grow with the classes in the files seen, so their lengths are checked.

--- a/dispatcher/src/broker.rs
+++ b/dispatcher/src/broker.rs
@@ -646,6 +646,33 @@
         assert!(wait_ms > 0.0 && wait_ms <= 2_000.0, "{wait_ms}");
     }
 
+    #[test]
+    fn an_open_job_keeps_the_class_and_the_claims_it_came_with() {
+        // Guards against a repeat that was harmful when the job came, and against a loss of claims it was promised.
+        let retuned = include_str!("../../examples/config.json")
+            .replace("\"semantics\": \"fragile\"", "\"semantics\": \"retryable\"")
+            .replace("\"max_attempts\": 5", "\"max_attempts\": 1");
+        let text = |_: &str| Ok(retuned.clone());
+        let new =
+            crate::config::Config::read(|name| (name == "ROUTER_CONFIG").then(String::new), text).unwrap();
+        let mut rig = Rig::new();
+        let mut old = rig.submit("pour");
+        let mut safe = rig.submit("tint");
+        rig.broker.reconfigure(new.settings, new.names).unwrap();
+        rig.ordered();
+        rig.broker.ended((0, 0), Outcome::Reset, None, None);
+        assert_eq!(Rig::answer(&mut old), Some(Answer::Failed));
+        rig.ordered();
+        rig.broker.ended((1, 0), Outcome::Full, None, None);
+        assert_eq!(Rig::answer(&mut safe), None, "it may be claimed for again");
+        // One that comes now is under the new settings: it may run twice, and has one claim.
+        let mut new = rig.submit("pour");
+        rig.time.set(rig.time.get() + 10_000.0);
+        rig.broker.tick();
+        rig.broker.ended((2, 0), Outcome::Reset, None, None);
+        assert!(matches!(Rig::answer(&mut new), Some(Answer::Refused { .. })));
+    }
+
     #[test]
     fn a_drained_dispatcher_takes_no_job_that_would_be_out_when_it_has_to_be_empty() {
         // Guards the rule on drains: four seconds after the call no job of the last two may be out.
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -7,7 +7,7 @@
 use ruddervalve::{Names, Settings};
 use ruddervalve_settings::{Info, Network};
 use serde::Deserialize;
-use serde_json::value::RawValue;
+use serde_json::value::{RawValue, Value};
 use thiserror::Error;
 
 use crate::machine_list::{ListNews, read_news};
@@ -62,6 +62,8 @@
     control_in_file: Option<String>,
     /// Where the machine list is had.
     pub discovery: SocketAddr,
+    /// The file's keys.
+    keys: Value,
     /// For random numbers.
     pub seed: u64,
     /// File descriptors that the process may hold.
@@ -82,15 +84,17 @@
         variable: impl Fn(&str) -> Option<String>,
         file: impl Fn(&str) -> Result<String, String>,
     ) -> Result<Self, ConfigError> {
-        Self::read_at(variable, file, false)
+        Self::read_at(variable, file, None)
     }
 
-    /// Reads the file again. Its `discovery` wins now: the variable is left from the start, the file is what was changed.
+    /// Reads the file again. Its `discovery` counts now: the variable is left from the start, the file is what was
+    /// changed. A key that the file in force has may not be missing: that would put a default in force untold.
     pub fn read_again(
+        &self,
         variable: impl Fn(&str) -> Option<String>,
         file: impl Fn(&str) -> Result<String, String>,
     ) -> Result<Self, ConfigError> {
-        Self::read_at(variable, file, true)
+        Self::read_at(variable, file, Some(&self.keys))
     }
 
     /// The keys that differ and cannot take effect in a program that runs. `known` is none of them: the list in hand is
@@ -108,7 +112,7 @@
     fn read_at(
         variable: impl Fn(&str) -> Option<String>,
         file: impl Fn(&str) -> Result<String, String>,
-        again: bool,
+        before: Option<&Value>,
     ) -> Result<Self, ConfigError> {
         let fault = |key: &str, problem: String| ConfigError::Key(key.to_owned(), problem);
         let path = variable("ROUTER_CONFIG")
@@ -117,9 +121,13 @@
         let mut json = serde_json::Deserializer::from_str(&text);
         let given: File = serde_path_to_error::deserialize(&mut json)
             .map_err(|error| fault("ROUTER_CONFIG", format!("{path}: {error}")))?;
+        let keys = serde_json::from_str(&text).unwrap_or_default();
+        if let Some(missing) = before.and_then(|before| missing(before, &keys, "")) {
+            return Err(fault(&missing, "is missing".to_owned()));
+        }
         let address = |key: &str, name: &str, value: Option<String>| -> Result<SocketAddr, ConfigError> {
-            let value = match again && key == "discovery" {
-                true => value.or_else(|| variable(name)),
+            let value = match before.is_some() && key == "discovery" {
+                true => value,
                 false => variable(name).or(value),
             };
             let value = value.ok_or_else(|| fault(key, "is missing".to_owned()))?;
@@ -161,6 +169,7 @@
             listen_in_file: given.listen.clone(),
             listen: address("listen", "ROUTER_LISTEN", given.listen)?,
             discovery: address("discovery", "ROUTER_DISCOVERY", given.discovery)?,
+            keys,
             seed,
             sockets,
             known,
@@ -170,3 +179,104 @@
         })
     }
 }
+
+/// A key that a file had and another one has not. In a list of objects each needs what all of them had before; `known` is
+/// read at a start only.
+fn missing(before: &Value, after: &Value, path: &str) -> Option<String> {
+    let at = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+    match (before, after) {
+        (Value::Object(before), Value::Object(after)) => before.iter().find_map(|(key, value)| {
+            let counts = !(path.is_empty() && key == "known");
+            match after.get(key) {
+                None => counts.then(|| at(key)),
+                Some(new) => missing(value, new, &at(key)).filter(|_| counts),
+            }
+        }),
+        (Value::Array(before), Value::Array(after)) => {
+            let common = before.iter().skip(1).fold(before.first()?.clone(), |mut common, entry| {
+                if let (Value::Object(common), Value::Object(entry)) = (&mut common, entry) {
+                    common.retain(|key, _| entry.contains_key(key));
+                }
+                common
+            });
+            let entry =
+                |(number, entry): (usize, &Value)| missing(&common, entry, &format!("{path}[{number}]"));
+            after.iter().enumerate().find_map(entry)
+        }
+        _ => None,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = include_str!("../../examples/config.json");
+
+    #[test]
+    fn a_file_read_again_may_leave_nothing_out_and_its_figures_must_be_positive() {
+        // Guards what is in force against files written in part: a default would come into force untold.
+        let variable = |name: &str| match name {
+            "ROUTER_CONFIG" => Some("FILE".to_owned()),
+            "ROUTER_DISCOVERY" => Some("127.0.0.1:1".to_owned()),
+            _ => None,
+        };
+        let config = Config::read(variable, |_| Ok(GOOD.to_owned())).unwrap();
+        let mut table = String::new();
+        for (old, new) in [
+            ("\"discovery\": \"127.0.0.1:8500\",", ""),
+            ("\"limits\": { \"cores\": 1.0, \"memory_mb\": 192, \"sockets\": 1024 },", ""),
+            (", \"sockets\": 1024", ""),
+            ("\"max_attempts\": 5,", ""),
+            ("\"max_attempts\": 5", "\"max_attempts\": 0"),
+            ("\"max_attempts\": 5", "\"max_attempts\": -1"),
+            ("\"max_attempts\": 5", "\"max_attempts\": \"many\""),
+            ("\"aim\": 300000, \"deadline\": 5000000", "\"aim\": 300000"),
+            ("\"deadline\": 5000000", "\"deadline\": 0"),
+            ("\"deadline\": 5000000", "\"deadline\": -5"),
+            ("\"deadline\": 5000000", "\"deadline\": 1e999"),
+            ("\"deadline\": 5000000", "\"deadline\": null"),
+            ("\"semantics\": \"fragile\", ", ""),
+            ("\"tip_multiple\": 3.0", "\"tip\": 3.0"),
+            ("[-1, 0]", "[-1]"),
+            ("\"name\": \"tint\"", "\"name\": \"pour\""),
+            (GOOD, ""),
+            (&GOOD[200..], ""),
+            ("\"profiles\": [", "\"profiles\": [], \"others\": ["),
+        ] {
+            assert!(GOOD.contains(old), "{old}");
+            let text = GOOD.replacen(old, new, 1);
+            let fault = config.read_again(variable, |_| Ok(text.clone())).expect_err(old).to_string();
+            table += &format!("{}\n", fault.split(" at line").next().unwrap_or_default());
+        }
+        insta::assert_snapshot!(table, @r#"
+        discovery: is missing
+        limits: is missing
+        limits.sockets: is missing
+        settings.limits.max_attempts: is missing
+        settings: limits.max_attempts: must be at least 1
+        settings: limits.max_attempts: invalid value: integer `-1`, expected usize
+        settings: limits.max_attempts: invalid type: string "many", expected usize
+        settings.profiles[0].deadline: is missing
+        settings: profiles[0].deadline: must be above 0
+        settings: profiles[0].deadline: invalid value: integer `-5`, expected u64
+        settings: profiles[0].deadline: number out of range
+        settings: profiles[0].deadline: invalid type: null, expected u64
+        settings.profiles[1].semantics: is missing
+        settings.obligations.tip_multiple: is missing
+        settings: family_info.class_kind: must have an entry for each class
+        settings: profiles[1].name: is there twice
+        ROUTER_CONFIG: FILE: EOF while parsing a value
+        ROUTER_CONFIG: FILE: settings: EOF while parsing an object
+        settings: family_info.class_kind: must have an entry for each class
+        "#);
+        // Anything may come, and what an earlier list knew of machines need not.
+        let more = GOOD.replacen(
+            "\"settings\"",
+            "\"known\": {\"version\":1,\"full\":true,\"servers\":[]}, \"settings\"",
+            1,
+        );
+        let grown = config.read_again(variable, |_| Ok(more.clone())).unwrap();
+        assert!(grown.read_again(variable, |_| Ok(GOOD.to_owned())).is_ok());
+    }
+}
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -151,7 +151,7 @@
             }
             _ = hang_up.recv() => {
                 let put = |new: &Config| broker.reconfigure(new.settings.clone(), new.names.clone());
-                let read = Config::read_again(variable, file);
+                let read = config.read_again(variable, file);
                 let read = read.map_err(|error| error.to_string());
                 let read = read.and_then(|new| put(&new).map(|()| new).map_err(|error| error.to_string()));
                 match read {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -153,6 +153,21 @@
 
     /// The settings in ruddervalve's terms, checked, and the names.
     pub fn checked(self) -> Result<(Settings, Names), Fault> {
+        let classes = self.profiles.len();
+        for (key, length) in [
+            ("family_info.class_kind", self.family_info.class_kind.len()),
+            ("family_info.class_stretch", self.family_info.class_stretch.len()),
+        ] {
+            // A class without its entry would run anywhere, or be due too soon.
+            if length != 0 && length != classes {
+                return Err(Fault::Value(key.to_owned(), "must have an entry for each class"));
+            }
+        }
+        for (number, profile) in self.profiles.iter().enumerate() {
+            if self.profiles[..number].iter().any(|other| other.name == profile.name) {
+                return Err(Fault::Value(format!("profiles[{number}].name"), "is there twice"));
+            }
+        }
         let (settings, names) = self.split();
         settings.validate().map_err(|error| Fault::Value(key(&error), error.problem))?;
         Ok((settings, names))
--- a/src/answers.rs
+++ b/src/answers.rs
@@ -19,7 +19,7 @@
         {
             self.note(Note::GivingUp { held: self.held.len() });
         }
-        let harmless = match self.settings.classes[request.new.class.0].effect {
+        let harmless = match request.class.effect {
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
             Effect::Keyed { .. } | Effect::Unsafe => !request.may_have_run(),
         };
@@ -69,7 +69,7 @@
     /// When a held request can no longer earn anything: its aim is out of reach and lateness earns nothing, or its run
     /// would outlast the client. It is answered then, not held to its end: the client may come back.
     pub(crate) fn give_up_at(&self, request: &Request) -> Micros {
-        let class = &self.settings.classes[request.new.class.0];
+        let class = &request.class;
         let last =
             request.expires.saturating_sub(((request.work * NEWEST) as Micros).max(2 * self.settings.tick));
         let last =
@@ -87,7 +87,7 @@
         let mut hopeless = Vec::new();
         for (_, id) in order {
             let request = &self.requests[&id];
-            let kind = self.settings.classes[request.new.class.0].kind;
+            let kind = request.class.kind;
             let fits = |worker: &&Worker| kind.is_none() || worker.member.kind == kind;
             let slots: f64 = self.kept().filter(fits).map(|worker| self.slots(worker)).sum();
             let own = (slots / self.settings.dispatchers as f64).max(1.0);
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -349,8 +349,9 @@
         deadlines.max().unwrap_or_default() as f64 / 1e3
     }
 
-    /// Takes new settings while jobs are open. Names keep their numbers, so that open jobs and what was learnt stay as
-    /// they are: what the new settings no longer name serves out what is open, what they add comes behind.
+    /// Takes new settings while jobs are open. Names keep their numbers, so that what was learnt stays: what the new
+    /// settings no longer name serves out what is open, what they add comes behind. Open jobs keep the class and the
+    /// number of claims that they came with.
     pub fn reconfigure(&mut self, mut settings: Settings, names: Names) -> Result<(), SettingsError> {
         settings.validate()?;
         let old = self.dispatcher.settings();
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -130,7 +130,7 @@
         if self.requests.contains_key(&new.id) {
             return;
         }
-        let Some(class) = self.settings.classes.get(new.class.0) else {
+        let Some(class) = self.settings.classes.get(new.class.0).cloned() else {
             return out.push(Action::Refuse { request: new.id, wait: self.come_back() });
         };
         let last = self.last_request.replace(self.now);
@@ -151,6 +151,7 @@
         self.seen.iter_mut().for_each(|seen| seen.asked *= 1.0 - NEWEST / 64.0);
         self.seen[new.class.0].asked += worth;
         self.probe_credit = (self.probe_credit + PROBES_PER_REQUEST).min(self.workers.len() as f64);
+        let over_share = self.over_share(new.tenant);
         let request = Request {
             new: new.clone(),
             work,
@@ -163,7 +164,9 @@
                 .max(arrived.saturating_add(class.aim / 2)),
             expires: self.now.saturating_add(new.expires_in),
             check: 0,
-            over_share: self.over_share(new.tenant),
+            over_share,
+            class,
+            most_attempts: self.settings.limits.max_attempts,
             attempts: Vec::new(),
         };
         self.requests.insert(new.id, request);
@@ -191,8 +194,8 @@
             Some(known) if known.outcome.is_none() => known.outcome = Some(outcome),
             _ => return,
         }
-        let effect = self.settings.classes[request.new.class.0].effect;
-        let spent = request.attempts.len() >= self.settings.limits.max_attempts || request.unusable();
+        let effect = request.class.effect;
+        let spent = request.attempts.len() >= request.most_attempts || request.unusable();
         if spent || request.expires <= self.now || (effect == Effect::Unsafe && request.may_have_run()) {
             self.finish(id, out);
         } else {
@@ -203,9 +206,9 @@
     /// Guards against hung and misjudged workers: a harmless job that did not start half-way to its latest
     /// start is called back while another worker's idle token is held.
     pub(crate) fn to_recall(&self, request: &Request) -> bool {
-        let harmless = self.settings.classes[request.new.class.0].effect == Effect::Safe;
+        let harmless = request.class.effect == Effect::Safe;
         let told = self.settings.tells_start && self.settings.limits.cancel;
-        let more = request.attempts.len() < self.settings.limits.max_attempts;
+        let more = request.attempts.len() < request.most_attempts;
         let held = |worker: &Worker| worker.token && worker.failures == 0 && self.allowed(request, worker);
         harmless && told && more && self.waits(request) && self.kept().any(held)
     }
@@ -252,7 +255,7 @@
     }
 
     fn harmless(&self, flight: &Flight) -> bool {
-        self.settings.classes[flight.class].effect == Effect::Safe
+        flight.harmless
     }
 
     fn served(&mut self, flight: &Flight) {
@@ -404,7 +407,7 @@
 
     fn choose(&mut self, id: RequestId) -> Option<WorkerId> {
         let request = &self.requests[&id];
-        let kind = self.settings.classes[request.new.class.0].kind;
+        let kind = request.class.kind;
         let cross = self.cross_at(request);
         let crossing = self.now + self.settings.tick >= cross;
         let open: Vec<_> = self.kept().filter(|worker| self.allowed(request, worker)).collect();
@@ -469,7 +472,7 @@
 
     /// What the rules and the job itself permit: these hold whatever else is decided.
     fn allowed(&self, request: &Request, worker: &Worker) -> bool {
-        let class = &self.settings.classes[request.new.class.0];
+        let class = &request.class;
         let fits = class.kind.is_none() || worker.member.kind == class.kind;
         let just_tried = request.attempts.last().is_some_and(|attempt| {
             let told = !matches!(attempt.outcome, Some(Outcome::Skipped | Outcome::Broken));
@@ -537,7 +540,7 @@
     /// A worker in doubt gets nothing until the doubt is over, then one harmless job as a trial. What an
     /// error ends for good stays away for longer: who errs now and then serves a trial now and then.
     fn trusted(&self, request: &Request, worker: &Worker) -> bool {
-        let safe = self.settings.classes[request.new.class.0].effect == Effect::Safe;
+        let safe = request.class.effect == Effect::Safe;
         let over = worker.doubted_until <= self.now && worker.touched < worker.doubted_until;
         match safe {
             true => worker.failures == 0 || over,
@@ -562,7 +565,8 @@
             worker.cold_sends.push((now, request.load()));
         }
         let (class, hint, need) = (request.new.class.0, request.new.hint, request.need());
-        let flight = Flight { worker: to, class, sent: now, started: None, need, hint, crowded };
+        let harmless = request.class.effect == Effect::Safe;
+        let flight = Flight { worker: to, class, sent: now, started: None, need, hint, crowded, harmless };
         self.flights.insert((id, request.attempts.len()), flight);
         request.attempts.push(Attempt { worker: to, sent: now, outcome: None });
         out.push(Action::Send { request: id, worker: to });
--- a/src/state.rs
+++ b/src/state.rs
@@ -143,8 +143,7 @@
 
     /// Whether an open request may be harmed by a repeat.
     pub(crate) fn must_run_once(&self, id: RequestId) -> bool {
-        let class = |request: &Request| self.settings.classes[request.new.class.0].effect;
-        self.requests.get(&id).is_some_and(|request| class(request) != Effect::Safe)
+        self.requests.get(&id).is_some_and(|request| request.class.effect != Effect::Safe)
     }
 
     /// The scale of spans of time: how long a job usually runs here, as far as seen.
@@ -311,6 +310,9 @@
 #[derive(Debug)]
 pub struct Request {
     pub new: NewRequest,
+    /// Its class and the number of attempts as they were set when it came: settings may change under it.
+    pub class: ClassSettings,
+    pub most_attempts: usize,
     pub work: f64,
     pub value: f64,
     pub arrived: Micros,
@@ -340,6 +342,8 @@
     pub need: f64,
     pub hint: Option<Micros>,
     pub crowded: bool,
+    /// The job may run twice.
+    pub harmless: bool,
 }
 
 /// What was seen of a class.
