Spread a fleet's calls for the list, and wait for requests that come in pieces

Checked: 40 dispatchers that are turned away together call at more than 12 different times, each time; a request in five pieces over three seconds is served; both tests fail without the change. Ruled out: discovery being down (its 503 comes after 3.5 s in its line).

--- a/dispatcher/src/front.rs
+++ b/dispatcher/src/front.rs
@@ -34,9 +34,11 @@
 const LONGEST_BODY: usize = 64 << 10;
 /// The longest head: what nodes usually read, so that none closes on what was passed on to it.
 const LONGEST_HEAD: usize = 16 << 10;
-/// A request is whole so long after its connection came up, a later one after its first byte. Submitters send at once;
-/// this leaves as much again for the answer within the three seconds owed to those that do not.
-const WHOLE_MS: f64 = 2_000.0;
+/// The first byte comes so soon after the connection came up, and each further piece of a request so soon after the one
+/// before. Those that stop get their answer within the three seconds owed to them.
+const PIECE_MS: f64 = 2_000.0;
+/// A request is whole so long after its first byte, in however many pieces.
+const WHOLE_MS: f64 = 10_000.0;
 /// How long a submitter may take to read an answer.
 const READS: Duration = Duration::from_secs(5);
 /// After its last answer a connection is read on for so long and what comes is dropped: a close over unread bytes would
@@ -83,7 +85,9 @@
 /// What a connection is busy with, in the order in which connections are given up where too many are held.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
-    /// No whole head has come, or none of a request that has begun.
+    /// Nothing has come.
+    Silent,
+    /// A part of a head has come.
     Head,
     /// All is answered, only the end is waited for.
     Ending,
@@ -111,8 +115,10 @@
     connection: Rc<Connection>,
     /// When it came up.
     opened_ms: f64,
-    /// When the request that is being read must be whole.
+    /// When the next piece of the request that is being read must have come.
     due_ms: f64,
+    /// When it must be whole.
+    whole_ms: f64,
 }
 
 /// Forgets a connection when its task ends, however it ends.
@@ -236,7 +242,7 @@
         }
         let now = self.clock.now();
         let connection = Rc::new(Connection {
-            phase: Cell::new(Phase::Head),
+            phase: Cell::new(Phase::Silent),
             since_ms: Cell::new(now),
             task: RefCell::default(),
         });
@@ -250,7 +256,8 @@
             inbox,
             connection: connection.clone(),
             opened_ms: now,
-            due_ms: now + WHOLE_MS,
+            due_ms: now + PIECE_MS,
+            whole_ms: 0.0,
         };
         let registered = Registered { front: self.clone(), number };
         let task = actix_rt::spawn(async move {
@@ -274,7 +281,7 @@
         self.counters.count(
             "connections",
             match connection.phase.get() {
-                Phase::Head => "silent_given_up",
+                Phase::Silent => "silent_given_up",
                 Phase::Kept => "idle_given_up",
                 _ => "others_given_up",
             },
@@ -361,10 +368,9 @@
                 _ => return Err(Bad::Silent("nothing_sent")),
             }
         }
-        if kept {
-            wire.due_ms = self.clock.now() + WHOLE_MS;
-            wire.enter(Phase::Head, self.clock.now());
-        }
+        let now = self.clock.now();
+        (wire.due_ms, wire.whole_ms) = (now + PIECE_MS, now + WHOLE_MS);
+        wire.enter(Phase::Head, now);
         loop {
             let mut lines = wire.inbox.trim_ascii_start().split(|byte| *byte == b'\n');
             let line = lines.next().unwrap_or_default();
@@ -388,7 +394,7 @@
             }
             let late = self.clock.until(wire.due_ms);
             match tokio::time::timeout(late, wire.read()).await {
-                Ok(Ok(1..)) => {}
+                Ok(Ok(1..)) => wire.due_ms = wire.whole_ms.min(self.clock.now() + PIECE_MS),
                 Ok(_) => return Err(Bad::Silent("half_a_head")),
                 Err(_) => return Err(Bad::Told(StatusCode::REQUEST_TIMEOUT, "slow_head")),
             }
@@ -427,7 +433,7 @@
                 Err(_) => return Err(Bad::Told(StatusCode::BAD_REQUEST, "body_broken")),
             }
             match tokio::time::timeout(self.clock.until(wire.due_ms), wire.read()).await {
-                Ok(Ok(1..)) => {}
+                Ok(Ok(1..)) => wire.due_ms = wire.whole_ms.min(self.clock.now() + PIECE_MS),
                 Ok(_) => return Err(Bad::Silent("half_a_body")),
                 Err(_) => return Err(Bad::Told(StatusCode::REQUEST_TIMEOUT, "slow_body")),
             }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,8 +41,9 @@
 const CROWDING: f64 = 1.5;
 /// Requests that a tenant may send ahead of its share.
 const SHARE_BURST: f64 = 8.0;
-/// Back-off between calls to discovery that fail: the first, and the longest.
+/// Back-off between calls to discovery that fail: the first, and for each dispatcher, and the longest.
 const ASK_AGAIN: Micros = SECOND / 4;
+const ASK_EACH: Micros = SECOND / 16;
 const ASK_LONGEST: Micros = 4 * SECOND;
 
 impl Dispatcher {
@@ -91,6 +92,9 @@
         if kind != ListKind::Cached {
             self.ask_failures = 0;
             self.ask_at = None;
+        } else if self.ask_at == Some(0) && !members.is_empty() {
+            // A list is in hand, and the whole fleet may just have started.
+            self.ask_at = Some(self.now + self.rng.random_range(0..=self.ask_pause()));
         }
         if kind != ListKind::Changes {
             self.workers.values_mut().for_each(|worker| worker.listed = false);
@@ -109,12 +113,18 @@
     fn discovery_failed(&mut self) {
         if self.settings.discovery == Discovery::OnRequest {
             self.note(Note::DiscoveryFailed);
-            let wait = (ASK_AGAIN << self.ask_failures.min(8)).min(ASK_LONGEST);
+            let wait = self.ask_pause();
             self.ask_failures += 1;
-            self.ask_at = Some(self.now + wait);
+            self.ask_at = Some(self.now + self.rng.random_range(wait / 2..=wait + wait / 2));
         }
     }
 
+    /// Those turned away together must not come again together: pauses are drawn around this.
+    fn ask_pause(&self) -> Micros {
+        let first = ASK_AGAIN.max(ASK_EACH * self.settings.dispatchers as u64).min(ASK_LONGEST);
+        (first << self.ask_failures.min(8)).min(ASK_LONGEST)
+    }
+
     fn ask_discovery(&mut self, out: &mut Vec<Action>) {
         if self.ask_at.is_some_and(|at| at <= self.now) {
             out.push(Action::Subscribe);
