Make the broker a package that knows no protocol, with pools of nodes

Need: Gearman callers are to pass through the same broker and decisions, but the broker took types from the claims and the machine list, and so carried HTTP types; the circle had to be cut before a second protocol can stand beside.

Change: crates/broker holds the job table, the clock, the counters and the types they share (claim, list news, errand as an opaque value); crates/http holds front, claims, machine list, control and handover; crates/dispatcher is the wiring. settings and wirehost move to crates/. The broker keeps nodes in pools, each with decisions of its own; the platform's is the first, and a job's number tells its pool. The facade takes an unasked load report and a result that has begun to stream; nothing calls either yet.

--- a/dispatcher/src/broker.rs
+++ b/crates/broker/src/broker.rs
@@ -1,7 +1,9 @@
-//! Owns the job table: which jobs are open, who waits for their answers, where machines listen, and whether the dispatcher
-//! serves, is drained or ends. It alone calls the decisions and it alone gives final answers, one for each job. It must
-//! never speak HTTP or open a socket, so that any front can hand it jobs; what is to be sent leaves it as orders.
+//! Owns the job table: which jobs are open, who waits for their answers, which pool of nodes serves them, where nodes
+//! listen, and whether the dispatcher serves, is drained or ends. It alone calls the decisions, of which each pool has its
+//! own, and it alone gives final answers, one for each job. It must never speak a protocol or open a socket, so that any
+//! front can hand it jobs; what is to be sent leaves it as orders.
 
+use std::any::Any;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -14,10 +16,8 @@
 };
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::claims::{Claim, Errand};
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::machine_list::{ListNews, write_news};
 
 /// The submitter's time is counted from its sending and the answer has to travel: so much of it is kept back.
 const MARGIN_MS: f64 = 10.0;
@@ -85,30 +85,101 @@
     },
     /// Ask for the machine list.
     AskForList,
-    /// Call [`Broker::tick`] at this time.
-    WakeAt(f64),
+    /// Call [`Broker::tick`] for a pool at this time.
+    WakeAt(Pool, f64),
+}
+
+/// What is brought to the node of a claim: the concern of the protocol that took the job, and of nobody here.
+pub type Errand = Rc<dyn Any>;
+
+/// What a claim is to do.
+pub struct Claim {
+    /// The claim: job and number.
+    pub claim: (u64, usize),
+    /// The pool of the node.
+    pub pool: Pool,
+    /// The node's name.
+    pub node: String,
+    /// Where it listens, if it is one that listens.
+    pub address: Option<SocketAddr>,
+    /// What to bring to it.
+    pub errand: Errand,
+    /// When the wait for it ends.
+    pub until_ms: f64,
+    /// The job must not run twice.
+    pub once: bool,
+    /// A kept connection has failed the job before.
+    pub fresh: bool,
+}
+
+/// News of a machine list.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ListNews {
+    /// The version that the list has with it.
+    pub version: u64,
+    /// The whole list, not only changes.
+    pub full: bool,
+    /// The machines.
+    pub machines: Vec<Machine>,
+    /// Where each of them listens.
+    pub addresses: BTreeMap<String, SocketAddr>,
+}
+
+/// A pool of nodes with decisions of its own: what is learnt, listed and held in one says nothing of another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Pool(usize);
+
+/// The pool's number stands above so many bits of a job's number, which leave room for more jobs than can ever come.
+const POOL_BITS: u32 = 48;
+
+impl Pool {
+    /// The platform's own pool, which discovery lists.
+    pub const PLATFORM: Self = Self(0);
+
+    /// The pool that serves a job.
+    pub fn of(job: u64) -> Self {
+        Self((job >> POOL_BITS) as usize)
+    }
+}
+
+/// Where the final answers go to of jobs that come by the thousand: job and answer, in the order in which they are given.
+pub type Answers = mpsc::UnboundedSender<(u64, Answer)>;
+
+/// Who waits for a job's final answer.
+enum Waits {
+    One(oneshot::Sender<Answer>),
+    Many(Answers),
 }
 
 struct Open {
     id: Rc<str>,
     class: String,
-    errand: Rc<Errand>,
+    errand: Errand,
     until_ms: f64,
-    answer: oneshot::Sender<Answer>,
+    answer: Waits,
+    /// A part of the result is with the submitter: no other claim can be made for the job.
+    streams: bool,
     /// What its last claim came to.
     unusable: bool,
     /// A kept connection has failed it: its next claim goes by a new one.
     fresh: bool,
 }
 
-struct Table {
+/// One pool: its decisions and the list of its nodes in hand.
+struct Nodes {
     facade: Facade,
+    nodes: BTreeMap<String, (Machine, Option<SocketAddr>)>,
+}
+
+struct Table {
+    /// By number; the platform's is the first.
+    pools: Vec<Nodes>,
     jobs: BTreeMap<u64, Open>,
-    /// The submitters' ids of the jobs that are open.
-    ids: BTreeSet<Rc<str>>,
+    /// How many of them are the platform's.
+    platform_jobs: usize,
+    /// The submitters' ids of the jobs that are open, by pool.
+    ids: BTreeSet<(Pool, Rc<str>)>,
     next: u64,
-    /// The machine list in hand.
-    nodes: BTreeMap<String, (Machine, SocketAddr)>,
 }
 
 /// The job table.
@@ -133,9 +204,19 @@
     /// Takes a job off the table.
     fn close(&mut self, job: u64) -> Option<Open> {
         let open = self.jobs.remove(&job)?;
-        self.ids.remove(&open.id);
+        let pool = Pool::of(job);
+        self.ids.remove(&(pool, open.id.clone()));
+        self.platform_jobs -= usize::from(pool == Pool::PLATFORM);
         Some(open)
     }
+
+    fn facade(&mut self, pool: Pool) -> &mut Facade {
+        &mut self.pools[pool.0].facade
+    }
+
+    fn platform(&self) -> &Nodes {
+        &self.pools[Pool::PLATFORM.0]
+    }
 }
 
 impl Pending {
@@ -160,8 +241,13 @@
     ) -> (Rc<Self>, mpsc::UnboundedReceiver<Order>) {
         let (orders, receiver) = mpsc::unbounded_channel();
         facade.classes().iter().for_each(|class| counters.show_class(class));
-        let table =
-            Table { facade, jobs: BTreeMap::new(), ids: BTreeSet::new(), next: 0, nodes: BTreeMap::new() };
+        let table = Table {
+            pools: vec![Nodes { facade, nodes: BTreeMap::new() }],
+            jobs: BTreeMap::new(),
+            platform_jobs: 0,
+            ids: BTreeSet::new(),
+            next: 0,
+        };
         let broker = Self {
             table: RefCell::new(table),
             orders,
@@ -174,6 +260,16 @@
         (Rc::new(broker), receiver)
     }
 
+    /// A further pool, with decisions of its own.
+    pub fn add_pool(&self, facade: Facade) -> Pool {
+        let mut table = self.table.borrow_mut();
+        table.pools.push(Nodes { facade, nodes: BTreeMap::new() });
+        let pool = Pool(table.pools.len() - 1);
+        let steps = table.facade(pool).tick(self.clock.now());
+        self.take(&mut table, pool, steps);
+        pool
+    }
+
     /// Whether jobs can be served: a machine list was had.
     pub fn ready(&self) -> bool {
         *self.ready.borrow()
@@ -212,26 +308,32 @@
         self.standing.send_replace(Standing::Ending { since_ms, succeeded });
         if succeeded {
             let last_words_ms = self.last_words_ms(since_ms);
-            let mut table = self.table.borrow_mut();
-            let steps = table.facade.ends(since_ms, last_words_ms);
-            self.take(&mut table, steps);
+            self.end_by(Pool::PLATFORM, last_words_ms);
         }
     }
 
+    /// The program ends then: jobs of a pool that cannot be done until then are refused at once where that is harmless,
+    /// and what is still out at that time fails.
+    pub fn end_by(&self, pool: Pool, at_ms: f64) {
+        let mut table = self.table.borrow_mut();
+        let steps = table.facade(pool).ends(self.clock.now(), at_ms);
+        self.take(&mut table, pool, steps);
+    }
+
     /// When the last answer has to be out, if the end began then.
     fn last_words_ms(&self, since_ms: f64) -> f64 {
-        let longest = self.table.borrow().facade.longest_deadline_ms();
+        let longest = self.table.borrow().platform().facade.longest_deadline_ms();
         since_ms + longest.min(LONGEST_DEADLINE_MS) + KILLED_AFTER_MS - BEFORE_KILLED_MS
     }
 
     /// Whether a class goes by this name.
     pub fn knows_class(&self, name: &str) -> bool {
-        self.table.borrow().facade.knows_class(name)
+        self.table.borrow().platform().facade.knows_class(name)
     }
 
     /// Whether a tenant goes by this name.
     pub fn knows_tenant(&self, name: Option<&str>) -> bool {
-        self.table.borrow().facade.knows_tenant(name)
+        self.table.borrow().platform().facade.knows_tenant(name)
     }
 
     /// A job of a class was refused before it was taken in.
@@ -239,37 +341,68 @@
         self.counters.answered(class, |answered| answered.refused += 1);
     }
 
-    /// How many jobs are open.
+    /// How many of the platform's jobs are open.
     pub fn open(&self) -> usize {
-        self.table.borrow().jobs.len()
+        self.table.borrow().platform_jobs
     }
 
     /// How many nodes are on the machine list.
     pub fn listed(&self) -> usize {
-        self.table.borrow().nodes.len()
+        self.table.borrow().platform().nodes.len()
     }
 
     /// How many of them the decisions avoid at present.
     pub fn out_of_rotation(&self) -> usize {
-        self.table.borrow().facade.out_of_rotation()
+        self.table.borrow().platform().facade.out_of_rotation()
     }
 
     /// Takes new settings for the decisions. Jobs, claims and what was learnt of nodes stay.
-    pub fn reconfigure(&self, settings: Settings, names: Names) -> Result<(), SettingsError> {
-        self.table.borrow_mut().facade.reconfigure(settings, names)?;
-        self.table.borrow().facade.classes().iter().for_each(|class| self.counters.show_class(class));
-        self.tick();
+    pub fn reconfigure(&self, pool: Pool, settings: Settings, names: Names) -> Result<(), SettingsError> {
+        self.table.borrow_mut().facade(pool).reconfigure(settings, names)?;
+        if pool == Pool::PLATFORM {
+            let table = self.table.borrow();
+            table.platform().facade.classes().iter().for_each(|class| self.counters.show_class(class));
+        }
+        self.tick(pool);
         Ok(())
     }
 
-    /// Takes a job in, which came at `came_ms`. Not if a job of this id is open: nodes know jobs by their ids, so a
-    /// second one would be claimed for as the first, and might get its result.
+    /// Takes a job of the platform in, which came at `came_ms`. Not if a job of this id is open: nodes know jobs by their
+    /// ids, so a second one would be claimed for as the first, and might get its result.
     pub fn submit(
         self: &Rc<Self>,
         came_ms: f64,
-        mut facts: JobFacts,
+        id: &str,
+        facts: JobFacts,
         errand: Errand,
     ) -> Result<Pending, NotTaken> {
+        let (sender, answer) = oneshot::channel();
+        let job = self.take_in(Pool::PLATFORM, came_ms, id, facts, errand, Waits::One(sender))?;
+        Ok(Pending { job, broker: self.clone(), answer })
+    }
+
+    /// Takes a job of any pool in, as [`Broker::submit`] does; its final answer comes with its number.
+    pub fn submit_to(
+        &self,
+        pool: Pool,
+        came_ms: f64,
+        id: &str,
+        facts: JobFacts,
+        errand: Errand,
+        answers: &Answers,
+    ) -> Result<u64, NotTaken> {
+        self.take_in(pool, came_ms, id, facts, errand, Waits::Many(answers.clone()))
+    }
+
+    fn take_in(
+        &self,
+        pool: Pool,
+        came_ms: f64,
+        id: &str,
+        mut facts: JobFacts,
+        errand: Errand,
+        answer: Waits,
+    ) -> Result<u64, NotTaken> {
         let now = self.clock.now();
         let mut until_ms = came_ms + facts.remaining_ms - MARGIN_MS;
         match *self.standing.borrow() {
@@ -286,40 +419,54 @@
             }
             Standing::Ending { .. } => {}
         }
-        let id: Rc<str> = errand.id.as_str().into();
-        if !self.table.borrow_mut().ids.insert(id.clone()) {
+        let id: Rc<str> = id.into();
+        let mut table = self.table.borrow_mut();
+        if !table.ids.insert((pool, id.clone())) {
             return Err(NotTaken::IdOpen);
         }
         facts.remaining_ms = until_ms - now;
-        let (sender, answer) = oneshot::channel();
-        let mut table = self.table.borrow_mut();
-        let job = table.next;
+        let job = table.next | (pool.0 as u64) << POOL_BITS;
         table.next += 1;
+        table.platform_jobs += usize::from(pool == Pool::PLATFORM);
         table.jobs.insert(
             job,
             Open {
                 id,
                 class: facts.class.clone(),
-                errand: Rc::new(errand),
+                errand,
                 until_ms,
-                answer: sender,
+                answer,
+                streams: false,
                 unusable: false,
                 fresh: false,
             },
         );
-        let steps = table.facade.pick(now, job, &facts);
+        let steps = table.facade(pool).pick(now, job, &facts);
         self.counters.count("jobs", "taken");
         self.counters.highest("jobs", "open_at_once", table.jobs.len() as u64);
-        self.take(&mut table, steps);
-        Ok(Pending { job, broker: self.clone(), answer })
+        self.take(&mut table, pool, steps);
+        Ok(job)
     }
 
-    fn left(&self, job: u64) {
+    /// The submitter of a job has left: no answer is owed any more.
+    pub fn left(&self, job: u64) {
         let mut table = self.table.borrow_mut();
         if table.close(job).is_some() {
             self.counters.count("answers", "submitter_left");
-            let steps = table.facade.left(self.clock.now(), job);
-            self.take(&mut table, steps);
+            let pool = Pool::of(job);
+            let steps = table.facade(pool).left(self.clock.now(), job);
+            self.take(&mut table, pool, steps);
+        }
+    }
+
+    /// A part of a claim's result went on to the submitter: the job is this claim's from now on, however it ends.
+    pub fn streams(&self, claim: (u64, usize)) {
+        let mut table = self.table.borrow_mut();
+        let Some(open) = table.jobs.get_mut(&claim.0) else { return };
+        if !std::mem::replace(&mut open.streams, true) {
+            let pool = Pool::of(claim.0);
+            let steps = table.facade(pool).report(self.clock.now(), claim.0, claim.1, Report::Streams);
+            self.take(&mut table, pool, steps);
         }
     }
 
@@ -345,25 +492,37 @@
         if let Some(result) = result {
             self.answer(&mut self.table.borrow_mut(), claim.0, Answer::Served(result));
         }
-        let open = self.table.borrow_mut().jobs.get_mut(&claim.0).map(|open| {
+        let streams = self.table.borrow_mut().jobs.get_mut(&claim.0).map(|open| {
             open.unusable = outcome == Outcome::Unusable;
             open.fresh |= matches!(outcome, Outcome::Broken | Outcome::Skipped);
+            open.streams
         });
-        let closed = open.is_none();
+        // The decisions have let go of what streams: what is owed is given here.
+        if streams == Some(true) {
+            self.answer(&mut self.table.borrow_mut(), claim.0, Answer::Failed);
+        }
+        let closed = streams != Some(false);
         self.report(claim, Report::Ended { outcome, closed, load });
     }
 
     fn report(&self, claim: (u64, usize), report: Report) {
+        let (mut table, pool) = (self.table.borrow_mut(), Pool::of(claim.0));
+        let steps = table.facade(pool).report(self.clock.now(), claim.0, claim.1, report);
+        self.take(&mut table, pool, steps);
+    }
+
+    /// Time has passed for a pool.
+    pub fn tick(&self, pool: Pool) {
         let mut table = self.table.borrow_mut();
-        let steps = table.facade.report(self.clock.now(), claim.0, claim.1, report);
-        self.take(&mut table, steps);
+        let steps = table.facade(pool).tick(self.clock.now());
+        self.take(&mut table, pool, steps);
     }
 
-    /// Time has passed.
-    pub fn tick(&self) {
+    /// A node of a pool tells its load unasked.
+    pub fn load(&self, pool: Pool, node: &str, load: LoadReport) {
         let mut table = self.table.borrow_mut();
-        let steps = table.facade.tick(self.clock.now());
-        self.take(&mut table, steps);
+        let steps = table.facade(pool).load(self.clock.now(), node, load);
+        self.take(&mut table, pool, steps);
     }
 
     /// The version of the machine list in hand, now and when it changes.
@@ -371,20 +530,22 @@
         self.version.subscribe()
     }
 
-    /// The machine list in hand, as discovery words a whole one.
-    pub fn list_in_hand(&self) -> String {
+    /// The machine list in hand, whole.
+    pub fn list_in_hand(&self) -> ListNews {
         let table = self.table.borrow();
-        write_news(&ListNews {
+        let nodes = &table.platform().nodes;
+        let addresses = nodes.iter().filter_map(|(name, (_, address))| Some((name.clone(), (*address)?)));
+        ListNews {
             version: *self.version.borrow(),
             full: true,
-            machines: table.nodes.values().map(|(machine, _)| machine.clone()).collect(),
-            addresses: table.nodes.iter().map(|(name, (_, address))| (name.clone(), *address)).collect(),
-        })
+            machines: nodes.values().map(|(machine, _)| machine.clone()).collect(),
+            addresses: addresses.collect(),
+        }
     }
 
     /// What was learnt so far.
     pub fn learnt(&self) -> Learnt {
-        self.table.borrow().facade.learnt()
+        self.table.borrow().platform().facade.learnt()
     }
 
     /// Goes on from the list and what was learnt by an earlier process of this dispatcher. False if that makes no sense:
@@ -395,12 +556,12 @@
             return false;
         }
         self.list(ListKind::Cached, news);
-        self.table.borrow_mut().facade.inherit(self.clock.now(), learnt)
+        self.table.borrow_mut().facade(Pool::PLATFORM).inherit(self.clock.now(), learnt)
     }
 
     /// Another process of this dispatcher has come to take its place, or has gone again.
     pub fn succeeded(&self, succeeded: bool) {
-        self.table.borrow_mut().facade.succeeded(succeeded);
+        self.table.borrow_mut().facade(Pool::PLATFORM).succeeded(succeeded);
     }
 
     /// A list that another process of this dispatcher has in hand, taken if it is newer.
@@ -413,33 +574,48 @@
     /// Takes news of the machine list.
     pub fn list(&self, kind: ListKind, news: ListNews) {
         self.counters.count("list", if kind == ListKind::Changes { "changes" } else { "whole" });
+        let listed = |machine: &Machine| news.addresses.get(&machine.name).copied().map(Some);
+        self.take_list(Pool::PLATFORM, kind, &news.machines, listed);
+        if !news.machines.is_empty() {
+            self.ready.send_replace(true);
+        }
+        self.version.send_replace(news.version);
+    }
+
+    /// Nodes of a pool have come, changed or gone: nodes that come to the dispatcher by themselves and listen nowhere.
+    pub fn nodes_changed(&self, pool: Pool, machines: &[Machine]) {
+        self.take_list(pool, ListKind::Changes, machines, |_| Some(None));
+    }
+
+    /// `listed` tells where a node listens, or that it cannot be claimed.
+    fn take_list(
+        &self,
+        pool: Pool,
+        kind: ListKind,
+        machines: &[Machine],
+        listed: impl Fn(&Machine) -> Option<Option<SocketAddr>>,
+    ) {
         let mut table = self.table.borrow_mut();
+        let nodes = &mut table.pools[pool.0].nodes;
         if kind != ListKind::Changes {
-            table.nodes.clear();
+            nodes.clear();
         }
-        for machine in &news.machines {
+        for machine in machines {
             // Machines come and go for as long as the program runs: what is gone is forgotten.
-            match news.addresses.get(&machine.name) {
+            match listed(machine) {
                 Some(address) if machine.availability != Availability::Gone => {
-                    table.nodes.insert(machine.name.clone(), (machine.clone(), *address));
+                    nodes.insert(machine.name.clone(), (machine.clone(), address));
                 }
-                _ => drop(table.nodes.remove(&machine.name)),
+                _ => drop(nodes.remove(&machine.name)),
             }
         }
-        let steps = table.facade.list(self.clock.now(), kind, &news.machines);
-        self.take(&mut table, steps);
-        drop(table);
-        if !news.machines.is_empty() {
-            self.ready.send_replace(true);
-        }
-        self.version.send_replace(news.version);
+        let steps = table.facade(pool).list(self.clock.now(), kind, machines);
+        self.take(&mut table, pool, steps);
     }
 
     /// A call for the list was answered, and there is no news.
     pub fn unchanged(&self) {
-        let mut table = self.table.borrow_mut();
-        let steps = table.facade.list(self.clock.now(), ListKind::Changes, &[]);
-        self.take(&mut table, steps);
+        self.take_list(Pool::PLATFORM, ListKind::Changes, &[], |_| None);
     }
 
     /// A call for the list failed or the watch on it ended.
@@ -447,12 +623,12 @@
         self.counters.count("list", "failed");
         self.counters.say(self.clock.now(), format_args!("machine list: {problem}"));
         let mut table = self.table.borrow_mut();
-        let steps = table.facade.list_failed(self.clock.now());
-        self.take(&mut table, steps);
+        let steps = table.facade(Pool::PLATFORM).list_failed(self.clock.now());
+        self.take(&mut table, Pool::PLATFORM, steps);
     }
 
-    /// Does what the decisions want. Orders go out in the order of the steps.
-    fn take(&self, table: &mut Table, steps: Vec<Step>) {
+    /// Does what the decisions of a pool want. Orders go out in the order of the steps.
+    fn take(&self, table: &mut Table, pool: Pool, steps: Vec<Step>) {
         for step in steps {
             match step {
                 Step::Claim { job, claim, machine, once } => self.claim(table, (job, claim), machine, once),
@@ -463,24 +639,25 @@
                     self.answer(table, job, if unusable { Answer::Unusable } else { Answer::Failed });
                 }
                 Step::AskForList => self.order(Order::AskForList),
-                Step::WakeAt(at) => self.order(Order::WakeAt(at)),
+                Step::WakeAt(at) => self.order(Order::WakeAt(pool, at)),
                 Step::Say(line) => self.counters.say(self.clock.now(), line),
             }
         }
     }
 
     fn claim(&self, table: &mut Table, claim: (u64, usize), node: String, once: bool) {
-        let address = table.nodes.get(&node).map(|(_, address)| *address);
+        let pool = Pool::of(claim.0);
+        let address = table.pools[pool.0].nodes.get(&node).map(|(_, address)| *address);
         let Some((open, address)) = table.jobs.get(&claim.0).zip(address) else {
-            // Guards against a machine without an address and a job that has just ended: the claim was never sent.
+            // Guards against a machine that has gone and a job that has just ended: the claim was never sent.
             let closed = !table.jobs.contains_key(&claim.0);
             let report = Report::Ended { outcome: Outcome::Skipped, closed, load: None };
-            let steps = table.facade.report(self.clock.now(), claim.0, claim.1, report);
-            return self.take(table, steps);
+            let steps = table.facade(pool).report(self.clock.now(), claim.0, claim.1, report);
+            return self.take(table, pool, steps);
         };
         self.counters.count("claims", "made");
         let (errand, until_ms, fresh) = (open.errand.clone(), open.until_ms, open.fresh);
-        self.order(Order::Claim(Claim { claim, node, address, errand, until_ms, once, fresh }));
+        self.order(Order::Claim(Claim { claim, pool, node, address, errand, until_ms, once, fresh }));
     }
 
     /// The one place where a job gets its final answer: it leaves the table with it.
@@ -501,7 +678,10 @@
             Answer::Failed | Answer::Unusable => answered.failed += 1,
         });
         // The submitter may have left this very moment: then nobody is told.
-        let _ = open.answer.send(answer);
+        match open.answer {
+            Waits::One(waits) => drop(waits.send(answer)),
+            Waits::Many(answers) => drop(answers.send((job, answer))),
+        }
     }
 
     fn order(&self, order: Order) {
@@ -531,7 +711,29 @@
 
     use super::*;
     use crate::counters::Answered;
-    use crate::machine_list::read_news;
+
+    const CONFIG: &str = include_str!("../../../examples/config.json");
+
+    fn read(config: &str) -> (Settings, Names) {
+        let start = config.find("\"settings\":").unwrap() + "\"settings\":".len();
+        let text = config[start..].trim().trim_end_matches('}').trim_end().to_owned() + "}";
+        ruddervalve_settings::Info::read(&text).unwrap().checked().unwrap()
+    }
+
+    /// A list of the one node.
+    fn list(availability: Availability) -> ListNews {
+        let machine = Machine {
+            name: "a".to_owned(),
+            availability,
+            started_ms: 0.0,
+            zone: Some("north".to_owned()),
+            kind: Some("box".to_owned()),
+            cell: None,
+            weight: 1.0,
+        };
+        let addresses = BTreeMap::from([("a".to_owned(), "127.0.0.1:1".parse().unwrap())]);
+        ListNews { version: 4, full: true, machines: vec![machine], addresses }
+    }
 
     struct Rig {
         broker: Rc<Broker>,
@@ -542,16 +744,11 @@
 
     impl Rig {
         fn new() -> Self {
-            let text = |_: &str| Ok(include_str!("../../examples/config.json").to_owned());
-            let config =
-                crate::config::Config::read(|name| (name == "ROUTER_CONFIG").then(String::new), text)
-                    .unwrap();
+            let (settings, names) = read(CONFIG);
             let (time, counters) = (Rc::new(Cell::new(1e12)), Rc::new(Counters::default()));
-            let facade = Facade::new(config.settings, config.names, 7).unwrap();
+            let facade = Facade::new(settings, names, 7).unwrap();
             let (broker, orders) = Broker::new(facade, Clock::ByHand(time.clone()), counters.clone());
-            let list = br#"{"version":4,"full":true,"servers":[
-                {"id":"a","addr":"127.0.0.1:1","zone":"north","kind":"box","state":"active","weight":1.0}]}"#;
-            broker.list(ListKind::Cached, read_news(list).unwrap());
+            broker.list(ListKind::Cached, list(Availability::Ready));
             Self { broker, orders, time, counters }
         }
 
@@ -576,14 +773,8 @@
                 memory: 0.0,
                 hint_ms: None,
             };
-            let errand = Errand {
-                id: self.broker.table.borrow().next.to_string(),
-                method: actix_http::Method::POST,
-                target: "/".to_owned(),
-                headers: actix_http::header::HeaderMap::new(),
-                body: Bytes::new(),
-            };
-            self.broker.submit(self.broker.clock.now(), facts, errand)
+            let id = self.broker.table.borrow().next.to_string();
+            self.broker.submit(self.broker.clock.now(), &id, facts, Rc::new(()))
         }
 
         /// The claims and withdrawals ordered since the last call.
@@ -641,7 +832,7 @@
         let _held: Vec<Pending> = (0..200).map(|_| rig.submit("tint")).collect();
         let mut job = rig.submit("tint");
         rig.time.set(rig.time.get() + 4_990.0);
-        rig.broker.tick();
+        rig.broker.tick(Pool::PLATFORM);
         let Some(Answer::Refused { wait_ms }) = Rig::answer(&mut job) else { panic!("not refused") };
         assert!(wait_ms > 0.0 && wait_ms <= 2_000.0, "{wait_ms}");
     }
@@ -649,16 +840,14 @@
     #[test]
     fn an_open_job_keeps_the_class_and_the_claims_it_came_with() {
         // Guards against a repeat that was harmful when the job came, and against a loss of claims it was promised.
-        let retuned = include_str!("../../examples/config.json")
+        let retuned = CONFIG
             .replace("\"semantics\": \"fragile\"", "\"semantics\": \"retryable\"")
             .replace("\"max_attempts\": 5", "\"max_attempts\": 1");
-        let text = |_: &str| Ok(retuned.clone());
-        let new =
-            crate::config::Config::read(|name| (name == "ROUTER_CONFIG").then(String::new), text).unwrap();
+        let (settings, names) = read(&retuned);
         let mut rig = Rig::new();
         let mut old = rig.submit("pour");
         let mut safe = rig.submit("tint");
-        rig.broker.reconfigure(new.settings, new.names).unwrap();
+        rig.broker.reconfigure(Pool::PLATFORM, settings, names).unwrap();
         rig.ordered();
         rig.broker.ended((0, 0), Outcome::Reset, None, None);
         assert_eq!(Rig::answer(&mut old), Some(Answer::Failed));
@@ -668,7 +857,7 @@
         // One that comes now is under the new settings: it may run twice, and has one claim.
         let mut new = rig.submit("pour");
         rig.time.set(rig.time.get() + 10_000.0);
-        rig.broker.tick();
+        rig.broker.tick(Pool::PLATFORM);
         rig.broker.ended((2, 0), Outcome::Reset, None, None);
         assert!(matches!(Rig::answer(&mut new), Some(Answer::Refused { .. })));
     }
@@ -695,7 +884,7 @@
         rig.time.set(rig.time.get() + 1_000.0);
         let mut late = rig.submit_for("pour", 25_000.0);
         rig.time.set(rig.time.get() + 2_550.0);
-        rig.broker.tick();
+        rig.broker.tick(Pool::PLATFORM);
         assert_eq!(Rig::answer(&mut late), Some(Answer::Failed));
     }
 
@@ -716,7 +905,7 @@
         assert!(matches!(Rig::answer(&mut rig.submit_for("pour", 25_000.0)), Some(Answer::Refused { .. })));
         assert_eq!(Rig::answer(&mut runs), None, "what runs is waited for");
         rig.time.set(rig.time.get() + 3_550.0);
-        rig.broker.tick();
+        rig.broker.tick(Pool::PLATFORM);
         assert_eq!(Rig::answer(&mut runs), Some(Answer::Failed), "before the program is killed");
     }
 
@@ -740,7 +929,7 @@
                 rig.broker.unchanged();
             }
             rig.time.set(rig.time.get() + 6_000.0);
-            rig.broker.tick();
+            rig.broker.tick(Pool::PLATFORM);
             let asked = std::iter::from_fn(|| rig.orders.try_recv().ok());
             assert_eq!(asked.filter(|order| matches!(order, Order::AskForList)).count(), calls);
         }
@@ -757,9 +946,7 @@
     #[test]
     fn a_node_that_leaves_gets_nothing_new() {
         let mut rig = Rig::new();
-        let leaving = br#"{"version":5,"full":false,"servers":[
-            {"id":"a","addr":"127.0.0.1:1","zone":"north","kind":"box","state":"leaving","weight":1.0}]}"#;
-        rig.broker.list(ListKind::Changes, read_news(leaving).unwrap());
+        rig.broker.list(ListKind::Changes, list(Availability::Draining));
         let _job = rig.submit("tint");
         assert!(rig.ordered().is_empty());
     }
--- a/dispatcher/src/clock.rs
+++ b/crates/broker/src/clock.rs
@@ -18,7 +18,6 @@
         anchor: Instant,
     },
     /// Stands where a test last set it.
-    #[cfg(test)]
     ByHand(std::rc::Rc<std::cell::Cell<f64>>),
 }
 
@@ -33,7 +32,6 @@
     pub fn now(&self) -> f64 {
         match self {
             Self::Running { unix_ms, anchor } => unix_ms + anchor.elapsed().as_secs_f64() * 1e3,
-            #[cfg(test)]
             Self::ByHand(time) => time.get(),
         }
     }
--- a/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -5,13 +5,13 @@
 use std::net::SocketAddr;
 
 use ruddervalve::{Names, Settings};
+use ruddervalve_broker::ListNews;
+use ruddervalve_http::read_news;
 use ruddervalve_settings::{Info, Network};
 use serde::Deserialize;
 use serde_json::value::{RawValue, Value};
 use thiserror::Error;
 
-use crate::machine_list::{ListNews, read_news};
-
 /// Why the dispatcher cannot start, or not take the file it is told to read again.
 #[derive(Debug, Error)]
 pub enum ConfigError {
@@ -211,7 +211,7 @@
 mod tests {
     use super::*;
 
-    const GOOD: &str = include_str!("../../examples/config.json");
+    const GOOD: &str = include_str!("../../../examples/config.json");
 
     #[test]
     fn a_file_read_again_may_leave_nothing_out_and_its_figures_must_be_positive() {
--- a/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -2,36 +2,23 @@
 //! them, gives them what changed in the file after SIGHUP, and ends after SIGTERM once all that was taken is answered. It
 //! must never know what is in a job or an answer, nor put a part of a faulty file in force.
 
-mod broker;
-mod claims;
-mod clock;
 mod config;
-mod control;
-mod counters;
-mod front;
-mod handover;
-mod machine_list;
 
+use std::collections::BTreeSet;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ruddervalve::{Facade, ListKind};
+use ruddervalve_broker::{Broker, Clock, Counters, Order, Pool};
+use ruddervalve_http::{Claims, Control, Front, Handover, MachineList, SET_ASIDE, client};
 use socket2::{SockRef, Type};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio_listener::{ListenerAddress, SystemOptions, UserOptions};
 
-use broker::{Broker, Order};
-use claims::Claims;
-use clock::Clock;
 use config::Config;
-use control::Control;
-use counters::Counters;
-use front::Front;
-use handover::Handover;
-use machine_list::MachineList;
 
 fn variable(name: &str) -> Option<String> {
     std::env::var(name).ok()
@@ -69,7 +56,7 @@
 /// each job out has one of both. Those that are ending, discovery and the program itself take the rest.
 /// The two processes of an upgrade take half each.
 fn share(sockets: usize, linked: bool) -> usize {
-    (sockets - control::SET_ASIDE) * 2 / if linked { 10 } else { 5 }
+    (sockets - SET_ASIDE) * 2 / if linked { 10 } else { 5 }
 }
 
 fn is_socket(fd: i32) -> Result<(), String> {
@@ -110,7 +97,7 @@
     let facade = Facade::new(config.settings.clone(), config.names.clone(), config.seed)?;
     let (broker, orders) = Broker::new(facade, clock.clone(), counters.clone());
     let claims = Claims::new(config.network.clone(), broker.clone(), clock.clone(), counters.clone(), limit);
-    let list = MachineList::new(claims::client(&config.network), config.discovery, broker.clone());
+    let list = MachineList::new(client(&config.network), config.discovery, broker.clone());
     let list = Rc::new(list);
     actix_rt::spawn(obey(orders, claims.clone(), list.clone(), broker.clone(), clock.clone()));
     if let Some(known) = config.known.take() {
@@ -129,7 +116,7 @@
     let mut linked =
         handover.as_ref().map_or_else(|| watch::Sender::new(false).subscribe(), |link| link.linked());
     linked.mark_changed();
-    broker.tick();
+    broker.tick(Pool::PLATFORM);
     if let Some(address) = config.control {
         let listener = TcpListener::bind(address).await?;
         counters.say(clock.now(), format_args!("operators call at {}", listener.local_addr()?));
@@ -150,7 +137,7 @@
                 claims.limit_to(most, &config.network);
             }
             _ = hang_up.recv() => {
-                let put = |new: &Config| broker.reconfigure(new.settings.clone(), new.names.clone());
+                let put = |new: &Config| broker.reconfigure(Pool::PLATFORM, new.settings.clone(), new.names.clone());
                 let read = config.read_again(variable, file);
                 let read = read.map_err(|error| error.to_string());
                 let read = read.and_then(|new| put(&new).map(|()| new).map_err(|error| error.to_string()));
@@ -192,10 +179,10 @@
     broker: Rc<Broker>,
     clock: Clock,
 ) {
-    let mut wakes = std::collections::BTreeSet::new();
+    let mut wakes = BTreeSet::new();
     loop {
         // Whole microseconds, upwards: a wake must not come before its time.
-        let next: Option<u64> = wakes.first().copied();
+        let next: Option<u64> = wakes.first().map(|(at, _)| *at);
         let wait = next.map_or(Duration::from_secs(3_600), |at| clock.until(at as f64 / 1e3));
         tokio::select! {
             biased;
@@ -204,12 +191,14 @@
                 Some(Order::Claim(claim)) => claims.start(claim),
                 Some(Order::Withdraw { claim }) => claims.withdraw(claim),
                 Some(Order::AskForList) => list.ask(),
-                Some(Order::WakeAt(at)) => drop(wakes.insert((at * 1e3).ceil() as u64)),
+                Some(Order::WakeAt(pool, at)) => drop(wakes.insert(((at * 1e3).ceil() as u64, pool))),
             },
             () = tokio::time::sleep(wait) => {
                 let now = (clock.now() * 1e3) as u64;
-                wakes.retain(|at| *at > now);
-                broker.tick();
+                let later = wakes.split_off(&(now + 1, Pool::PLATFORM));
+                let due: BTreeSet<Pool> = wakes.iter().map(|(_, pool)| *pool).collect();
+                wakes = later;
+                due.into_iter().for_each(|pool| broker.tick(pool));
             }
         }
     }
--- a/dispatcher/tests/process.rs
+++ b/crates/dispatcher/tests/process.rs
@@ -15,7 +15,7 @@
 
 use insta::{assert_debug_snapshot, assert_snapshot};
 
-const CONFIG: &str = include_str!("../../examples/config.json");
+const CONFIG: &str = include_str!("../../../examples/config.json");
 const HEALTH: &str = "GET /healthz HTTP/1.1\r\nHost: service.internal\r\n\r\n";
 
 /// A request or an answer as it came: first line, headers by lower-case name, body.
--- a/dispatcher/src/claims.rs
+++ b/crates/http/src/claims.rs
@@ -21,6 +21,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 use ruddervalve::{LoadReport, Outcome};
+use ruddervalve_broker::{Broker, Claim, Clock, Counters, FOR_EVER, span};
 use ruddervalve_settings::Network;
 use serde::Deserialize;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -28,10 +29,6 @@
 use tokio::task::AbortHandle;
 use tokio::time::Sleep;
 
-use crate::broker::Broker;
-use crate::clock::{Clock, FOR_EVER, span};
-use crate::counters::Counters;
-
 /// The longest line of news that is read: a result fills a body at most, and escapes may double it.
 const LONGEST_LINE: usize = 256 << 10;
 /// Claims at one node at once, far above what its slots and queue take from one dispatcher.
@@ -51,7 +48,7 @@
 
 /// A job as it goes to an execute node: the bytes that came.
 #[derive(Debug)]
-pub struct Errand {
+pub struct Request {
     /// The submitter's id of the job, by which nodes know it.
     pub id: String,
     /// The method.
@@ -197,24 +194,6 @@
     idle: RefCell<BTreeMap<SocketAddr, Vec<Lane>>>,
 }
 
-/// What a claim is to do.
-pub struct Claim {
-    /// The claim: job and number.
-    pub claim: (u64, usize),
-    /// The node's name.
-    pub node: String,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// What to bring to it.
-    pub errand: Rc<Errand>,
-    /// When the wait for it ends.
-    pub until_ms: f64,
-    /// The job must not run twice.
-    pub once: bool,
-    /// A kept connection has failed the job before.
-    pub fresh: bool,
-}
-
 /// Counts a lane as busy for as long as it lives.
 struct Busy(Rc<Claims>);
 
@@ -268,18 +247,23 @@
 
     /// Starts a claim.
     pub fn start(self: &Rc<Self>, claim: Claim) {
-        let there = self.out.borrow().values().filter(|out| out.0 == claim.address).count();
+        let (address, errand) = (claim.address, claim.errand.clone().downcast::<Request>());
+        let Some((address, errand)) = address.zip(errand.ok()) else {
+            // Of a pool that listens nowhere, or another protocol's: nothing that could be sent.
+            return self.broker.ended(claim.claim, Outcome::Skipped, None, None);
+        };
+        let there = self.out.borrow().values().filter(|out| out.0 == address).count();
         if self.busy.get() >= self.limit.get() || there >= AT_ONE_NODE {
             return self.broker.ended(claim.claim, Outcome::Skipped, None, None);
         }
         let fresh = claim.fresh || (claim.once && self.breaks.get() > BREAKS_TOO_OFTEN);
-        let lane = self.lane(claim.address, fresh);
+        let lane = self.lane(address, fresh);
         self.busy.set(self.busy.get() + 1);
         let (this, busy) = (self.clone(), Busy(self.clone()));
-        let (number, address) = (claim.claim, claim.address);
+        let number = claim.claim;
         // Registered before the task first runs: tasks of this thread start only after this call.
         let task = actix_rt::spawn(async move {
-            this.run(claim, lane).await;
+            this.run(claim, address, &errand, lane).await;
             drop(busy);
         });
         self.out.borrow_mut().insert(number, (address, task.abort_handle()));
@@ -323,10 +307,10 @@
         self.broker.ended(claim, Outcome::Cancelled, None, None);
     }
 
-    async fn run(&self, claim: Claim, mut lane: Lane) {
+    async fn run(&self, claim: Claim, address: SocketAddr, errand: &Request, mut lane: Lane) {
         let mut tail = None;
         let wait = self.clock.until(claim.until_ms);
-        let end = tokio::time::timeout(wait, self.perform(&claim, &lane, &mut tail)).await;
+        let end = tokio::time::timeout(wait, self.perform(&claim, address, errand, &lane, &mut tail)).await;
         let End { outcome, result, load } = end.unwrap_or_else(|_| Outcome::TimedOut.into());
         // Whoever takes the claim off the table tells its outcome.
         if self.out.borrow_mut().remove(&claim.claim).is_none() {
@@ -337,14 +321,20 @@
         let Some(mut stream) = tail else { return };
         if let Ok(None) = tokio::time::timeout(TAIL, stream.next()).await {
             lane.idle_since_ms = self.clock.now();
-            self.idle.borrow_mut().entry(claim.address).or_default().push(lane);
+            self.idle.borrow_mut().entry(address).or_default().push(lane);
         }
     }
 
-    async fn perform(&self, claim: &Claim, lane: &Lane, tail: &mut Option<awc::ClientResponse>) -> End {
-        let errand = &claim.errand;
-        let url = format!("http://{}{}", claim.address, errand.target);
-        let mut request = lane.client.request(errand.method.clone(), url).address(claim.address);
+    async fn perform(
+        &self,
+        claim: &Claim,
+        address: SocketAddr,
+        errand: &Request,
+        lane: &Lane,
+        tail: &mut Option<awc::ClientResponse>,
+    ) -> End {
+        let url = format!("http://{address}{}", errand.target);
+        let mut request = lane.client.request(errand.method.clone(), url).address(address);
         *request.headers_mut() = errand.headers.clone();
         let left = (claim.until_ms - self.clock.now()).max(0.0) as u64;
         request = request.insert_header(("x-remaining-ms", left));
--- a/dispatcher/src/control.rs
+++ b/crates/http/src/control.rs
@@ -8,14 +8,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ruddervalve_broker::{Broker, Clock, Counters};
 use tokio::io::{AsyncBufReadExt as _, AsyncReadExt as _, AsyncWriteExt as _, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
-use crate::broker::Broker;
-use crate::clock::Clock;
-use crate::counters::Counters;
-
 /// Callers at once; for a further one the oldest silent one goes.
 const CALLERS: usize = 15;
 /// Descriptors that nothing else may use: the callers', and the one that listens.
--- a/dispatcher/src/front.rs
+++ b/crates/http/src/front.rs
@@ -18,6 +18,7 @@
 };
 use bytes::{Bytes, BytesMut};
 use ruddervalve::JobFacts;
+use ruddervalve_broker::{Answer, Broker, Clock, Counters, FOR_EVER, NotTaken, Standing};
 use ruddervalve_settings::Network;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
@@ -25,10 +26,7 @@
 use tokio::task::AbortHandle;
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
-use crate::broker::{Answer, Broker, NotTaken, Standing};
-use crate::claims::Errand;
-use crate::clock::{Clock, FOR_EVER};
-use crate::counters::Counters;
+use crate::claims;
 
 /// The longest body.
 const LONGEST_BODY: usize = 64 << 10;
@@ -459,14 +457,14 @@
             response.head_mut().set_connection_type(ConnectionType::Close);
             return Ok(Made::Answer(response));
         }
-        let errand = Errand {
-            id,
+        let errand = claims::Request {
+            id: id.clone(),
             method: request.method().clone(),
             target: (request.uri().path_and_query()).map_or("/", |target| target.as_str()).to_owned(),
             headers: passed_on(request.headers()),
             body,
         };
-        let pending = match self.broker.submit(came_ms, facts, errand) {
+        let pending = match self.broker.submit(came_ms, &id, facts, Rc::new(errand)) {
             Ok(pending) => pending,
             Err(NotTaken::IdOpen) => return Err(Bad::Told(StatusCode::CONFLICT, "x_txn_open")),
             Err(NotTaken::Drained) => {
--- a/dispatcher/src/handover.rs
+++ b/crates/http/src/handover.rs
@@ -11,16 +11,14 @@
 
 use bytes::BytesMut;
 use ruddervalve::Learnt;
+use ruddervalve_broker::{Broker, Clock, Counters};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::watch;
 
-use crate::broker::Broker;
-use crate::clock::Clock;
-use crate::counters::Counters;
-use crate::machine_list::read_news;
+use crate::machine_list::{read_news, write_news};
 
 /// The form of what is said here; a process that speaks another one is not understood.
 const FORMAT: u32 = 1;
@@ -216,7 +214,7 @@
             name: self.name.clone(),
             at_ms: self.clock.now(),
             discovery: *self.discovery.borrow(),
-            list: RawValue::from_string(self.broker.list_in_hand())?,
+            list: RawValue::from_string(write_news(&self.broker.list_in_hand()))?,
             learnt: self.broker.learnt(),
         };
         link.say(&hello).await
@@ -236,7 +234,7 @@
                     }
                 }
                 Ok(()) = version.changed() => {
-                    let Ok(list) = RawValue::from_string(self.broker.list_in_hand()) else { return };
+                    let Ok(list) = RawValue::from_string(write_news(&self.broker.list_in_hand())) else { return };
                     if link.say(&list).await.is_err() {
                         return;
                     }
--- a/dispatcher/src/machine_list.rs
+++ b/crates/http/src/machine_list.rs
@@ -11,30 +11,16 @@
 use bytes::BytesMut;
 use futures_util::StreamExt as _;
 use ruddervalve::{Availability, ListKind, Machine};
+use ruddervalve_broker::{Broker, ListNews};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use crate::broker::Broker;
-
 /// An empty line comes every two seconds: a watch that is silent for so long is dead.
 const SILENCE: Duration = Duration::from_secs(5);
 /// The longest line that is read: some thousand machines.
 const LONGEST_LINE: usize = 4 << 20;
 
-/// What one line of discovery says.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ListNews {
-    /// The version that the list has with it.
-    pub version: u64,
-    /// The whole list, not only changes.
-    pub full: bool,
-    /// The machines.
-    pub machines: Vec<Machine>,
-    /// Where each of them listens.
-    pub addresses: BTreeMap<String, SocketAddr>,
-}
-
 #[derive(Deserialize, Serialize)]
 struct Line {
     version: u64,
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -67,6 +67,8 @@
     Started,
     /// The job of a claim is so far done.
     Progress(f64),
+    /// A part of its result went on to the submitter: no other claim may be made for the job, which the decisions let go.
+    Streams,
     /// The claim ended.
     Ended {
         /// How.
@@ -409,6 +411,7 @@
         let event = match report {
             Report::Started => Event::JobStarted { request, attempt },
             Report::Progress(done) => Event::JobProgress { request, attempt, done },
+            Report::Streams => Event::StreamStarted { request },
             Report::Ended { outcome, closed, load } => {
                 if closed {
                     self.claims.remove(&job);
@@ -425,6 +428,12 @@
         self.happened(now_ms, Event::ClientGone { request: RequestId(job) })
     }
 
+    /// A machine tells its load by itself, beside any claim.
+    pub fn load(&mut self, now_ms: f64, machine: &str, load: LoadReport) -> Vec<Step> {
+        let worker = WorkerId::named(machine);
+        self.happened(now_ms, Event::Probed { worker, outcome: Outcome::Served, report: Some(load) })
+    }
+
     /// Takes the machine list, or changes of it.
     pub fn list(&mut self, now_ms: f64, kind: ListKind, machines: &[Machine]) -> Vec<Step> {
         if kind != ListKind::Changes {
