Serve Gearman clients and workers on the same core, where an operator file says so

Need: member shops bring tinting stations that speak Gearman; they are to be served under the same rules as HTTP jobs.

Change: crates/operators reads the operator file, XML checked against a schema that is built in, all faults with line, element and attribute. crates/gearman holds the framing, the protocol as a server without I/O, worker registry, unique ids with kept results, the text protocol, and the sockets. Each pool of workers has decisions of its own in the broker; a grab redeems a claim that they made. The decisions learn that a member may count as further kinds (a function is one) and that reports may be exact; nothing else of them changes. What a claim does where all connections of its worker work was found by the tests: turned away as full it used up a job's claims in one round, so it waits at the worker now, as the design's Last-Idle has it.

--- a/crates/broker/src/broker.rs
+++ b/crates/broker/src/broker.rs
@@ -16,7 +16,7 @@
 };
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::clock::Clock;
+use crate::clock::{Clock, FOR_EVER};
 use crate::counters::Counters;
 
 /// The submitter's time is counted from its sending and the answer has to travel: so much of it is kept back.
@@ -29,6 +29,14 @@
 const LONGEST_DEADLINE_MS: f64 = 3_000.0;
 /// What has to be said before that is said so much sooner.
 const BEFORE_KILLED_MS: f64 = 150.0;
+/// For so long after the program's end has begun new connections keep arriving.
+const KEEP_ACCEPTING_MS: f64 = 600.0;
+/// So long after the dispatcher was drained its silent and idle connections go: new ones have stopped by then, and what
+/// is sent on them until then is answered in time.
+const DRAINED_IDLE_MS: f64 = 1_000.0;
+/// Where another process accepts, connections stay open for so long after the end has begun: most are used once more, and
+/// end with an answer.
+const SUCCEEDED_IDLE_MS: f64 = 2_000.0;
 
 /// What the dispatcher is doing. Fronts and the operators' address read it, nobody else keeps a copy.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -49,6 +57,27 @@
     },
 }
 
+impl Standing {
+    /// From when on no connection is accepted any more.
+    pub fn no_more_accepted(self) -> Option<f64> {
+        match self {
+            Self::Serving | Self::Drained { .. } => None,
+            Self::Ending { since_ms, succeeded: true } => Some(since_ms),
+            Self::Ending { since_ms, .. } => Some(since_ms + KEEP_ACCEPTING_MS),
+        }
+    }
+
+    /// From when on a submitter's connection may not be idle any more.
+    pub fn no_more_idle(self) -> Option<f64> {
+        match self {
+            Self::Serving => None,
+            Self::Drained { since_ms } => Some(since_ms + DRAINED_IDLE_MS),
+            Self::Ending { since_ms, succeeded: true } => Some(since_ms + SUCCEEDED_IDLE_MS),
+            Self::Ending { since_ms, .. } => Some(since_ms + KEEP_ACCEPTING_MS),
+        }
+    }
+}
+
 /// Why a job was not taken.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum NotTaken {
@@ -168,6 +197,8 @@
 /// One pool: its decisions and the list of its nodes in hand.
 struct Nodes {
     facade: Facade,
+    /// Whoever brings its claims to its nodes.
+    orders: mpsc::UnboundedSender<Order>,
     nodes: BTreeMap<String, (Machine, Option<SocketAddr>)>,
 }
 
@@ -185,7 +216,6 @@
 /// The job table.
 pub struct Broker {
     table: RefCell<Table>,
-    orders: mpsc::UnboundedSender<Order>,
     clock: Clock,
     counters: Rc<Counters>,
     version: watch::Sender<u64>,
@@ -214,6 +244,11 @@
         &mut self.pools[pool.0].facade
     }
 
+    fn order(&self, pool: Pool, order: Order) {
+        // The receiver lives as long as the program.
+        let _ = self.pools[pool.0].orders.send(order);
+    }
+
     fn platform(&self) -> &Nodes {
         &self.pools[Pool::PLATFORM.0]
     }
@@ -233,7 +268,7 @@
 }
 
 impl Broker {
-    /// A broker on these decisions, whose orders go to the receiver.
+    /// A broker on these decisions for the platform's pool, whose orders go to the receiver.
     pub fn new(
         facade: Facade,
         clock: Clock,
@@ -242,7 +277,7 @@
         let (orders, receiver) = mpsc::unbounded_channel();
         facade.classes().iter().for_each(|class| counters.show_class(class));
         let table = Table {
-            pools: vec![Nodes { facade, nodes: BTreeMap::new() }],
+            pools: vec![Nodes { facade, orders, nodes: BTreeMap::new() }],
             jobs: BTreeMap::new(),
             platform_jobs: 0,
             ids: BTreeSet::new(),
@@ -250,7 +285,6 @@
         };
         let broker = Self {
             table: RefCell::new(table),
-            orders,
             clock,
             counters,
             version: watch::Sender::new(0),
@@ -260,10 +294,10 @@
         (Rc::new(broker), receiver)
     }
 
-    /// A further pool, with decisions of its own.
-    pub fn add_pool(&self, facade: Facade) -> Pool {
+    /// A further pool, with decisions of its own, whose orders go to `orders`.
+    pub fn add_pool(&self, facade: Facade, orders: mpsc::UnboundedSender<Order>) -> Pool {
         let mut table = self.table.borrow_mut();
-        table.pools.push(Nodes { facade, nodes: BTreeMap::new() });
+        table.pools.push(Nodes { facade, orders, nodes: BTreeMap::new() });
         let pool = Pool(table.pools.len() - 1);
         let steps = table.facade(pool).tick(self.clock.now());
         self.take(&mut table, pool, steps);
@@ -286,6 +320,22 @@
         self.standing.subscribe()
     }
 
+    /// Waits until the time has passed that follows from the standing, whatever becomes of that meanwhile.
+    pub async fn passed(
+        &self,
+        standing: &mut watch::Receiver<Standing>,
+        when: impl Fn(Standing) -> Option<f64>,
+    ) {
+        loop {
+            let at = when(*standing.borrow_and_update());
+            let wait = at.map_or(FOR_EVER, |at| self.clock.until(at));
+            tokio::select! {
+                Ok(()) = standing.changed() => {}
+                () = tokio::time::sleep(wait) => return,
+            }
+        }
+    }
+
     /// Has submitters sent away. Once the program ends they are sent away anyhow.
     pub fn drain(&self) {
         if *self.standing.borrow() == Standing::Serving {
@@ -367,6 +417,11 @@
         Ok(())
     }
 
+    /// Jobs of a class of a pool are expected to run for so long, until runs are seen.
+    pub fn expect(&self, pool: Pool, class: &str, run_ms: f64) {
+        self.table.borrow_mut().facade(pool).expect(class, run_ms);
+    }
+
     /// Takes a job of the platform in, which came at `came_ms`. Not if a job of this id is open: nodes know jobs by their
     /// ids, so a second one would be claimed for as the first, and might get its result.
     pub fn submit(
@@ -632,14 +687,14 @@
         for step in steps {
             match step {
                 Step::Claim { job, claim, machine, once } => self.claim(table, (job, claim), machine, once),
-                Step::Withdraw { job, claim } => self.order(Order::Withdraw { claim: (job, claim) }),
+                Step::Withdraw { job, claim } => table.order(pool, Order::Withdraw { claim: (job, claim) }),
                 Step::Refuse { job, wait_ms } => self.answer(table, job, Answer::Refused { wait_ms }),
                 Step::Fail { job } => {
                     let unusable = table.jobs.get(&job).is_some_and(|open| open.unusable);
                     self.answer(table, job, if unusable { Answer::Unusable } else { Answer::Failed });
                 }
-                Step::AskForList => self.order(Order::AskForList),
-                Step::WakeAt(at) => self.order(Order::WakeAt(pool, at)),
+                Step::AskForList => table.order(pool, Order::AskForList),
+                Step::WakeAt(at) => table.order(pool, Order::WakeAt(pool, at)),
                 Step::Say(line) => self.counters.say(self.clock.now(), line),
             }
         }
@@ -657,7 +712,8 @@
         };
         self.counters.count("claims", "made");
         let (errand, until_ms, fresh) = (open.errand.clone(), open.until_ms, open.fresh);
-        self.order(Order::Claim(Claim { claim, pool, node, address, errand, until_ms, once, fresh }));
+        let order = Order::Claim(Claim { claim, pool, node, address, errand, until_ms, once, fresh });
+        table.order(pool, order);
     }
 
     /// The one place where a job gets its final answer: it leaves the table with it.
@@ -683,11 +739,6 @@
             Waits::Many(answers) => drop(answers.send((job, answer))),
         }
     }
-
-    fn order(&self, order: Order) {
-        // The receiver lives as long as the program.
-        let _ = self.orders.send(order);
-    }
 }
 
 fn outcome_name(outcome: Outcome) -> &'static str {
@@ -728,6 +779,7 @@
             started_ms: 0.0,
             zone: Some("north".to_owned()),
             kind: Some("box".to_owned()),
+            abilities: Vec::new(),
             cell: None,
             weight: 1.0,
         };
--- a/crates/broker/src/counters.rs
+++ b/crates/broker/src/counters.rs
@@ -16,6 +16,19 @@
     /// Final answers, by class.
     classes: RefCell<BTreeMap<String, Answered>>,
     relayed: Cell<u64>,
+    further: Further,
+}
+
+type Figures = Box<dyn Fn() -> Vec<(&'static str, u64)>>;
+
+/// What others show when figures are asked for.
+#[derive(Default)]
+struct Further(RefCell<Vec<Figures>>);
+
+impl fmt::Debug for Further {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} further", self.0.borrow().len())
+    }
 }
 
 /// The final answers to the jobs of one class.
@@ -70,6 +83,16 @@
         self.relayed.get()
     }
 
+    /// From now on these figures are shown, too, as they are when they are asked for.
+    pub fn show(&self, figures: impl Fn() -> Vec<(&'static str, u64)> + 'static) {
+        self.further.0.borrow_mut().push(Box::new(figures));
+    }
+
+    /// The figures that others show.
+    pub fn further(&self) -> Vec<(&'static str, u64)> {
+        self.further.0.borrow().iter().flat_map(|figures| figures()).collect()
+    }
+
     /// A count so far.
     pub fn so_far(&self, group: &'static str, name: &'static str) -> u64 {
         self.counts.borrow().get(&(group, name)).copied().unwrap_or_default()
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -1,17 +1,21 @@
-//! Owns the start and the end of the program: it reads the configuration, builds the parts, hands the broker's orders to
-//! them, gives them what changed in the file after SIGHUP, and ends after SIGTERM once all that was taken is answered. It
-//! must never know what is in a job or an answer, nor put a part of a faulty file in force.
+//! Owns the start and the end of the program: it reads the configuration and the operator file, builds the parts, hands
+//! the broker's orders to them, gives them what changed in the files after SIGHUP, and ends after SIGTERM once all that was
+//! taken is answered. It must never know what is in a job or an answer, nor put a part of a faulty file in force.
 
 mod config;
 
 use std::collections::BTreeSet;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
+use clap::Parser;
 use ruddervalve::{Facade, ListKind};
 use ruddervalve_broker::{Broker, Clock, Counters, Order, Pool};
+use ruddervalve_gearman::Gearman;
 use ruddervalve_http::{Claims, Control, Front, Handover, MachineList, SET_ASIDE, client};
+use ruddervalve_operators::Operators;
 use socket2::{SockRef, Type};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -20,6 +24,32 @@
 
 use config::Config;
 
+/// Dispatches jobs to execute nodes. ROUTER_CONFIG names the platform's configuration.
+#[derive(Debug, Parser)]
+#[command(name = "ruddervalve", version)]
+struct Options {
+    /// The operator file, in XML; its schema is crates/operators/operators.xsd
+    #[arg(long, value_name = "FILE", env = "RUDDERVALVE_OPERATORS")]
+    operators: Option<PathBuf>,
+}
+
+/// So many descriptors are left to submitters, nodes and discovery, whatever else is served.
+const FOR_THE_PLATFORM: usize = 64;
+
+impl Options {
+    /// Reads the operator file, if there is one, and checks it against the platform's. A line for each fault.
+    fn read(&self, config: &Config) -> Result<Operators, Vec<String>> {
+        let Some(path) = &self.operators else { return Ok(Operators::default()) };
+        let name = path.display();
+        let text = std::fs::read_to_string(path).map_err(|error| vec![format!("{name}: {error}")])?;
+        let spare = config.sockets.saturating_sub(SET_ASIDE + FOR_THE_PLATFORM);
+        let checked =
+            |read: Operators| read.check(&config.names.classes, &config.names.tenants, spare).map(|()| read);
+        let told = |fault| format!("{name}: {fault}");
+        Operators::read(&text).and_then(checked).map_err(|faults| faults.into_iter().map(told).collect())
+    }
+}
+
 fn variable(name: &str) -> Option<String> {
     std::env::var(name).ok()
 }
@@ -29,6 +59,7 @@
 }
 
 fn main() -> ExitCode {
+    let options = Options::parse();
     let config = match Config::read(variable, file) {
         Ok(config) => config,
         Err(error) => {
@@ -43,7 +74,14 @@
         eprintln!("ruddervalve: ROUTER_ACCEPT_FD: {problem}");
         return ExitCode::from(2);
     }
-    match actix_rt::System::new().block_on(run(config)) {
+    let operators = match options.read(&config) {
+        Ok(operators) => operators,
+        Err(faults) => {
+            faults.iter().for_each(|fault| eprintln!("ruddervalve: {fault}"));
+            return ExitCode::from(2);
+        }
+    };
+    match actix_rt::System::new().block_on(run(config, &options, operators)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("ruddervalve: {error}");
@@ -52,11 +90,12 @@
     }
 }
 
-/// Connections to nodes and of submitters: two fifths each of the descriptors that are not set aside for operators, as
-/// each job out has one of both. Those that are ending, discovery and the program itself take the rest.
+/// Connections to nodes and of submitters: two fifths each of the descriptors that are not set aside for operators and
+/// Gearman, as each job out has one of both. Those that are ending, discovery and the program itself take the rest.
 /// The two processes of an upgrade take half each.
-fn share(sockets: usize, linked: bool) -> usize {
-    (sockets - SET_ASIDE) * 2 / if linked { 10 } else { 5 }
+fn share(sockets: usize, operators: &Operators, linked: bool) -> usize {
+    let gearman = operators.gearman.as_ref().map_or(0, |gearman| gearman.limits.connections);
+    sockets.saturating_sub(SET_ASIDE + gearman) * 2 / if linked { 10 } else { 5 }
 }
 
 fn is_socket(fd: i32) -> Result<(), String> {
@@ -82,7 +121,11 @@
     }
 }
 
-async fn run(mut config: Config) -> Result<(), Box<dyn std::error::Error>> {
+async fn run(
+    mut config: Config,
+    options: &Options,
+    mut operators: Operators,
+) -> Result<(), Box<dyn std::error::Error>> {
     let (clock, counters) = (Clock::running(), Rc::new(Counters::default()));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -93,7 +136,7 @@
         Some(fd) => inherited(fd).await.map_err(|problem| format!("ROUTER_ACCEPT_FD: {problem}"))?,
     };
     let at = listener.local_addr()?;
-    let limit = share(config.sockets, false);
+    let limit = share(config.sockets, &operators, false);
     let facade = Facade::new(config.settings.clone(), config.names.clone(), config.seed)?;
     let (broker, orders) = Broker::new(facade, clock.clone(), counters.clone());
     let claims = Claims::new(config.network.clone(), broker.clone(), clock.clone(), counters.clone(), limit);
@@ -125,14 +168,44 @@
     }
     let front = Front::new(broker.clone(), clock.clone(), counters.clone(), limit, &config.network);
     counters.say(clock.now(), format_args!("{} listens on {at}", config.name));
+    let gearman = match &operators.gearman {
+        None => None,
+        Some(told) => {
+            let (broker, clock, counters) = (broker.clone(), clock.clone(), counters.clone());
+            let platform = (&config.settings, &config.names);
+            let gearman = Gearman::new(&config.name, told, platform, config.seed, broker, clock, counters)?;
+            gearman.show();
+            Some(gearman)
+        }
+    };
+    if let (Some(gearman), Some(told)) = (&gearman, &operators.gearman) {
+        // In an upgrade the older process may hold the address until it is told to end.
+        let (address, wait) = (told.listen, config.accept_fd.is_some());
+        let listener = if wait { None } else { Some(Gearman::bind(address, false).await?) };
+        let (gearman, clock, counters) = (gearman.clone(), clock.clone(), counters.clone());
+        actix_rt::spawn(async move {
+            let listener = match listener {
+                Some(listener) => Ok(listener),
+                None => Gearman::bind(address, true).await,
+            };
+            match listener.and_then(|listener| Ok((listener.local_addr()?, listener))) {
+                Ok((at, listener)) => {
+                    counters.say(clock.now(), format_args!("gearman listens on {at}"));
+                    gearman.serve(listener).await;
+                }
+                Err(error) => counters.say(clock.now(), format_args!("gearman cannot listen: {error}")),
+            }
+        });
+    }
     let serving = actix_rt::spawn(front.clone().serve(listener, config.accept_fd.is_some()));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
+            () = asked_to_end(gearman.as_deref()) => break,
             _ = print.recv() => eprintln!("ruddervalve: {counters}"),
             Ok(()) = linked.changed() => {
-                let most = share(config.sockets, *linked.borrow_and_update());
+                let most = share(config.sockets, &operators, *linked.borrow_and_update());
                 front.limit_to(most, &config.network);
                 claims.limit_to(most, &config.network);
             }
@@ -153,24 +226,79 @@
                             let line = format_args!("configuration: {key} takes effect with the next start");
                             counters.say(clock.now(), line);
                         }
-                        let most = share(new.sockets, *linked.borrow());
-                        front.limit_to(most, &new.network);
-                        claims.limit_to(most, &new.network);
                         list.follow(new.discovery);
                         config = new;
                     }
                 }
+                match take_operators(options, &config, &operators, gearman.as_deref()) {
+                    Err(faults) => {
+                        counters.count("operators", "faulty");
+                        counters.say(clock.now(), "the operator file in force stays as it was:");
+                        faults.iter().for_each(|fault| counters.say(clock.now(), fault));
+                    }
+                    Ok((new, notes)) => {
+                        counters.count("operators", "taken");
+                        notes.iter().for_each(|note| counters.say(clock.now(), note));
+                        operators = new;
+                    }
+                }
+                let most = share(config.sockets, &operators, *linked.borrow());
+                front.limit_to(most, &config.network);
+                claims.limit_to(most, &config.network);
             }
         }
     }
     broker.end(config.accept_fd.is_some());
-    let _ = serving.await;
-    // A job is open for as long as its connection.
-    front.empty().await;
+    let http = async {
+        let _ = serving.await;
+        // A job is open for as long as its connection.
+        front.empty().await;
+    };
+    let gearman = async {
+        if let Some(gearman) = &gearman {
+            gearman.finish().await;
+        }
+    };
+    tokio::join!(http, gearman);
     eprintln!("ruddervalve: {counters}");
     Ok(())
 }
 
+/// Reads the operator file again and puts it in force, as far as that can be done while the program runs.
+fn take_operators(
+    options: &Options,
+    config: &Config,
+    old: &Operators,
+    gearman: Option<&Gearman>,
+) -> Result<(Operators, Vec<String>), Vec<String>> {
+    let mut new = options.read(config)?;
+    let mut notes = Vec::new();
+    match (gearman, &mut new.gearman, &old.gearman) {
+        (Some(gearman), Some(told), Some(before)) => {
+            gearman
+                .reconfigure(told, (&config.settings, &config.names))
+                .map_err(|error| vec![format!("gearman: {error}")])?;
+            if std::mem::replace(&mut told.listen, before.listen) != before.listen {
+                notes.push("operator file: gearman listen takes effect with the next start".to_owned());
+            }
+        }
+        (_, now, before) if now.is_some() != before.is_some() => {
+            notes.push("operator file: gearman takes effect with the next start".to_owned());
+            now.clone_from(before);
+        }
+        _ => {}
+    }
+    Ok((new, notes))
+}
+
+/// Waits until an operator has asked for the end by Gearman's text protocol.
+async fn asked_to_end(gearman: Option<&Gearman>) {
+    match gearman {
+        Some(gearman) => gearman.shut_down().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Does what the broker orders, in its order.
 async fn obey(
     mut orders: mpsc::UnboundedReceiver<Order>,
--- /dev/null
+++ b/crates/dispatcher/tests/process/main.rs
@@ -0,0 +1,5 @@
+//! Starts the real program and speaks to it as submitters, execute nodes, discovery, operators and Gearman peers do.
+
+mod gearman;
+mod http;
+mod rig;
--- a/crates/http/src/control.rs
+++ b/crates/http/src/control.rs
@@ -134,6 +134,7 @@
             say(&format!("throttled.{class}"), answered.refused);
             say(&format!("faulted.{class}"), answered.failed);
         }
+        self.counters.further().into_iter().for_each(|(name, value)| say(name, value));
         say("relayed", self.counters.claims_written());
         say("open_requests", self.broker.open() as u64);
         say("registry_entries", self.broker.listed() as u64);
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -42,14 +42,6 @@
 /// After its last answer a connection is read on for so long and what comes is dropped: a close over unread bytes would
 /// reset the answer away.
 const LINGER: Duration = Duration::from_secs(1);
-/// For so long after the program's end has begun new connections keep arriving.
-const KEEP_ACCEPTING_MS: f64 = 600.0;
-/// So long after the dispatcher was drained its silent and idle connections go: new ones have stopped by then, and what
-/// is sent on them until then is answered in time.
-const DRAINED_IDLE_MS: f64 = 1_000.0;
-/// Where another process accepts, connections stay open for so long after the end has begun: most are used once more, and
-/// end with an answer.
-const SUCCEEDED_IDLE_MS: f64 = 2_000.0;
 /// A connection that comes up later than that still has so long to say something, as those who ask for health do.
 const FIRST_WORD_MS: f64 = 500.0;
 /// What is read at once.
@@ -198,13 +190,13 @@
         if shared {
             tokio::select! {
                 () = self.broker.until_ready() => {}
-                () = self.passed(&mut standing, no_more_accepted) => return,
+                () = self.broker.passed(&mut standing, Standing::no_more_accepted) => return,
             }
         }
         for number in 0.. {
             let accepted = tokio::select! {
                 biased;
-                () = self.passed(&mut standing, no_more_accepted) => return,
+                () = self.broker.passed(&mut standing, Standing::no_more_accepted) => return,
                 accepted = listener.accept() => accepted,
             };
             match accepted {
@@ -221,18 +213,6 @@
         }
     }
 
-    /// Waits until the time has passed that follows from the standing, whatever becomes of that meanwhile.
-    async fn passed(&self, standing: &mut watch::Receiver<Standing>, when: impl Fn(Standing) -> Option<f64>) {
-        loop {
-            let at = when(*standing.borrow_and_update());
-            let wait = at.map_or(FOR_EVER, |at| self.clock.until(at));
-            tokio::select! {
-                Ok(()) = standing.changed() => {}
-                () = tokio::time::sleep(wait) => return,
-            }
-        }
-    }
-
     fn take(self: &Rc<Self>, number: u64, stream: TcpStream, config: &ServiceConfig) {
         let _ = stream.set_nodelay(true);
         if self.connections() >= self.most.get() {
@@ -349,12 +329,12 @@
             let most = if kept { FOR_EVER } else { self.clock.until(wire.due_ms) };
             let opened_ms = wire.opened_ms;
             let no_more_idle =
-                |standing| no_more_idle(standing).map(|at: f64| at.max(opened_ms + FIRST_WORD_MS));
+                |standing: Standing| standing.no_more_idle().map(|at| at.max(opened_ms + FIRST_WORD_MS));
             let read = tokio::select! {
                 biased;
                 read = wire.read() => read,
                 // Never closed over bytes that wait unread.
-                () = self.passed(standing, no_more_idle) => match wire.read_now() {
+                () = self.broker.passed(standing, no_more_idle) => match wire.read_now() {
                     Err(_) => return Err(Bad::Left),
                     read => read,
                 },
@@ -584,25 +564,6 @@
     }
 }
 
-/// From when on no connection is accepted any more.
-fn no_more_accepted(standing: Standing) -> Option<f64> {
-    match standing {
-        Standing::Serving | Standing::Drained { .. } => None,
-        Standing::Ending { since_ms, succeeded: true } => Some(since_ms),
-        Standing::Ending { since_ms, .. } => Some(since_ms + KEEP_ACCEPTING_MS),
-    }
-}
-
-/// From when on a connection may not be idle any more.
-fn no_more_idle(standing: Standing) -> Option<f64> {
-    match standing {
-        Standing::Serving => None,
-        Standing::Drained { since_ms } => Some(since_ms + DRAINED_IDLE_MS),
-        Standing::Ending { since_ms, succeeded: true } => Some(since_ms + SUCCEEDED_IDLE_MS),
-        Standing::Ending { since_ms, .. } => Some(since_ms + KEEP_ACCEPTING_MS),
-    }
-}
-
 /// How what cannot be read is answered.
 fn unreadable(error: &ParseError) -> Bad {
     match error {
--- a/crates/http/src/machine_list.rs
+++ b/crates/http/src/machine_list.rs
@@ -65,6 +65,7 @@
             started_ms: entry.started_ms,
             zone: entry.zone,
             kind: entry.kind,
+            abilities: Vec::new(),
             cell: entry.cell,
             weight: entry.weight.unwrap_or(1.0),
         });
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -309,6 +309,7 @@
             booted: entry.booted,
             zone: entry.zone.as_ref().and_then(|zone| position(&self.names.zones, zone)).map(ZoneId),
             kind: entry.kind.as_ref().and_then(|kind| position(&self.names.kinds, kind)).map(KindId),
+            kinds: Vec::new(),
             cell: entry.cell.map(CellId),
             weight: entry.weight,
         }
--- a/examples/loop.rs
+++ b/examples/loop.rs
@@ -49,6 +49,7 @@
         booted: 0,
         zone: None,
         kind: None,
+        kinds: Vec::new(),
         cell: None,
         weight: 1.0,
     };
--- a/src/answers.rs
+++ b/src/answers.rs
@@ -88,7 +88,7 @@
         for (_, id) in order {
             let request = &self.requests[&id];
             let kind = request.class.kind;
-            let fits = |worker: &&Worker| kind.is_none() || worker.member.kind == kind;
+            let fits = |worker: &&Worker| worker.member.is(kind);
             let slots: f64 = self.kept().filter(fits).map(|worker| self.slots(worker)).sum();
             let own = (slots / self.settings.dispatchers as f64).max(1.0);
             let before = ahead.entry(kind).or_default();
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -37,6 +37,8 @@
     pub zone: Option<String>,
     /// The name of its kind.
     pub kind: Option<String>,
+    /// The names of further kinds that it counts as: what it can do, where that is told.
+    pub abilities: Vec<String>,
     /// Its cell.
     pub cell: Option<u64>,
     /// Its size beside others.
@@ -334,6 +336,14 @@
         true
     }
 
+    /// Jobs of a class are expected to run for so long, until runs are seen.
+    pub fn expect(&mut self, class: &str, run_ms: f64) {
+        if let Some(number) = position(&self.names.classes, class) {
+            let run = &mut self.dispatcher.seen[number].run;
+            *run = run.or(Some(run_ms * 1e3));
+        }
+    }
+
     /// Another process of this dispatcher has come, or has gone again: only one of them may send to cold machines.
     pub fn succeeded(&mut self, succeeded: bool) {
         self.dispatcher.succeeded(succeeded);
@@ -514,6 +524,10 @@
             booted: micros(machine.started_ms),
             zone: find(&self.names.zones, &machine.zone).map(ZoneId),
             kind: find(&self.names.kinds, &machine.kind).map(KindId),
+            kinds: (machine.abilities.iter())
+                .filter_map(|name| position(&self.names.kinds, name))
+                .map(KindId)
+                .collect(),
             cell: machine.cell.map(CellId),
             weight: machine.weight,
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -116,6 +116,8 @@
     Answers,
     /// With probes only.
     Probes,
+    /// With the end of attempts and unasked, each true as it is told: workers that tell themselves that they are idle.
+    Exact,
     /// Nowhere.
     None,
 }
@@ -256,12 +258,21 @@
     pub zone: Option<ZoneId>,
     /// Its kind of machine.
     pub kind: Option<KindId>,
+    /// Further kinds that it counts as.
+    pub kinds: Vec<KindId>,
     /// Its cell.
     pub cell: Option<CellId>,
     /// Its size beside other workers; where [`Settings::live_weights`] says so, lowered by its load.
     pub weight: f64,
 }
 
+impl Member {
+    /// Whether it is of a kind; any is of none.
+    pub fn is(&self, kind: Option<KindId>) -> bool {
+        kind.is_none_or(|kind| self.kind == Some(kind) || self.kinds.contains(&kind))
+    }
+}
+
 /// How a list is to be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListKind {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -311,7 +311,8 @@
         let age = (self.now - worker.reported) as f64;
         worker.others += ((busy - worker.taken - ended).max(0.0) - worker.others) * age / (age + life);
         worker.reported = self.now;
-        let quiet = self.now.saturating_sub(worker.touched) as f64 >= self.run.unwrap_or(0.0);
+        let quiet = self.now.saturating_sub(worker.touched) as f64 >= self.run.unwrap_or(0.0)
+            || self.settings.reporting == Reporting::Exact;
         if worker.own == 0 && quiet {
             worker.token = free.round() >= worker.slots && queued.round() < 1.0;
         }
@@ -359,7 +360,7 @@
         let mut counts = BTreeMap::new();
         let mut keep = |worker: &Worker| {
             let kind = worker.member.kind.filter(|kind| self.last_idle.contains_key(&Some(*kind)));
-            let count = counts.entry(kind).or_insert(0);
+            let count = counts.entry((kind, worker.member.kinds.clone())).or_insert(0);
             let cold = self.warmth(worker).is_some();
             *count += usize::from(!cold);
             *count <= heard || (cold && self.cold_part(worker).0)
@@ -407,7 +408,7 @@
     /// earlier draws is kept behind it.
     fn draw_last_idle(&mut self) {
         for (kind, order) in &mut self.last_idle {
-            let fits = |id: &&WorkerId| kind.is_none() || self.workers[*id].member.kind == *kind;
+            let fits = |id: &&WorkerId| self.workers[*id].member.is(*kind);
             if let Some(&drawn) = self.idle.iter().filter(fits).choose(&mut self.rng) {
                 order.retain(|id| *id != drawn);
                 order.push(drawn);
@@ -483,7 +484,7 @@
     /// What the rules and the job itself permit: these hold whatever else is decided.
     fn allowed(&self, request: &Request, worker: &Worker) -> bool {
         let class = &request.class;
-        let fits = class.kind.is_none() || worker.member.kind == class.kind;
+        let fits = worker.member.is(class.kind);
         let just_tried = request.attempts.last().is_some_and(|attempt| {
             let told = !matches!(attempt.outcome, Some(Outcome::Skipped | Outcome::Broken));
             attempt.worker == worker.member.worker && told
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -53,6 +53,7 @@
         booted: 0,
         zone: Some(ZoneId(0)),
         kind: Some(KindId(0)),
+        kinds: Vec::new(),
         cell: Some(CellId(0)),
         weight: 1.0,
     }
