--- a/crates/dispatcher/tests/process/gearman.rs
+++ b/crates/dispatcher/tests/process/gearman.rs
@@ -2,7 +2,7 @@
 //! hostile peers, and both protocols at once.
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, mpsc};
@@ -502,6 +502,37 @@
     assert!(station.rig.ended().success());
 }
 
+#[test]
+fn a_newer_process_takes_the_address_over_when_the_older_one_lets_go() {
+    let (seen, listener) = (Shared::default(), TcpListener::bind("127.0.0.1:0").unwrap());
+    let (node, http) = (node(&seen), listener.local_addr().unwrap());
+    let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let shared = Socket::new(listener);
+    let file = OPERATORS.replace("127.0.0.1:4730", &address.to_string());
+    std::fs::write(shared.folder.join("operators.xml"), file).unwrap();
+    let config = with_control(CONFIG).replace("127.0.0.1:8000", &http.to_string());
+    let config = config.replace("127.0.0.1:8500", &discovery(&seen, node).to_string());
+    let serves = |rig: &Rig| {
+        let pid = Peer::connect(address).ok()?.ask("getpid").ok()?;
+        (pid == [format!("OK {}", rig.child.id())]).then_some(())
+    };
+    let mut old = Rig::beside(&seen, node, &config, &shared);
+    until("the older one serves", || serves(&old));
+    let mut worker = Peer::connect(address).unwrap();
+    worker.offer("w", &["pour"]).unwrap();
+    let mut client = Peer::connect(address).unwrap();
+    client.submit(Kind::SubmitJob, "pour", "p", b"").unwrap();
+    let job = worker.next_job().unwrap();
+    let new = Rig::beside(&seen, node, &config, &shared);
+    until("the newer one can serve", || (new.call("check\n") == "OK\n").then_some(()));
+    old.signal("-TERM");
+    until("the newer one serves", || serves(&new));
+    // What the older one has it finishes.
+    worker.complete(&job, b"poured").unwrap();
+    assert_eq!(client.outcome().unwrap(), Ended::Complete("poured".into()));
+    assert!(old.ended().success());
+}
+
 #[test]
 fn a_drained_dispatcher_takes_no_more_gearman_jobs_than_others() {
     let station = Station::new();
--- a/crates/dispatcher/tests/process/rig.rs
+++ b/crates/dispatcher/tests/process/rig.rs
@@ -352,11 +352,14 @@
     }
 }
 
-/// Starts the program with the socket as its descriptor 3.
+/// Starts the program with the socket as its descriptor 3, and with the operator file in the folder, if there is one.
 pub fn start_on(shared: &Socket, config: &str, fd: &str) -> Child {
     std::fs::write(config_path(), config).unwrap();
+    // An operator file in the folder is both processes'.
+    let operators = shared.folder.join("operators.xml");
     Command::new("sh")
         .args(["-c", "exec \"$0\" 3<&0 </dev/null", env!("CARGO_BIN_EXE_ruddervalve")])
+        .envs(operators.exists().then_some(("RUDDERVALVE_OPERATORS", &operators)))
         .env("ROUTER_CONFIG", config_path())
         .env("ROUTER_ACCEPT_FD", fd)
         .env("TMPDIR", &shared.folder)
