Gather what a worker can do only when that may have changed, not on every grab

Need: read once more, each grab and sleep gathered the functions of all connections of its worker, to find that nothing had changed: work that grows with the connections of one client id, on the hottest path.

Change: a worker that is listed as ready is not told of again on a grab; abilities, renames, drains and given-up connections tell of it where they change it.

--- a/crates/gearman/src/server.rs
+++ b/crates/gearman/src/server.rs
@@ -726,6 +726,7 @@
         // A worker that wants work already is told of with what it can do now.
         if self.workers.look(conn).is_some_and(|hand| hand.idle) {
             let mut news = Vec::new();
+            self.workers.tell(conn, &mut news);
             self.workers.wants(conn, &mut news);
             self.tell(news);
         }
--- a/crates/gearman/src/workers.rs
+++ b/crates/gearman/src/workers.rs
@@ -208,7 +208,14 @@
         let Some(hand) = self.hands.get_mut(&conn) else { return };
         hand.idle = true;
         let fresh = hand.free() && !hand.told;
-        self.tell(conn, news);
+        // Told on every grab, what its connections can do would be gathered each time: to one that is listed as ready this
+        // changes nothing.
+        let worker = self.place.get(&conn).and_then(|place| self.workers.get(place));
+        let ready =
+            |worker: &Worker| worker.listed.as_ref().is_some_and(|told| told.0 == Availability::Ready);
+        if !worker.is_some_and(ready) {
+            self.tell(conn, news);
+        }
         let doubtful =
             self.place.get(&conn).and_then(|place| self.workers.get(place)).is_some_and(|it| it.doubtful);
         if (fresh || doubtful)
@@ -342,7 +349,8 @@
         }
     }
 
-    fn tell(&mut self, conn: ConnId, news: &mut Vec<News>) {
+    /// Tells of a connection's worker where something has changed.
+    pub fn tell(&mut self, conn: ConnId, news: &mut Vec<News>) {
         if let Some(place) = self.place.get(&conn).cloned() {
             self.tell_worker(&place, news);
         }
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -46,6 +46,9 @@
     /// Workers, or execute nodes
     #[arg(long, default_value_t = 100)]
     workers: usize,
+    /// Client ids that the workers' connections share; without it each is a worker of its own
+    #[arg(long)]
+    ids: Option<usize>,
     /// Clients, each with one job at a time; idle connections with `--over idle`
     #[arg(long, default_value_t = 64)]
     clients: usize,
@@ -165,7 +168,10 @@
     }
 
     /// A worker that does nothing with each job.
-    async fn work(mut self) -> Result<(), Failure> {
+    async fn work(mut self, id: Option<usize>) -> Result<(), Failure> {
+        if let Some(id) = id {
+            self.put(Kind::SetClientId, &[format!("w{id}").as_bytes()]);
+        }
         self.put(Kind::CanDo, &[b"tint"]);
         loop {
             self.put(Kind::GrabJob, &[]);
@@ -452,14 +458,14 @@
         return idle(&program, options.clients).await;
     }
     if options.over == Over::Gearman {
-        let (address, workers) = (program.gearman, options.workers);
+        let (address, workers, ids) = (program.gearman, options.workers, options.ids);
         for thread in 0..THREADS {
             aside(move || async move {
                 let mut working = Vec::new();
-                for _ in (thread..workers).step_by(THREADS) {
+                for number in (thread..workers).step_by(THREADS) {
                     let peer = Peer::connect(address).await?;
                     working.push(tokio::task::spawn_local(async move {
-                        peer.work().await.map_err(|error| error.to_string())
+                        peer.work(ids.map(|ids| number % ids.max(1))).await.map_err(|error| error.to_string())
                     }));
                 }
                 for worker in working {
