Give cold nodes the slots of their kind and turns that hold a job, and use them first

A probe of cold_budget showed why: a node not heard of had the budget of the smallest node known (slots() fell back to fewest_slots, 1), and cold_part() grew the group in turn with the node's warmth, so that each share stayed 0.4 of the first window's budget: 1.2 to 1.9 slot-seconds where a one-slot dispense needs 2.4. Not one in-turn check of a dispense passed at three dispatchers.

Change: slots() takes the most that nodes of the same kind and size have shown (learn_sizes() in state.rs, bookkeeping); the group in turn is the part IN_TURN of the node's growth, so that each share holds at least what the node stands in its first window; idle nodes that are cold and in turn come first among the idle. Tests: a cold node beside its like gets a job that one slot's budget would not hold; 60 dispatchers put 900 ms jobs on a cold node before it is warm; cold idle nodes in turn are chosen first, for eight seeds. Each fails without its part.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -334,8 +334,7 @@
     fn keep_set(&mut self) {
         let heard = BELIEF_RUNS * self.typical_run() / self.gap.unwrap_or(f64::MAX).max(1.0);
         let heard = (heard as usize).max(KEPT);
-        let known = self.workers.values().map(|worker| worker.slots).filter(|slots| *slots > 0.0);
-        self.fewest_slots = known.reduce(f64::min).unwrap_or(1.0);
+        self.learn_sizes();
         let mut order: Vec<_> = self.workers.values().filter(|worker| worker.ready()).collect();
         order.sort_unstable_by_key(|worker| (worker.failures, worker.lot));
         let mut counts = BTreeMap::new();
@@ -419,7 +418,11 @@
         // last, as a job that has to wait for a slot at home gains nothing by it.
         let sure = fits + 1.0 - FREE;
         let own: Vec<_> = sound.iter().filter(|worker| self.meant_for(request, worker)).copied().collect();
-        let tokens = [&own, &sound].into_iter().find_map(|pool| {
+        // Idle workers that are cold and in this dispatcher's turn first: a turn left unspent is lost.
+        let idle = sound.iter().filter(|worker| self.idle.contains(&worker.member.worker));
+        let cold = idle.filter(|worker| self.warmth(worker).is_some());
+        let cold = cold.filter(|worker| kind.is_some() || !self.needed(worker));
+        let tokens = [&cold.copied().collect(), &own, &sound].into_iter().find_map(|pool| {
             let near: Vec<&Worker> = pool.iter().filter(home).copied().collect();
             let far: &[&Worker] = if crossing { pool } else { &near };
             let levels = [(near.as_slice(), sure), (far, sure), (&near, fits), (far, fits)];
@@ -525,7 +528,10 @@
         let (rules, dispatchers) = (&self.settings.rules, self.settings.dispatchers as u64);
         let window = rules.fall_after.max(1);
         let turn = self.now.saturating_sub(worker.member.booted) / window;
-        let grown = |up: f64| (1.0 + (1.0 / rules.cold_share.max(0.01) - 1.0) * up.clamp(0.0, 1.0)) as u64;
+        let grown = |up: f64| {
+            let grown = 1.0 + (1.0 / rules.cold_share.max(0.01) - 1.0) * up.clamp(0.0, 1.0);
+            ((IN_TURN * grown) as u64).max(1)
+        };
         let most = (dispatchers * window / rules.cold.max(1)).clamp(1, grown(1.0));
         let group = grown((turn as f64 - 1.0) * window as f64 / rules.cold.max(1) as f64).min(most);
         let place = self.settings.index as u64 + (worker.member.worker.0.wrapping_mul(SPREAD) >> 32);
--- a/src/state.rs
+++ b/src/state.rs
@@ -47,8 +47,9 @@
     /// The workers that this dispatcher keeps tokens for, and those whose tokens were held at the round's start.
     pub(crate) kept: Vec<WorkerId>,
     pub(crate) idle: BTreeSet<WorkerId>,
-    /// Slots of the smallest worker known.
+    /// Slots of the smallest worker known, and the most shown by workers of each kind and size.
     pub(crate) fewest_slots: f64,
+    pub(crate) sizes: BTreeMap<(Option<KindId>, u64), f64>,
     /// Slots asked for by wide jobs and by all that need a kind, beside what was supposed before.
     pub(crate) widths: BTreeMap<KindId, (f64, f64)>,
     pub(crate) density: f64,
@@ -93,6 +94,7 @@
             kept: Vec::new(),
             idle: BTreeSet::new(),
             fewest_slots: 1.0,
+            sizes: BTreeMap::new(),
             widths: BTreeMap::new(),
             density: 0.0,
             credits: vec![1.0; settings.tenants.len()],
@@ -181,9 +183,24 @@
         Some(request)
     }
 
-    /// The slots of a worker, before it reported any those of the smallest one known.
+    /// The slots of a worker: the most that it or workers of its kind and size have shown free, as it is one of them
+    /// and reports may come while it is busy; with none shown, those of the smallest worker known.
     pub(crate) fn slots(&self, worker: &Worker) -> f64 {
-        if worker.slots > 0.0 { worker.slots } else { self.fewest_slots }
+        let alike = self.sizes.get(&worker.size_key()).copied().unwrap_or_default();
+        let slots = worker.slots.max(alike);
+        if slots > 0.0 { slots } else { self.fewest_slots }
+    }
+
+    /// Takes in what workers have shown of their slots.
+    pub(crate) fn learn_sizes(&mut self) {
+        let known = || self.workers.values().filter(|worker| worker.slots > 0.0);
+        self.fewest_slots = known().map(|worker| worker.slots).reduce(f64::min).unwrap_or(1.0);
+        let mut sizes = BTreeMap::new();
+        for worker in known() {
+            let most: &mut f64 = sizes.entry(worker.size_key()).or_default();
+            *most = most.max(worker.slots);
+        }
+        self.sizes = sizes;
     }
 
     /// A job runs: the worker has at least as many slots as run there.
@@ -485,6 +502,11 @@
         }
     }
 
+    /// Workers of one kind and the same highest weight are taken to be alike.
+    fn size_key(&self) -> (Option<KindId>, u64) {
+        (self.member.kind, self.size.to_bits())
+    }
+
     pub fn ready(&self) -> bool {
         self.listed && self.member.availability == Availability::Ready
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -319,3 +319,62 @@
     assert!((20..60).contains(&refused.len()), "{refused:?}");
     assert!(refused.iter().all(|(_, wait)| (1..=2 * SECOND).contains(wait)));
 }
+
+/// A dispatcher alone, up for long, that has seen a worker of the first kind with four slots free and one of another
+/// kind and size with one, and then hears of a third that has just started and is like the first.
+fn beside_a_like_that_was_seen() -> Rig {
+    let mut settings = settings();
+    settings.dispatchers = 1;
+    let (big, small) = (member(0), Member { kind: Some(KindId(1)), weight: 0.25, ..member(1) });
+    let away = |member: &Member| Member { availability: Availability::Draining, ..member.clone() };
+    let mut rig = Rig::listing(settings, [big.clone(), small.clone()]);
+    for (id, (shown, other), free) in [(1, (&big, &small), 4.0), (2, (&small, &big), 1.0)] {
+        rig.round(0, &[list(ListKind::Changes, [shown.clone(), away(other)])]);
+        let out = rig.round(SECOND, &[request(id, 0)]);
+        assert_eq!(sends(&out), [(id, shown.worker.0)]);
+        rig.round(MS, &[started(id, 0), ended(id, 0, Outcome::Served, Some((free, 0.0)))]);
+    }
+    let cold = Member { booted: rig.now, ..member(2) };
+    rig.round(SECOND, &[list(ListKind::Changes, [away(&big), away(&small), cold])]);
+    rig
+}
+
+#[test]
+fn a_cold_worker_not_heard_of_yet_has_the_slots_of_its_like() {
+    // Seen on the join day of the fleet: a node of four slots that had just started got the budget of the smallest
+    // node known, one slot, and no job of the kind it was needed for fitted it until it was warm.
+    let mut rig = beside_a_like_that_was_seen();
+    // A share of the first window holds 0.4 of 3 times a fifth of the slots for a second: 0.96 s of work, or 0.24.
+    let job = NewRequest { hint: Some(600 * MS), ..new_request(3, 0) };
+    assert_eq!(sends(&rig.round(MS, &[Event::Request(job)])), [(3, 2)]);
+    let large = NewRequest { hint: Some(1_200 * MS), ..new_request(4, 0) };
+    assert!(
+        sends(&rig.round(MS, &[Event::Request(large)])).is_empty(),
+        "the budget of four slots still binds"
+    );
+}
+
+#[test]
+fn a_turn_on_a_cold_worker_holds_a_job_that_its_budget_can() {
+    // Seen on the join day of the fleet, with 60 dispatchers: shares of the turns shrank as the worker warmed, so
+    // that each stayed 0.4 of its first window's budget, and held none of the jobs that it was needed for.
+    let sent: Vec<_> = (0..60).flat_map(|index| cold_work(index, 60, 900 * MS)).collect();
+    let before_warm = sent.iter().filter(|send| send.0 < 10 * SECOND).count();
+    assert!(before_warm >= 3, "{before_warm} jobs of 900 ms went to the worker while it was cold");
+}
+
+#[test]
+fn idle_workers_that_are_cold_and_in_turn_come_first() {
+    // The budget of a cold worker that is not spent in its turn is lost, while the warm ones are needed by others.
+    for seed in 0..8 {
+        let mut settings = settings();
+        settings.dispatchers = 1;
+        let mut rig = Rig { dispatcher: Dispatcher::new(settings, seed).unwrap(), now: 100 * SECOND };
+        rig.round(0, &[list(ListKind::Cached, (0..5).map(member))]);
+        rig.now += 100 * SECOND;
+        let cold = Member { booted: rig.now, ..member(5) };
+        rig.round(SECOND, &[list(ListKind::Changes, [cold])]);
+        let job = NewRequest { hint: Some(50 * MS), ..new_request(1, 0) };
+        assert_eq!(sends(&rig.round(MS, &[Event::Request(job)])), [(1, 5)], "seed {seed}");
+    }
+}
