Move the bookkeeping of a send out of the decisions, which decide as before

What a send changes of the worker's counts, its sends while cold, the flight and the attempt is records: it moves to state.rs as record_send(), with the constant that marks a worker roomy. Spending the token, the action and the next look at the request stay in logic.rs.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, seq::IndexedRandom, seq::IteratorRandom};
 
 use crate::interface::*;
-use crate::state::{Attempt, Dispatcher, Flight, Request, SPREAD, Worker, amount, average};
+use crate::state::{Dispatcher, Flight, Request, SPREAD, Worker, amount, average};
 
 /// Weight of the newest observation in running averages: half, so that two or three settle a change.
 pub(crate) const NEWEST: f64 = 0.5;
@@ -33,8 +33,6 @@
 const PROBES_PER_REQUEST: f64 = 1.0;
 /// A start that leaves less than so many expected runs is taken for too late: runs vary.
 const MARGIN: f64 = 1.25;
-/// A worker with less than this part of its slots in use is roomy: a job there hardly shares a core.
-const ROOMY: f64 = 0.25;
 /// Runs on crowded workers may take so much longer than on roomy ones before fewer slots are used.
 const CROWDING: f64 = 1.5;
 /// Back-off between calls to discovery that fail: the first, and for each dispatcher, and the longest.
@@ -562,27 +560,12 @@
 
     fn send(&mut self, id: RequestId, to: WorkerId, out: &mut Vec<Action>) {
         self.held.retain(|held| *held != id);
-        let (now, warmth) = (self.now, self.warmth(&self.workers[&to]));
-        let window = now.saturating_sub(self.settings.rules.fall_after);
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(worker) = self.workers.get_mut(&to) else { return };
-        let crowded = worker.taken + worker.others >= worker.slots * ROOMY;
-        worker.token = false;
-        worker.own += 1;
-        worker.taken += request.need();
-        worker.unstarted += 1;
-        worker.touched = now;
-        if warmth.is_some() {
-            worker.cold_sends.retain(|send| send.0 > window);
-            worker.cold_sends.push((now, request.load()));
-        }
-        let (class, hint, need) = (request.new.class.0, request.new.hint, request.need());
-        let harmless = request.class.effect == Effect::Safe;
-        let flight = Flight { worker: to, class, sent: now, started: None, need, hint, crowded, harmless };
-        self.flights.insert((id, request.attempts.len()), flight);
-        request.attempts.push(Attempt { worker: to, sent: now, outcome: None });
+        let cold = self.workers.get(&to).is_some_and(|worker| self.warmth(worker).is_some());
+        let Some(expires) = self.record_send(id, to, cold) else { return };
+        // The receiver spends its token.
+        self.workers.entry(to).and_modify(|worker| worker.token = false);
         out.push(Action::Send { request: id, worker: to });
-        let (expires, next) = (request.expires, self.half_way(&self.requests[&id]));
+        let next = self.half_way(&self.requests[&id]);
         self.check_next(id, next, expires);
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,6 +18,8 @@
 const SUPPOSED: f64 = 256.0;
 /// Each job counts so much less than the next one in what is known of widths.
 const FADES: f64 = 1.0 / 1024.0;
+/// A worker with less than this part of its slots in use is roomy: a job there hardly shares a core.
+const ROOMY: f64 = 0.25;
 /// Enough for a cause and its first consequences, too few to fill a disk.
 const NOTES_A_SECOND: usize = 4;
 
@@ -203,6 +205,26 @@
         self.sizes = sizes;
     }
 
+    /// Keeps what a send changes: the worker's own jobs and slots, its sends while cold, the flight and the attempt.
+    /// Returns when the request expires.
+    pub(crate) fn record_send(&mut self, id: RequestId, to: WorkerId, cold: bool) -> Option<Micros> {
+        let (now, window) = (self.now, self.now.saturating_sub(self.settings.rules.fall_after));
+        let (request, worker) = (self.requests.get_mut(&id)?, self.workers.get_mut(&to)?);
+        let crowded = worker.taken + worker.others >= worker.slots * ROOMY;
+        (worker.own, worker.unstarted, worker.touched) = (worker.own + 1, worker.unstarted + 1, now);
+        worker.taken += request.need();
+        if cold {
+            worker.cold_sends.retain(|send| send.0 > window);
+            worker.cold_sends.push((now, request.load()));
+        }
+        let (class, hint, need) = (request.new.class.0, request.new.hint, request.need());
+        let harmless = request.class.effect == Effect::Safe;
+        let flight = Flight { worker: to, class, sent: now, started: None, need, hint, crowded, harmless };
+        self.flights.insert((id, request.attempts.len()), flight);
+        request.attempts.push(Attempt { worker: to, sent: now, outcome: None });
+        Some(request.expires)
+    }
+
     /// A job runs: the worker has at least as many slots as run there.
     pub(crate) fn job_runs(&mut self, key: (RequestId, usize)) {
         let Some(flight) = self.flights.get_mut(&key) else { return };
