Choose idle nodes with a kept connection first, and believe a report of all slots free

The choice among idle tokens knew nothing of the connections that idle in the claims (choose() in logic.rs). And a worker that had just told that it is empty got no token back if an own job had gone there within a typical run (the term quiet in report()), while workers that had told nothing kept theirs: the worse known came first.

Change: bookkeeping in state.rs of the connections that idle to each worker (conn_kept from limits.conn_idle and prices.handshake; 0 where a new one costs nothing); idle workers with one come first, at random among them; quiet is dropped, as the design page words the return of a token, and with it Reporting::Exact.

--- a/crates/gearman/src/pools.rs
+++ b/crates/gearman/src/pools.rs
@@ -116,8 +116,9 @@
         // Priorities are classes only here: none of them is to be served for being served worst.
         worst_class_weight: 0.0,
         cross_zone_price: 0.0,
+        conn_kept: 0,
         discovery: Discovery::Pushed,
-        reporting: Reporting::Exact,
+        reporting: Reporting::Answers,
         live_weights: false,
         tells_start: true,
         // A worker is never cold: a connection takes one job at a time.
--- a/crates/http/src/claims.rs
+++ b/crates/http/src/claims.rs
@@ -274,7 +274,7 @@
     fn lane(&self, address: SocketAddr, fresh: bool) -> Lane {
         let mut idle = self.idle.borrow_mut();
         // A node closes connections that were idle for `conn_idle`; a claim written to one then would be lost.
-        let oldest = self.clock.now() - self.network.borrow().conn_idle_ms * 0.8;
+        let oldest = self.clock.now() - self.network.borrow().conn_kept_ms();
         for lanes in idle.values_mut() {
             lanes.retain(|lane| lane.idle_since_ms > oldest);
         }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -82,6 +82,7 @@
 #[serde(default)]
 struct Prices {
     cross_zone: f64,
+    handshake: f64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -134,6 +135,13 @@
     pub max_retry_after_ms: f64,
 }
 
+impl Network {
+    /// How long an idle connection to an execute node is kept: what is written just as the node closes it is lost.
+    pub fn conn_kept_ms(&self) -> f64 {
+        self.conn_idle_ms * 0.8
+    }
+}
+
 impl Info {
     /// Reads the object from its JSON text.
     pub fn read(text: &str) -> Result<Self, Fault> {
@@ -188,6 +196,8 @@
                 .and_then(|kind| usize::try_from(*kind).ok())
                 .map(KindId),
         };
+        let priced = self.prices.handshake > 0.0;
+        let conn_kept = if priced { (self.network().conn_kept_ms() * 1e3) as Micros } else { 0 };
         let settings = Settings {
             index: self.position,
             dispatchers: self.peers_total,
@@ -201,6 +211,7 @@
             over_share_worth: self.over_share_worth,
             worst_class_weight: self.objective_mix.worst_class / self.objective_mix.whole.max(f64::EPSILON),
             cross_zone_price: self.prices.cross_zone,
+            conn_kept,
             discovery: match self.discovery.as_deref() {
                 Some("on_request") => Discovery::OnRequest,
                 _ => Discovery::Pushed,
@@ -269,3 +280,25 @@
 pub fn position(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|known| known == name)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn connections_are_kept_in_mind_only_where_a_new_one_has_a_price() {
+        let example = include_str!("../../../examples/config.json");
+        let example: serde_json::Value = serde_json::from_str(example).unwrap();
+        for (price, kept) in [(0.08, 12_000_000), (0.0, 0)] {
+            let mut settings = example["settings"].clone();
+            settings["prices"]["handshake"] = price.into();
+            settings["limits"]["conn_idle"] = 15_000_000.into();
+            let info = Info::read(&settings.to_string()).unwrap();
+            // As long as the sockets keep one, which is less than the node does.
+            assert_eq!(
+                (info.network().conn_kept_ms(), info.checked().unwrap().0.conn_kept),
+                (12_000.0, kept)
+            );
+        }
+    }
+}
--- a/examples/loop.rs
+++ b/examples/loop.rs
@@ -27,6 +27,7 @@
         over_share_worth: 1.0,
         worst_class_weight: 0.0,
         cross_zone_price: 0.0,
+        conn_kept: 0,
         discovery: Discovery::Pushed,
         reporting: Reporting::Answers,
         live_weights: false,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -112,12 +112,10 @@
 /// Where load reports come from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reporting {
-    /// With the end of attempts and with probes.
+    /// With the end of attempts, with probes, or unasked.
     Answers,
     /// With probes only.
     Probes,
-    /// With the end of attempts and unasked, each true as it is told: workers that tell themselves that they are idle.
-    Exact,
     /// Nowhere.
     None,
 }
@@ -173,6 +171,8 @@
     pub worst_class_weight: f64,
     /// The price of an attempt that crosses zones, in units of the mean request's worth.
     pub cross_zone_price: f64,
+    /// How long an idle connection to a worker is kept, where a new one has a price; 0: it has none.
+    pub conn_kept: Micros,
     /// How the list of workers is learned.
     pub discovery: Discovery,
     /// Where load reports come from.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -228,6 +228,7 @@
         worker.own = worker.own.saturating_sub(1);
         worker.taken = if worker.own == 0 { 0.0 } else { worker.taken - flight.need };
         worker.unstarted = worker.unstarted.saturating_sub(usize::from(flight.started.is_none()));
+        worker.left_connection(outcome, self.now);
         // An error says more than the answers between: most of the doubt is gone after six of them.
         match outcome {
             Outcome::Error => worker.errs += (1.0 - worker.errs) * NEWEST,
@@ -279,7 +280,7 @@
     }
 
     /// Takes a load report: how many slots the other dispatchers seem to hold, and whether the idle token
-    /// returns. Reports are late: one that comes within a typical run of own jobs there proves no idleness.
+    /// returns. Of workers not heard of less is known than the latest report tells, however soon it comes.
     fn report(&mut self, id: WorkerId, report: &LoadReport, ended: f64) {
         let Some(free) = amount(report.free_slots) else { return };
         let queued = amount(report.queued).unwrap_or(0.0);
@@ -290,9 +291,7 @@
         let age = (self.now - worker.reported) as f64;
         worker.others += ((busy - worker.taken - ended).max(0.0) - worker.others) * age / (age + life);
         worker.reported = self.now;
-        let quiet = self.now.saturating_sub(worker.touched) as f64 >= self.run.unwrap_or(0.0)
-            || self.settings.reporting == Reporting::Exact;
-        if worker.own == 0 && quiet {
+        if worker.own == 0 {
             worker.token = free.round() >= worker.slots && queued.round() < 1.0;
         }
     }
@@ -420,13 +419,18 @@
         let idle = sound.iter().filter(|worker| self.idle.contains(&worker.member.worker));
         let cold = idle.filter(|worker| self.warmth(worker).is_some());
         let cold = cold.filter(|worker| kind.is_some() || !self.needed(worker));
-        let tokens = [&cold.copied().collect(), &own, &sound].into_iter().find_map(|pool| {
-            let near: Vec<&Worker> = pool.iter().filter(home).copied().collect();
-            let far: &[&Worker] = if crossing { pool } else { &near };
-            let levels = [(near.as_slice(), sure), (far, sure), (&near, fits), (far, fits)];
-            let mut tokens = levels.into_iter().map(|(pool, room)| self.tokens(pool, fits, room));
-            tokens.find(|tokens| !tokens.is_empty())
-        });
+        // Then those to which a connection is kept: a new one costs.
+        let connected = own.iter().filter(|worker| self.idle.contains(&worker.member.worker));
+        let connected = connected.filter(|worker| self.connected(worker));
+        let tokens = [&cold.copied().collect(), &connected.copied().collect(), &own, &sound]
+            .into_iter()
+            .find_map(|pool| {
+                let near: Vec<&Worker> = pool.iter().filter(home).copied().collect();
+                let far: &[&Worker] = if crossing { pool } else { &near };
+                let levels = [(near.as_slice(), sure), (far, sure), (&near, fits), (far, fits)];
+                let mut tokens = levels.into_iter().map(|(pool, room)| self.tokens(pool, fits, room));
+                tokens.find(|tokens| !tokens.is_empty())
+            });
         if let Some(tokens) = tokens {
             return tokens.choose(&mut self.rng).copied();
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -213,6 +213,7 @@
         let crowded = worker.taken + worker.others >= worker.slots * ROOMY;
         (worker.own, worker.unstarted, worker.touched) = (worker.own + 1, worker.unstarted + 1, now);
         worker.taken += request.need();
+        worker.idle_conns.pop();
         if cold {
             worker.cold_sends.retain(|send| send.0 > window);
             worker.cold_sends.push((now, request.load()));
@@ -225,6 +226,11 @@
         Some(request.expires)
     }
 
+    /// Whether a connection to the worker should idle here, so that a job there needs no new one.
+    pub(crate) fn connected(&self, worker: &Worker) -> bool {
+        worker.idle_conns.last().is_some_and(|since| self.now < since + self.settings.conn_kept)
+    }
+
     /// A job runs: the worker has at least as many slots as run there.
     pub(crate) fn job_runs(&mut self, key: (RequestId, usize)) {
         let Some(flight) = self.flights.get_mut(&key) else { return };
@@ -411,6 +417,8 @@
     pub probing: bool,
     pub probed: Micros,
     pub cold_sends: Vec<(Micros, f64)>,
+    /// Connections to it that idle here: since when, the newest last.
+    pub idle_conns: Vec<Micros>,
 }
 
 /// What one process of a dispatcher hands on of a worker.
@@ -497,6 +505,7 @@
             probing: false,
             probed: 0,
             cold_sends: Vec::new(),
+            idle_conns: Vec::new(),
         }
     }
 
@@ -529,6 +538,13 @@
         (self.member.kind, self.size.to_bits())
     }
 
+    /// An attempt there ended: what was answered whole leaves its connection behind.
+    pub fn left_connection(&mut self, outcome: Outcome, now: Micros) {
+        if matches!(outcome, Outcome::Served | Outcome::Error | Outcome::Full | Outcome::Unusable) {
+            self.idle_conns.push(now);
+        }
+    }
+
     pub fn ready(&self) -> bool {
         self.listed && self.member.availability == Availability::Ready
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -31,6 +31,7 @@
         over_share_worth: 1.0,
         worst_class_weight: 0.0,
         cross_zone_price: 0.0,
+        conn_kept: 0,
         discovery: Discovery::Pushed,
         reporting: Reporting::Answers,
         live_weights: false,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -135,6 +135,54 @@
     assert_eq!(crossed, [(2, 1)]);
 }
 
+/// The workers that serve one harmless job after the other, of six; each tells its slots free and so many jobs queued.
+fn served_by(conn_kept: Micros, every: Micros, queued: f64) -> Vec<u64> {
+    let mut rig = Rig::new(Settings { conn_kept, ..settings() }, 6);
+    let serve = |rig: &mut Rig, id| {
+        let to = sends(&rig.round(every, &[request(id, 0)]))[0].1;
+        rig.round(MS, &[started(id, 0)]);
+        rig.round(100 * MS, &[ended(id, 0, Outcome::Served, Some((4.0, queued)))]);
+        to
+    };
+    (1..30).map(|id| serve(&mut rig, id)).collect()
+}
+
+#[test]
+fn idle_workers_to_which_a_connection_is_kept_come_first() {
+    // Guards against 300 dispatchers that each pay a new connection for two jobs of three: each chose anew among all
+    // idle workers, with connections idling at some of them.
+    let used = |served: &[u64]| served.iter().collect::<BTreeSet<_>>().len();
+    let kept = served_by(10 * SECOND, SECOND, 0.0);
+    assert_eq!(used(&kept), 1, "{kept:?}");
+    // Where connections have no price, or would have ended meanwhile, the split is even.
+    for spread in [served_by(0, SECOND, 0.0), served_by(10 * SECOND, 11 * SECOND, 0.0)] {
+        assert!(used(&spread) > 3, "{spread:?}");
+    }
+    // A connection is no token: what tells that jobs wait there gets nothing while others are idle.
+    let busy = served_by(10 * SECOND, SECOND, 1.0);
+    assert_eq!(used(&busy[..6]), 6, "{busy:?}");
+}
+
+#[test]
+fn a_report_of_all_slots_free_gives_the_token_back_however_soon() {
+    // Guards against beliefs upside down: a worker that had just told that it is empty was left out, as its report might
+    // be late, for workers that had told nothing at all.
+    let again = |rounds: u64| {
+        let mut rig = Rig::new(settings(), 2);
+        rig.teach_slots(2, 4.0);
+        rig.pass(rounds * 30 * SECOND, 30 * SECOND);
+        for id in 0..rounds {
+            rig.round(MS, &[request(1000 + id, 0)]);
+            rig.round(SECOND, &[ended(1000 + id, 0, Outcome::Served, Some((4.0, 0.0)))]);
+        }
+        let first = sends(&rig.round(10 * SECOND, &[request(1, 0)]));
+        rig.round(MS, &[started(1, 0)]);
+        rig.round(10 * MS, &[ended(1, 0, Outcome::Served, Some((4.0, 0.0)))]);
+        first[0].1 == sends(&rig.round(MS, &[request(2, 0)]))[0].1
+    };
+    assert!((0..16).any(again), "it is chosen again now and then, as every idle worker");
+}
+
 #[test]
 fn equal_inputs_give_equal_actions() {
     let play = || {
