Keep tokens for three workers of a kind for each zone, so that home has a choice

Cause: a dispatcher with thin traffic keeps tokens for ten workers of a kind, drawn from the whole fleet (KEPT in logic.rs, keep_set()). With five zones two of them stand at home, and a third of std-4 is for wide jobs.

Change: ten of a kind at least, and three for each zone that the list names. place_all() counts the zones when the list changes, so that a request costs no more. Test: sets of 10, 15 and 60 for 1, 5 and 20 zones; fails without it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -19,6 +19,8 @@
 const FREE: f64 = 2.0 / 3.0;
 /// Workers whose tokens are kept, at least: enough for a choice when some fail.
 const KEPT: usize = 10;
+/// And for each zone, so that there is a choice at home, too, where sets are drawn from all zones.
+const KEPT_EACH: usize = 3;
 /// Held requests that find no worker before a round ends.
 const MISSES: usize = 16;
 /// The first span of distrust is a typical run; each further failure doubles it, so many times at most.
@@ -330,7 +332,7 @@
     /// belief lives, those without failures first; and for cold workers in their turn.
     fn keep_set(&mut self) {
         let heard = BELIEF_RUNS * self.typical_run() / self.gap.unwrap_or(f64::MAX).max(1.0);
-        let heard = (heard as usize).max(KEPT);
+        let heard = (heard as usize).max(KEPT).max(KEPT_EACH * self.zones);
         self.learn_sizes();
         let mut order: Vec<_> = self.workers.values().filter(|worker| worker.ready()).collect();
         order.sort_unstable_by_key(|worker| (worker.failures, worker.lot));
--- a/src/state.rs
+++ b/src/state.rs
@@ -49,6 +49,8 @@
     /// The workers that this dispatcher keeps tokens for, and those whose tokens were held at the round's start.
     pub(crate) kept: Vec<WorkerId>,
     pub(crate) idle: BTreeSet<WorkerId>,
+    /// The zones that workers stand in.
+    pub(crate) zones: usize,
     /// Slots of the smallest worker known, and the most shown by workers of each kind and size.
     pub(crate) fewest_slots: f64,
     pub(crate) sizes: BTreeMap<(Option<KindId>, u64), f64>,
@@ -95,6 +97,7 @@
             crowd: 0.0,
             kept: Vec::new(),
             idle: BTreeSet::new(),
+            zones: 0,
             fewest_slots: 1.0,
             sizes: BTreeMap::new(),
             widths: BTreeMap::new(),
@@ -345,6 +348,7 @@
         for worker in self.workers.values().filter(|worker| worker.ready()) {
             groups.entry((worker.member.kind, worker.member.zone)).or_default().push(worker.member.worker);
         }
+        self.zones = groups.keys().map(|(_, zone)| *zone).collect::<BTreeSet<_>>().len();
         for (number, mut group) in groups.into_values().enumerate() {
             group.sort_unstable_by_key(|id| spread(*id));
             // Zones round the part that is theirs up and down in turn.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -667,6 +667,19 @@
     assert_eq!(workers_used(5, 1).len(), 5, "few workers are all kept");
 }
 
+#[test]
+fn the_set_has_workers_for_a_choice_in_each_zone() {
+    // Guards against sets of ten that five zones left two of a kind in the own one, for wide and narrow jobs together.
+    for (zones, kept) in [(1, 10), (5, 15), (20, 60)] {
+        let placed = |id| Member { zone: Some(ZoneId(id as usize % zones)), ..member(id) };
+        let mut rig = Rig::listing(settings(), (0..100).map(placed));
+        // No job ends: each goes to a worker whose token is held, until none is.
+        let sent = (0..80).flat_map(|id| sends(&rig.round(5 * SECOND, &[request(id, 1)])));
+        let used: BTreeSet<u64> = sent.map(|send| send.1).collect();
+        assert_eq!(used.len(), kept, "{zones} zones");
+    }
+}
+
 #[test]
 fn a_failing_worker_leaves_the_set_for_another() {
     let mut rig = Rig::new(settings(), 100);
