Look at a whole kind once for a choice, not for each worker; decides as before

Need: meant_for() asked wide_part() and is_wide() for every worker, each of which goes over all workers for the largest of the kind: a choice cost the set times the fleet. Now it answers with a check that holds both, reckoned once. The two filters on idle workers share one closure.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -416,14 +416,13 @@
         // Idle workers first, then free slots of partly busy ones, at home before elsewhere; doubtful slots
         // last, as a job that has to wait for a slot at home gains nothing by it.
         let sure = fits + 1.0 - FREE;
-        let own: Vec<_> = sound.iter().filter(|worker| self.meant_for(request, worker)).copied().collect();
+        let own: Vec<_> = sound.iter().copied().filter(self.meant_for(request)).collect();
+        let idle = |worker: &&&Worker| self.idle.contains(&worker.member.worker);
         // Idle workers that are cold and in this dispatcher's turn first: a turn left unspent is lost.
-        let idle = sound.iter().filter(|worker| self.idle.contains(&worker.member.worker));
-        let cold = idle.filter(|worker| self.warmth(worker).is_some());
+        let cold = sound.iter().filter(idle).filter(|worker| self.warmth(worker).is_some());
         let cold = cold.filter(|worker| kind.is_some() || !self.needed(worker));
         // Then those to which a connection is kept: a new one costs.
-        let connected = own.iter().filter(|worker| self.idle.contains(&worker.member.worker));
-        let connected = connected.filter(|worker| self.connected(worker));
+        let connected = own.iter().filter(idle).filter(|worker| self.connected(worker));
         let tokens = [&cold.copied().collect(), &connected.copied().collect(), &own, &sound]
             .into_iter()
             .find_map(|pool| {
@@ -453,10 +452,12 @@
     /// Guards against wide jobs that wait for a whole worker behind narrow ones, and against small work in
     /// the way of jobs that one kind alone can run. A kind is divided between wide and narrow jobs as they
     /// ask for it, alike at all dispatchers; what runs anywhere goes elsewhere while there is room.
-    fn meant_for(&self, request: &Request, worker: &Worker) -> bool {
-        match request.class.kind {
-            Some(kind) => (worker.place < self.wide_part(kind)) == self.is_wide(kind, request.need()),
-            None => !self.needed(worker) && self.room(worker) >= request.need(),
+    fn meant_for(&self, request: &Request) -> impl Fn(&&Worker) -> bool {
+        let need = request.need();
+        let divided = request.class.kind.map(|kind| (self.wide_part(kind), self.is_wide(kind, need)));
+        move |worker| match divided {
+            Some((part, wide)) => (worker.place < part) == wide,
+            None => !self.needed(worker) && self.room(worker) >= need,
         }
     }
 
