Watch pushed lists and send the probes that the decisions ask for

And the facade dropped each probe, so that no token came back and each node stayed in probing for ever.

--- a/crates/broker/src/broker.rs
+++ b/crates/broker/src/broker.rs
@@ -114,6 +114,8 @@
     },
     /// Ask for the machine list.
     AskForList,
+    /// Ask a node for its load; what comes of it is told by [`Broker::probed`].
+    Probe(Probe),
     /// Call [`Broker::tick`] for a pool at this time.
     WakeAt(Pool, f64),
 }
@@ -141,6 +143,17 @@
     pub fresh: bool,
 }
 
+/// A question to a node for its load.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Probe {
+    /// The pool of the node.
+    pub pool: Pool,
+    /// The node's name.
+    pub node: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
 /// News of a machine list.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ListNews {
@@ -580,6 +593,13 @@
         self.take(&mut table, pool, steps);
     }
 
+    /// A probe ended.
+    pub fn probed(&self, probe: &Probe, outcome: Outcome, load: Option<LoadReport>) {
+        let mut table = self.table.borrow_mut();
+        let steps = table.facade(probe.pool).probed(self.clock.now(), &probe.node, outcome, load);
+        self.take(&mut table, probe.pool, steps);
+    }
+
     /// The version of the machine list in hand, now and when it changes.
     pub fn list_version(&self) -> watch::Receiver<u64> {
         self.version.subscribe()
@@ -694,6 +714,7 @@
                     self.answer(table, job, if unusable { Answer::Unusable } else { Answer::Failed });
                 }
                 Step::AskForList => table.order(pool, Order::AskForList),
+                Step::Probe { machine } => self.probe(table, pool, machine),
                 Step::WakeAt(at) => table.order(pool, Order::WakeAt(pool, at)),
                 Step::Say(line) => self.counters.say(self.clock.now(), line),
             }
@@ -716,6 +737,19 @@
         table.order(pool, order);
     }
 
+    /// Only a node that listens and is neither leaving nor gone is probed.
+    fn probe(&self, table: &mut Table, pool: Pool, node: String) {
+        let listed = table.pools[pool.0].nodes.get(&node);
+        let listed = listed.filter(|(machine, _)| machine.availability == Availability::Ready);
+        match listed.and_then(|(_, address)| *address) {
+            Some(address) => table.order(pool, Order::Probe(Probe { pool, node, address })),
+            None => {
+                let steps = table.facade(pool).probed(self.clock.now(), &node, Outcome::Skipped, None);
+                self.take(table, pool, steps);
+            }
+        }
+    }
+
     /// The one place where a job gets its final answer: it leaves the table with it.
     fn answer(&self, table: &mut Table, job: u64, answer: Answer) {
         let Some(open) = table.close(job) else { return };
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -7,7 +7,7 @@
 mod counters;
 
 pub use broker::{
-    Answer, Answers, Broker, Claim, Errand, ListNews, NotTaken, Order, Pending, Pool, Standing,
+    Answer, Answers, Broker, Claim, Errand, ListNews, NotTaken, Order, Pending, Pool, Probe, Standing,
 };
 pub use clock::{Clock, FOR_EVER, span};
 pub use counters::{Answered, Counters};
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -14,7 +14,7 @@
 use ruddervalve::{Facade, ListKind};
 use ruddervalve_broker::{Broker, Clock, Counters, Order, Pool};
 use ruddervalve_gearman::Gearman;
-use ruddervalve_http::{Claims, Control, Front, Handover, MachineList, SET_ASIDE, client};
+use ruddervalve_http::{Claims, Control, Front, Handover, MachineList, Probes, SET_ASIDE};
 use ruddervalve_operators::Operators;
 use socket2::{SockRef, Type};
 use tokio::net::TcpListener;
@@ -140,9 +140,15 @@
     let facade = Facade::new(config.settings.clone(), config.names.clone(), config.seed)?;
     let (broker, orders) = Broker::new(facade, clock.clone(), counters.clone());
     let claims = Claims::new(config.network.clone(), broker.clone(), clock.clone(), counters.clone(), limit);
-    let list = MachineList::new(client(&config.network), config.discovery, broker.clone());
-    let list = Rc::new(list);
-    actix_rt::spawn(obey(orders, claims.clone(), list.clone(), broker.clone(), clock.clone()));
+    let probes = Probes::new(config.network.clone(), broker.clone(), claims.clone(), counters.clone());
+    let list = Rc::new(MachineList::new(&config.network, config.discovery, broker.clone()));
+    actix_rt::spawn(obey(
+        orders,
+        (claims.clone(), probes.clone()),
+        list.clone(),
+        broker.clone(),
+        clock.clone(),
+    ));
     if let Some(known) = config.known.take() {
         broker.list(ListKind::Cached, known);
     }
@@ -160,6 +166,7 @@
         handover.as_ref().map_or_else(|| watch::Sender::new(false).subscribe(), |link| link.linked());
     linked.mark_changed();
     broker.tick(Pool::PLATFORM);
+    list.start();
     if let Some(address) = config.control {
         let listener = TcpListener::bind(address).await?;
         counters.say(clock.now(), format_args!("operators call at {}", listener.local_addr()?));
@@ -226,7 +233,8 @@
                             let line = format_args!("configuration: {key} takes effect with the next start");
                             counters.say(clock.now(), line);
                         }
-                        list.follow(new.discovery);
+                        list.follow(new.discovery, &new.network);
+                        probes.limit_to(&new.network);
                         config = new;
                     }
                 }
@@ -302,7 +310,7 @@
 /// Does what the broker orders, in its order.
 async fn obey(
     mut orders: mpsc::UnboundedReceiver<Order>,
-    claims: Rc<Claims>,
+    (claims, probes): (Rc<Claims>, Rc<Probes>),
     list: Rc<MachineList>,
     broker: Rc<Broker>,
     clock: Clock,
@@ -319,6 +327,7 @@
                 Some(Order::Claim(claim)) => claims.start(claim),
                 Some(Order::Withdraw { claim }) => claims.withdraw(claim),
                 Some(Order::AskForList) => list.ask(),
+                Some(Order::Probe(probe)) => probes.start(probe),
                 Some(Order::WakeAt(pool, at)) => drop(wakes.insert(((at * 1e3).ceil() as u64, pool))),
             },
             () = tokio::time::sleep(wait) => {
--- a/crates/gearman/src/engine.rs
+++ b/crates/gearman/src/engine.rs
@@ -227,8 +227,8 @@
             }
             Order::Withdraw { claim } => self.server.borrow_mut().withdraw(claim),
             Order::WakeAt(pool, at) => drop(self.wakes.borrow_mut().insert(((at * 1e3).ceil() as u64, pool))),
-            // Workers come by themselves.
-            Order::AskForList => {}
+            // Workers come by themselves and listen nowhere.
+            Order::AskForList | Order::Probe(_) => {}
         }
     }
 
--- a/crates/http/src/claims.rs
+++ b/crates/http/src/claims.rs
@@ -140,8 +140,8 @@
 }
 
 /// A client that holds one connection at most, so that it is known whether a claim went out on a kept one.
-struct Lane {
-    client: Client,
+pub(crate) struct Lane {
+    pub(crate) client: Client,
     /// Connections made so far.
     made: Rc<Cell<usize>>,
     careful: Rc<Cell<bool>>,
@@ -149,6 +149,11 @@
 }
 
 impl Lane {
+    /// How many connections it has made so far.
+    pub(crate) fn made(&self) -> usize {
+        self.made.get()
+    }
+
     fn new(network: &Network, counters: &Rc<Counters>) -> Self {
         let counters = counters.clone();
         let (made, careful) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(false)));
@@ -173,7 +178,7 @@
 }
 
 /// The client for discovery: no retries, no redirects, no time-out but that of connecting.
-pub fn client(network: &Network) -> Client {
+pub(crate) fn client(network: &Network) -> Client {
     let connector = Connector::new().timeout(span(network.connect_timeout_ms));
     Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
 }
@@ -195,7 +200,7 @@
 }
 
 /// Counts a lane as busy for as long as it lives.
-struct Busy(Rc<Claims>);
+pub(crate) struct Busy(Rc<Claims>);
 
 impl Drop for Busy {
     fn drop(&mut self) {
@@ -253,13 +258,12 @@
             return self.broker.ended(claim.claim, Outcome::Skipped, None, None);
         };
         let there = self.out.borrow().values().filter(|out| out.0 == address).count();
-        if self.busy.get() >= self.limit.get() || there >= AT_ONE_NODE {
-            return self.broker.ended(claim.claim, Outcome::Skipped, None, None);
-        }
         let fresh = claim.fresh || (claim.once && self.breaks.get() > BREAKS_TOO_OFTEN);
-        let lane = self.lane(address, fresh);
-        self.busy.set(self.busy.get() + 1);
-        let (this, busy) = (self.clone(), Busy(self.clone()));
+        let lane = if there < AT_ONE_NODE { self.take_lane(address, fresh) } else { None };
+        let Some((lane, busy)) = lane else {
+            return self.broker.ended(claim.claim, Outcome::Skipped, None, None);
+        };
+        let this = self.clone();
         let number = claim.claim;
         // Registered before the task first runs: tasks of this thread start only after this call.
         let task = actix_rt::spawn(async move {
@@ -269,6 +273,22 @@
         self.out.borrow_mut().insert(number, (address, task.abort_handle()));
     }
 
+    /// A lane of its own to a node for one exchange, and what counts it for as long as it is in use; none beyond the limit.
+    pub(crate) fn take_lane(self: &Rc<Self>, address: SocketAddr, fresh: bool) -> Option<(Lane, Busy)> {
+        if self.busy.get() >= self.limit.get() {
+            return None;
+        }
+        let lane = self.lane(address, fresh);
+        self.busy.set(self.busy.get() + 1);
+        Some((lane, Busy(self.clone())))
+    }
+
+    /// Keeps a lane on which an exchange was read to its end.
+    pub(crate) fn keep_lane(&self, address: SocketAddr, mut lane: Lane) {
+        lane.idle_since_ms = self.clock.now();
+        self.idle.borrow_mut().entry(address).or_default().push(lane);
+    }
+
     /// A lane to a node: the one used last, which the node is likeliest to have kept, or a new one, for which the one
     /// idle for longest makes room.
     fn lane(&self, address: SocketAddr, fresh: bool) -> Lane {
@@ -307,7 +327,7 @@
         self.broker.ended(claim, Outcome::Cancelled, None, None);
     }
 
-    async fn run(&self, claim: Claim, address: SocketAddr, errand: &Request, mut lane: Lane) {
+    async fn run(&self, claim: Claim, address: SocketAddr, errand: &Request, lane: Lane) {
         let mut tail = None;
         let wait = self.clock.until(claim.until_ms);
         let end = tokio::time::timeout(wait, self.perform(&claim, address, errand, &lane, &mut tail)).await;
@@ -320,8 +340,7 @@
         // Only a stream read to its end, with nothing behind its last line, gives its connection back.
         let Some(mut stream) = tail else { return };
         if let Ok(None) = tokio::time::timeout(TAIL, stream.next()).await {
-            lane.idle_since_ms = self.clock.now();
-            self.idle.borrow_mut().entry(address).or_default().push(lane);
+            self.keep_lane(address, lane);
         }
     }
 
@@ -397,7 +416,7 @@
 /// up, or a write failed. A connection that ended before the answer is reported among the connect errors, too, but then
 /// the request had been written. On a kept connection none of this says anything of the node: it may have closed it
 /// long before.
-fn outcome_of(error: &SendRequestError, kept: bool) -> Outcome {
+pub(crate) fn outcome_of(error: &SendRequestError, kept: bool) -> Outcome {
     use actix_http::error::ParseError;
     match error {
         SendRequestError::Send(_) if kept => Outcome::Skipped,
@@ -435,7 +454,7 @@
     state: std::borrow::Cow<'a, str>,
     share: Option<f64>,
     result: Option<String>,
-    load: Option<BTreeMap<String, serde_json::Value>>,
+    load: Option<Fields>,
 }
 
 /// One line of a node's stream about a job.
@@ -447,10 +466,7 @@
     if line.id != id || line.from != node {
         return News::Unread;
     }
-    let load = line.load.as_ref().map(|load| {
-        let value = |name: &str| load.get(name).and_then(serde_json::Value::as_f64);
-        report(value("x0"), value("queue").or(value("backlog")))
-    });
+    let load = line.load.as_ref().map(read_fields);
     let end = |outcome, result| News::End(End { outcome, result, load });
     match (line.state.as_ref(), line.result) {
         ("started", _) => News::Started,
@@ -470,8 +486,16 @@
     LoadReport { free_slots: free_slots.filter(sound), queued: queued.filter(sound) }
 }
 
+/// A load report by its fields.
+pub(crate) type Fields = BTreeMap<String, serde_json::Value>;
+
+pub(crate) fn read_fields(load: &Fields) -> LoadReport {
+    let value = |name: &str| load.get(name).and_then(serde_json::Value::as_f64);
+    report(value("x0"), value("queue").or(value("backlog")))
+}
+
 /// A load report in a header: `TEXT name=value, name=value`.
-fn read_header(text: &str) -> LoadReport {
+pub(crate) fn read_header(text: &str) -> LoadReport {
     let pairs = text.trim_start_matches("TEXT").split(',').filter_map(|pair| pair.trim().split_once('='));
     let (mut free_slots, mut queued) = (None, None);
     for (name, value) in pairs {
--- a/crates/http/src/machine_list.rs
+++ b/crates/http/src/machine_list.rs
@@ -11,11 +11,14 @@
 use bytes::BytesMut;
 use futures_util::StreamExt as _;
 use ruddervalve::{Availability, ListKind, Machine};
-use ruddervalve_broker::{Broker, ListNews};
+use ruddervalve_broker::{Broker, ListNews, span};
+use ruddervalve_settings::Network;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::claims::client;
+
 /// An empty line comes every two seconds: a watch that is silent for so long is dead.
 const SILENCE: Duration = Duration::from_secs(5);
 /// The longest line that is read: some thousand machines.
@@ -101,17 +104,39 @@
 pub struct MachineList {
     client: Client,
     discovery: watch::Sender<SocketAddr>,
-    /// The list in hand is this discovery's: its version is one to go on from.
-    same_service: Rc<Cell<bool>>,
+    told: Rc<Told>,
     broker: Rc<Broker>,
     watch: RefCell<Option<JoinHandle<()>>>,
 }
 
+/// What a watch has to know of its list while it is open.
+struct Told {
+    /// The list in hand is this discovery's: its version is one to go on from.
+    same_service: Cell<bool>,
+    /// The pause before a watch on an agent beside the dispatcher is opened anew; none where discovery is asked, as the
+    /// decisions then say when.
+    pushed: Cell<Option<Duration>>,
+    /// Watches on an agent that ended since one last told something.
+    ended: Cell<u32>,
+}
+
+/// What an agent has counts as told while no watch is open, and asking it costs nothing: the pauses grow only while it
+/// stays silent, and stay short beside the grace.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// The part of the grace that a pause may take.
+const OF_THE_GRACE: f64 = 0.125;
+
+fn longest_pause(network: &Network) -> Option<Duration> {
+    network.list_pushed.then(|| span(network.drain_grace_ms * OF_THE_GRACE).max(FIRST_PAUSE))
+}
+
 impl MachineList {
-    /// Follows the list of a discovery service for a broker.
-    pub fn new(client: Client, discovery: SocketAddr, broker: Rc<Broker>) -> Self {
+    /// Follows the list of a discovery service for a broker. Where the list is pushed it is watched from now on.
+    pub fn new(network: &Network, discovery: SocketAddr, broker: Rc<Broker>) -> Self {
         let (discovery, watch) = (watch::Sender::new(discovery), RefCell::new(None));
-        Self { client, discovery, same_service: Rc::new(Cell::new(true)), broker, watch }
+        let (same_service, pushed) = (Cell::new(true), Cell::new(longest_pause(network)));
+        let told = Rc::new(Told { same_service, pushed, ended: Cell::new(0) });
+        Self { client: client(network), discovery, told, broker, watch }
     }
 
     /// Where the list is had, now and when it changes.
@@ -119,11 +144,23 @@
         self.discovery.subscribe()
     }
 
-    /// From now on the list is had elsewhere: the watch there is opened at once, and the list in hand stays meanwhile.
-    /// The old watch is given up untold, so that its end counts against nobody.
-    pub fn follow(&self, discovery: SocketAddr) {
-        if self.discovery.send_replace(discovery) != discovery {
-            self.same_service.set(false);
+    /// Watches the list from now on where it is pushed: nobody else asks for it then.
+    pub fn start(&self) {
+        if self.told.pushed.get().is_some() {
+            self.ask();
+        }
+    }
+
+    /// From now on the list is had elsewhere, or in another way: the watch there is opened at once, and the list in hand
+    /// stays meanwhile. The old watch is given up untold, so that its end counts against nobody.
+    pub fn follow(&self, discovery: SocketAddr, network: &Network) {
+        let moved = self.discovery.send_replace(discovery) != discovery;
+        let pushed = longest_pause(network);
+        let came = self.told.pushed.replace(pushed).is_none() && pushed.is_some();
+        if moved {
+            self.told.same_service.set(false);
+        }
+        if moved || came {
             self.ask();
         }
     }
@@ -133,28 +170,27 @@
         if let Some(watch) = self.watch.take() {
             watch.abort();
         }
-        // Versions are a service's own: another one is asked for its whole list.
-        let version = if self.same_service.get() { *self.broker.list_version().borrow() } else { 0 };
         let address = *self.discovery.borrow();
-        let url = format!("http://{address}/v1/servers?stream=1&index={version}");
-        let (client, broker) = (self.client.clone(), self.broker.clone());
-        let same_service = self.same_service.clone();
+        let (client, broker, told) = (self.client.clone(), self.broker.clone(), self.told.clone());
         let watch = actix_rt::spawn(async move {
-            let problem = follow(client, address, url, &broker, &same_service).await;
-            broker.list_failed(&problem);
+            loop {
+                let problem = follow(&client, address, &broker, &told).await;
+                broker.list_failed(&problem);
+                let Some(longest) = told.pushed.get() else { return };
+                let ended = told.ended.get();
+                told.ended.set(ended.saturating_add(1));
+                tokio::time::sleep((FIRST_PAUSE * (1 << ended.min(8))).min(longest)).await;
+            }
         });
         self.watch.replace(Some(watch));
     }
 }
 
 /// One watch, from its call to its end, which always is a failure.
-async fn follow(
-    client: Client,
-    address: SocketAddr,
-    url: String,
-    broker: &Broker,
-    same_service: &Cell<bool>,
-) -> String {
+async fn follow(client: &Client, address: SocketAddr, broker: &Broker, told: &Told) -> String {
+    // Versions are a service's own: another one is asked for its whole list.
+    let version = if told.same_service.get() { *broker.list_version().borrow() } else { 0 };
+    let url = format!("http://{address}/v1/servers?stream=1&index={version}");
     let call = client.get(url).address(address).send();
     let mut response = match tokio::time::timeout(SILENCE, call).await {
         Err(_) => return "no answer".to_owned(),
@@ -164,7 +200,7 @@
     if !response.status().is_success() {
         return format!("status {}", response.status());
     }
-    let (mut lines, mut told) = (BytesMut::new(), false);
+    let (mut lines, mut answered) = (BytesMut::new(), false);
     loop {
         match tokio::time::timeout(SILENCE, response.next()).await {
             // A machine that was cut off says nothing, and its connection stays open.
@@ -177,24 +213,26 @@
             let line = lines.split_to(end + 1);
             if line.iter().all(u8::is_ascii_whitespace) {
                 // An empty line first: nothing changed since the version asked for, and the call is answered with that.
-                if !std::mem::replace(&mut told, true) {
+                told.ended.set(0);
+                if !std::mem::replace(&mut answered, true) {
                     broker.unchanged();
                 }
                 continue;
             }
-            told = true;
+            answered = true;
+            told.ended.set(0);
             match read_news(&line) {
                 // The other process of an upgrade was told sooner, and this one by it.
                 Ok(news)
                     if !news.full
-                        && same_service.get()
+                        && told.same_service.get()
                         && news.version <= *broker.list_version().borrow() =>
                 {
                     broker.unchanged();
                 }
                 Ok(news) => {
                     let kind = if news.full { ListKind::Full } else { ListKind::Changes };
-                    same_service.set(true);
+                    told.same_service.set(true);
                     broker.list(kind, news);
                 }
                 Err(problem) => return problem,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -56,6 +56,7 @@
     cancel: bool,
     conn_idle: Micros,
     connect_timeout: Micros,
+    probe_timeout: Micros,
     max_attempts: usize,
     max_retry_after: Micros,
     probes: bool,
@@ -67,6 +68,7 @@
     ask_within: Micros,
     cold: Micros,
     cold_share: f64,
+    drain_grace: Micros,
     tip_after: Micros,
     tip_multiple: f64,
 }
@@ -124,11 +126,28 @@
     Value(String, &'static str),
 }
 
+/// What a probe asks a node for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Asked {
+    /// Its load, as the deployment has reports.
+    Load,
+    /// Whether it is well.
+    Health,
+}
+
 /// What the sockets need to know of the settings, in milliseconds.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Network {
     /// A connection that is not made within this has failed.
     pub connect_timeout_ms: f64,
+    /// A probe that is not answered within this has failed.
+    pub probe_timeout_ms: f64,
+    /// What a probe asks for.
+    pub probe: Asked,
+    /// The machine list is pushed to an agent beside the dispatcher, which is asked at no cost.
+    pub list_pushed: bool,
+    /// For so long after it was told that a node leaves the dispatcher may still send to it.
+    pub drain_grace_ms: f64,
     /// An execute node closes a connection that has been idle for this.
     pub conn_idle_ms: f64,
     /// The longest wait that a submitter heeds.
@@ -154,11 +173,22 @@
         let or = |value: Micros, usual: f64| if value > 0 { value as f64 / 1e3 } else { usual };
         Network {
             connect_timeout_ms: or(self.limits.connect_timeout, 250.0),
+            probe_timeout_ms: or(self.limits.probe_timeout, 2.0 * or(self.limits.connect_timeout, 250.0)),
+            probe: if self.reporting.how.as_str() == "none" { Asked::Health } else { Asked::Load },
+            list_pushed: self.list_comes() == Discovery::Pushed,
+            drain_grace_ms: self.obligations.drain_grace as f64 / 1e3,
             conn_idle_ms: or(self.limits.conn_idle, 15_000.0),
             max_retry_after_ms: self.limits.max_retry_after as f64 / 1e3,
         }
     }
 
+    fn list_comes(&self) -> Discovery {
+        match self.discovery.as_deref() {
+            Some("on_request") => Discovery::OnRequest,
+            _ => Discovery::Pushed,
+        }
+    }
+
     /// The settings in ruddervalve's terms, checked, and the names.
     pub fn checked(self) -> Result<(Settings, Names), Fault> {
         let classes = self.profiles.len();
@@ -212,10 +242,7 @@
             worst_class_weight: self.objective_mix.worst_class / self.objective_mix.whole.max(f64::EPSILON),
             cross_zone_price: self.prices.cross_zone,
             conn_kept,
-            discovery: match self.discovery.as_deref() {
-                Some("on_request") => Discovery::OnRequest,
-                _ => Discovery::Pushed,
-            },
+            discovery: self.list_comes(),
             reporting: match self.reporting.how.as_str() {
                 "answers" => Reporting::Answers,
                 "probe" => Reporting::Probes,
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -117,6 +117,11 @@
     },
     /// Ask for the machine list and its changes.
     AskForList,
+    /// Ask a machine for its load.
+    Probe {
+        /// The machine's name.
+        machine: String,
+    },
     /// Call [`Facade::tick`] at this time.
     WakeAt(f64),
     /// Tell those on call.
@@ -440,8 +445,19 @@
 
     /// A machine tells its load by itself, beside any claim.
     pub fn load(&mut self, now_ms: f64, machine: &str, load: LoadReport) -> Vec<Step> {
+        self.probed(now_ms, machine, Outcome::Served, Some(load))
+    }
+
+    /// A probe of a machine ended.
+    pub fn probed(
+        &mut self,
+        now_ms: f64,
+        machine: &str,
+        outcome: Outcome,
+        load: Option<LoadReport>,
+    ) -> Vec<Step> {
         let worker = WorkerId::named(machine);
-        self.happened(now_ms, Event::Probed { worker, outcome: Outcome::Served, report: Some(load) })
+        self.happened(now_ms, Event::Probed { worker, outcome, report: load })
     }
 
     /// Takes the machine list, or changes of it.
@@ -470,11 +486,11 @@
     fn happened(&mut self, now_ms: f64, event: Event) -> Vec<Step> {
         let mut actions = Vec::new();
         self.dispatcher.round(micros(now_ms), &[event], &mut actions);
-        actions.into_iter().filter_map(|action| self.step(action)).collect()
+        actions.into_iter().map(|action| self.step(action)).collect()
     }
 
-    fn step(&mut self, action: Action) -> Option<Step> {
-        Some(match action {
+    fn step(&mut self, action: Action) -> Step {
+        match action {
             Action::Send { request, worker } => {
                 let made = self.claims.entry(request.0).or_default();
                 *made += 1;
@@ -491,11 +507,10 @@
                 Step::Fail { job: request.0 }
             }
             Action::WakeAt(at) => Step::WakeAt(at as f64 / 1e3),
-            // Nothing here can probe: the platform has no probes, and its settings say so.
-            Action::Probe(_) => return None,
+            Action::Probe(worker) => Step::Probe { machine: self.name(worker) },
             Action::Subscribe => Step::AskForList,
             Action::Log(note) => Step::Say(self.text(note)),
-        })
+        }
     }
 
     fn name(&self, worker: WorkerId) -> String {
