Let a newer process know which slots the older one's own jobs take

Checked with a line for each refusal: all nodes believed full at 4 to 7 of 5 slots, reports 100 to 300 ms old showing them free. Now the own slots are told apart and fade as runs usually end. An older process that tells no own slots is read as before.

--- a/src/facade.rs
+++ b/src/facade.rs
@@ -171,6 +171,9 @@
     pub slots: f64,
     /// Slots in use.
     pub used: f64,
+    /// Those among them that are this dispatcher's own.
+    #[serde(default)]
+    pub own: f64,
     /// When that was reported.
     pub reported_ms: f64,
     /// Failures since it last served.
@@ -201,6 +204,7 @@
         let machine = |machine: &LearntMachine| {
             amount(machine.slots)
                 && amount(machine.used)
+                && (0.0..=machine.used).contains(&machine.own)
                 && past(machine.reported_ms)
                 && past(machine.started_ms)
                 && (0.0..=1.0).contains(&machine.errs)
@@ -290,7 +294,8 @@
                 started_ms: ms(worker.member.booted),
                 idle: believed.token,
                 slots: believed.slots,
-                used: believed.others,
+                used: believed.others + believed.own,
+                own: believed.own,
                 reported_ms: ms(believed.reported),
                 failures: believed.failures,
                 errs: believed.errs,
@@ -329,7 +334,8 @@
             let told = Believed {
                 token: machine.idle,
                 slots: machine.slots,
-                others: machine.used,
+                others: machine.used - machine.own,
+                own: machine.own,
                 reported: micros(machine.reported_ms),
                 failures: machine.failures,
                 errs: machine.errs,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -287,11 +287,12 @@
         let Some(free) = amount(report.free_slots) else { return };
         let queued = amount(report.queued).unwrap_or(0.0);
         let life = BELIEF_RUNS * self.typical_run();
+        let own = self.workers.get(&id).map_or(0.0, |worker| self.own_slots(worker));
         let Some(worker) = self.workers.get_mut(&id) else { return };
         worker.slots = worker.slots.max(free.round());
         let busy = (worker.slots - free).max(0.0) + queued;
         let age = (self.now - worker.reported) as f64;
-        worker.others += ((busy - worker.taken - ended).max(0.0) - worker.others) * age / (age + life);
+        worker.others += ((busy - own - ended).max(0.0) - worker.others) * age / (age + life);
         worker.reported = self.now;
         if worker.own == 0 {
             worker.token = free.round() >= worker.slots && queued.round() < 1.0;
@@ -481,7 +482,7 @@
         // ones, beyond what chance does, fewer are used.
         let usable = (CROWDING / self.crowding).min(1.0).powi(2);
         let others = self.crowd + (worker.others - self.crowd) * life / (life + age);
-        (worker.slots * usable).max(1.0) - worker.taken - others
+        (worker.slots * usable).max(1.0) - self.own_slots(worker) - others
     }
 
     /// What the rules and the job itself permit: these hold whatever else is decided.
--- a/src/state.rs
+++ b/src/state.rs
@@ -149,13 +149,14 @@
         open.into_iter().for_each(|id| self.check_at(id, self.now));
     }
 
-    /// What an earlier process of this dispatcher believed of a worker; its own jobs there count as others'. Nothing is
-    /// believed of a worker that has restarted since, or is not listed.
+    /// What an earlier process of this dispatcher believed of a worker; its own jobs there end as runs usually do. Nothing
+    /// is believed of a worker that has restarted since, or is not listed.
     pub(crate) fn inherit(&mut self, id: WorkerId, booted: Micros, told: Believed) {
         let Some(worker) = self.workers.get_mut(&id) else { return };
         if worker.member.booted == booted {
             worker.slots = worker.slots.max(told.slots);
             (worker.token, worker.others, worker.reported) = (told.token, told.others, told.reported);
+            worker.parting = (told.own, self.now);
             (worker.failures, worker.errs) = (told.failures, told.errs);
             (worker.doubted_until, worker.cold_sends) = (told.doubted_until, told.cold_sends);
         }
@@ -171,6 +172,12 @@
         self.run.unwrap_or(SECOND as f64)
     }
 
+    /// Slots there that this dispatcher's jobs take, those of its earlier process among them for as long as they may run.
+    pub(crate) fn own_slots(&self, worker: &Worker) -> f64 {
+        let (slots, since) = worker.parting;
+        worker.taken + slots * (-((self.now - since) as f64) / self.typical_run()).exp()
+    }
+
     /// Holds a request at the dispatcher until a worker is found or nothing can be earned any more.
     pub(crate) fn hold(&mut self, id: RequestId) {
         self.held.push(id);
@@ -412,6 +419,8 @@
     pub reported: Micros,
     pub own: usize,
     pub taken: f64,
+    /// Slots that an earlier process of this dispatcher took there, and when it handed on.
+    pub parting: (f64, Micros),
     pub unstarted: usize,
     pub touched: Micros,
     pub failures: u32,
@@ -431,6 +440,7 @@
     pub token: bool,
     pub slots: f64,
     pub others: f64,
+    pub own: f64,
     pub reported: Micros,
     pub failures: u32,
     pub errs: f64,
@@ -501,6 +511,7 @@
             reported: 0,
             own: 0,
             taken: 0.0,
+            parting: (0.0, 0),
             unstarted: 0,
             touched: 0,
             failures: 0,
@@ -528,7 +539,8 @@
         Believed {
             token: self.token && self.own == 0,
             slots: self.slots,
-            others: self.others + self.taken,
+            others: self.others,
+            own: self.taken,
             reported: self.reported,
             failures: self.failures,
             errs: self.errs,
