Count a zone as crossed only where both are told, and draw the settings in the properties

Cause: with no zone told to the dispatcher, or none on the list, each node counted as elsewhere, and a job waited for the moment from which it may cross, up to its latest start, beside idle nodes. A property over drawn settings (reports, probes, starts, cancel, lists, effects, kinds, zones, prices, 1 to 300 dispatchers) found it: with all workers idle one job after another is sent and none refused.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -403,7 +403,12 @@
         let crossing = self.now + self.settings.tick >= cross;
         let open: Vec<_> = self.kept().filter(|worker| self.allowed(request, worker)).collect();
         let sound: Vec<_> = open.iter().filter(|worker| self.trusted(request, worker)).copied().collect();
-        let home = |worker: &&&Worker| worker.member.zone == self.settings.zone;
+        // Far is what is known to stand elsewhere: where no zone is told there is nothing to cross.
+        let zone = self.settings.zone;
+        let home = |worker: &&&Worker| {
+            let known = zone.zip(worker.member.zone);
+            known.is_none_or(|(here, there)| here == there)
+        };
         // A late request leaves a slot free for one still in time. Where starts are not told, beliefs
         // are all there is: what is worth little for its work leaves the doubt about them to dearer work.
         let late = request.latest_start < self.now;
--- a/tests/robustness.rs
+++ b/tests/robustness.rs
@@ -150,6 +150,83 @@
 const REPORTS: [Option<f64>; 7] =
     [None, Some(0.0), Some(4.0), Some(2.3), Some(-1.0), Some(f64::NAN), Some(f64::INFINITY)];
 
+/// Settings with all that can be switched drawn.
+fn any_settings() -> impl Strategy<Value = Settings> {
+    let effect = prop_oneof![
+        Just(Effect::Safe),
+        Just(Effect::Unsafe),
+        Just(Effect::Keyed { group: Group::All, window: SECOND }),
+        Just(Effect::Keyed { group: Group::Cell, window: SECOND }),
+    ];
+    let hearing = (0..3_usize, any::<[bool; 7]>(), 1..7_usize, 1..300_usize);
+    let worth = (0.0..3.0, prop_oneof![Just(0.0), 0.0..3.0], 0.0..3.0, 0.0..1.0);
+    let classes =
+        prop::collection::vec((effect, 0..2_usize, 0.0..3.0, prop_oneof![Just(0.0), 0.0..1.0]), 1..4);
+    (hearing, worth, classes).prop_map(|((how, switches, max_attempts, dispatchers), worth, classes)| {
+        let [probes, cancel, tells_start, asked, live_weights, worth_by_work, zoned] = switches;
+        let mut settings = settings();
+        let class = |(effect, kind, aim_stretch, late_worth)| ClassSettings {
+            kind: (kind == 1).then_some(KindId(0)),
+            aim_stretch,
+            late_worth,
+            worth: 0.1 + worth.0,
+            ..class(effect)
+        };
+        settings.classes = classes.into_iter().map(class).collect();
+        settings.reporting = [Reporting::Answers, Reporting::Probes, Reporting::None][how];
+        (settings.limits.probes, settings.limits.cancel) = (probes, cancel);
+        (settings.limits.max_attempts, settings.tells_start) = (max_attempts, tells_start);
+        settings.discovery = if asked { Discovery::OnRequest } else { Discovery::Pushed };
+        (settings.live_weights, settings.worth_by_work) = (live_weights, worth_by_work);
+        settings.zone = zoned.then_some(ZoneId(0));
+        (settings.dispatchers, settings.index) = (dispatchers, dispatchers / 2);
+        (settings.cross_zone_price, settings.worst_class_weight) = (worth.1, worth.2);
+        settings.conn_kept = if worth.3 > 0.5 { 12 * SECOND } else { 0 };
+        settings.tenants = vec![TenantSettings { quota_per_s: 3.0 }, TenantSettings { quota_per_s: 0.0 }];
+        settings.over_share_worth = worth.3;
+        settings
+    })
+}
+
+/// One job after another, each at its end before the next one comes, on workers that are all idle.
+fn all_idle(settings: Settings, workers: u64, slots: f64, zones: usize, jobs: &[(usize, Micros, u8)]) {
+    let place = |id: u64| Member { zone: Some(ZoneId((id as usize + 1) % zones)), ..member(id) };
+    let (classes, tells, how) = (settings.classes.len(), settings.tells_start, settings.reporting);
+    let mut rig = Rig::listing(settings, (0..workers).map(place));
+    let empty = LoadReport { free_slots: Some(slots), queued: Some(0.0) };
+    let answer = |rig: &mut Rig, out: &[Action]| {
+        let probed = |action: &Action| match action {
+            Action::Probe(worker) => {
+                Some(Event::Probed { worker: *worker, outcome: Outcome::Served, report: Some(empty) })
+            }
+            _ => None,
+        };
+        let events: Vec<Event> = out.iter().filter_map(probed).collect();
+        let mut more = out.to_vec();
+        if !events.is_empty() {
+            more.extend(rig.round(MS, &events));
+        }
+        more
+    };
+    for (number, (class, gap, width)) in jobs.iter().enumerate() {
+        let (id, width) = (number as u64, f64::from(1 + width % 2).min(slots));
+        let new = NewRequest { slots: width, ..new_request(id, class % classes) };
+        let out = rig.round(*gap, &[Event::Request(new)]);
+        let mut out = answer(&mut rig, &out);
+        while sends(&out).is_empty() && answers(&out).is_empty() {
+            out = rig.round(5 * MS, &[Event::Wake]);
+            out = answer(&mut rig, &out);
+        }
+        assert_eq!((sends(&out).len(), answers(&out)), (1, vec![]), "job {id} of {}", jobs.len());
+        if tells {
+            rig.round(MS, &[started(id, 0)]);
+        }
+        let report = (how == Reporting::Answers).then_some((slots, 0.0));
+        let out = rig.round(50 * MS, &[ended(id, 0, Outcome::Served, report)]);
+        answer(&mut rig, &out);
+    }
+}
+
 fn variants() -> Vec<Settings> {
     let base = Settings {
         tenants: vec![TenantSettings { quota_per_s: 3.0 }, TenantSettings { quota_per_s: 0.0 }],
@@ -175,11 +252,23 @@
         ..ProptestConfig::default()
     })]
 
+    #[test]
+    fn with_all_workers_idle_no_job_is_refused_whatever_is_told(
+        settings in any_settings(),
+        workers in 1u64..14,
+        slots in 1u8..6,
+        zones in 1usize..3,
+        jobs in prop::collection::vec((0usize..4, prop_oneof![Just(MS), 1..3 * SECOND], any::<u8>()), 1..60),
+    ) {
+        all_idle(settings, workers, f64::from(slots), zones, &jobs);
+    }
+
     #[test]
     fn any_stream_of_events_keeps_the_rules(
+        drawn in any_settings(),
         steps in prop::collection::vec(((0u8..13, 0u64..40, any::<u8>()), 1u64..30), 1..300),
     ) {
-        for settings in variants() {
+        for settings in variants().into_iter().chain([drawn]) {
             let play = || {
                 let mut play = Play::new(settings.clone());
                 for (step, after) in &steps {
