Leave probes out of the figure of claims written to nodes

Cause: a probe goes over the claims' connections, whose socket counts what is written whole as a claim. Now a lane knows whether a claim or a probe goes out. The test fetches the figure after three jobs and three probes.

--- a/crates/dispatcher/tests/process/switches.rs
+++ b/crates/dispatcher/tests/process/switches.rs
@@ -345,6 +345,7 @@
         .replace("127.0.0.1:8500", &listing(&[("a", node, "north")]).to_string())
         .replace("\"how\": \"answers\"", "\"how\": \"probe\"")
         .replace("\"probes\": false", "\"probes\": true, \"probe_timeout\": 200000");
+    let config = with_control(&config);
     let rig = Rig::started(start(&config, &[]), Default::default(), node, config);
     until("ready", || (rig.ask(HEALTH).status() == "200").then_some(()));
     (rig, log, node)
@@ -401,6 +402,8 @@
             (counted(&rig.counters("probes."), "probes.answered") == jobs).then_some(())
         });
     }
+    // Guards the operators' figures: a probe is no attempt.
+    assert!(rig.call("vars\n").contains("relayed=3\n"));
     // The first job had to open one, and so had the probe beside it: the others went by these.
     assert_eq!(log.lock().unwrap().connections, 2);
 }
--- a/crates/http/src/claims.rs
+++ b/crates/http/src/claims.rs
@@ -72,13 +72,15 @@
     held_back: Option<Pin<Box<Sleep>>>,
     /// Part of a request was written, and no answer to it waited for yet.
     writing: Cell<bool>,
+    /// What is written is a claim, and counts as one once it is whole.
+    claims: Rc<Cell<bool>>,
     counters: Rc<Counters>,
 }
 
 impl Socket {
     /// The client reads only once it has written a request whole.
     fn reads(&self) {
-        if self.writing.take() {
+        if self.writing.take() && self.claims.get() {
             self.counters.claim_written();
         }
     }
@@ -145,10 +147,17 @@
     /// Connections made so far.
     made: Rc<Cell<usize>>,
     careful: Rc<Cell<bool>>,
+    claims: Rc<Cell<bool>>,
     idle_since_ms: f64,
 }
 
 impl Lane {
+    /// What goes out next is no claim.
+    pub(crate) fn for_a_probe(&self) {
+        self.careful.set(false);
+        self.claims.set(false);
+    }
+
     /// How many connections it has made so far.
     pub(crate) fn made(&self) -> usize {
         self.made.get()
@@ -158,14 +167,18 @@
         let counters = counters.clone();
         let (made, careful) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(false)));
         let (count, careful_there) = (made.clone(), careful.clone());
+        let claims = Rc::new(Cell::new(true));
+        let claims_there = claims.clone();
         let connect = fn_service(move |info: ConnectInfo<Uri>| {
             let (count, careful, counters) = (count.clone(), careful_there.clone(), counters.clone());
+            let claims = claims_there.clone();
             async move {
                 let address = info.addrs().next().ok_or(TcpError::Unresolved)?;
                 let stream = TcpStream::connect(address).await.map_err(TcpError::Io)?;
                 stream.set_nodelay(true).map_err(TcpError::Io)?;
                 count.set(count.get() + 1);
-                let socket = Socket { stream, careful, held_back: None, writing: Cell::new(false), counters };
+                let socket =
+                    Socket { stream, careful, held_back: None, writing: Cell::new(false), claims, counters };
                 Ok(Connection::new(info.request().clone(), socket))
             }
         });
@@ -173,7 +186,7 @@
         // How long a connection is kept is looked at here, not in the pool.
         let connector = connector.conn_keep_alive(FOR_EVER).conn_lifetime(FOR_EVER);
         let builder = Client::builder().connector(connector).disable_timeout().disable_redirects();
-        Self { client: builder.no_default_headers().finish(), made, careful, idle_since_ms: 0.0 }
+        Self { client: builder.no_default_headers().finish(), made, careful, claims, idle_since_ms: 0.0 }
     }
 }
 
@@ -359,6 +372,7 @@
         request = request.insert_header(("x-remaining-ms", left));
         let made = lane.made.get();
         lane.careful.set(claim.once);
+        lane.claims.set(true);
         let sent = request.send_body(errand.body.clone()).await;
         let kept = made > 0 && lane.made.get() == made;
         if kept {
--- a/crates/http/src/probes.rs
+++ b/crates/http/src/probes.rs
@@ -2,13 +2,13 @@
 //! exactly one outcome. It must never probe a node that the decisions did not name, wait on a connection behind a claim,
 //! repeat a probe by itself, or guess what a report leaves out.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use awc::{ClientResponse, http::StatusCode};
 use ruddervalve::{LoadReport, Outcome};
 use ruddervalve_broker::{Broker, Counters, Probe, span};
 use ruddervalve_settings::{Asked, Network};
-use std::cell::RefCell;
 
 use crate::claims::{Claims, Fields, Lane, outcome_of, read_fields, read_header};
 
@@ -84,6 +84,7 @@
         Asked::Health => "healthz",
     };
     let made = lane.made();
+    lane.for_a_probe();
     let url = format!("http://{}/{path}", probe.address);
     let sent = lane.client.get(url).address(probe.address).send().await;
     let kept = made > 0 && lane.made() == made;
