Tell what is learnt from and what is missing, and take two constants from prices and ways

Need: a deployment whose settings tell of nothing by which a node becomes idle again lost most of its jobs without a word. At a start and after a reload one line tells reports, starts, progress and list, and a warning names each key by which nothing would be heard.

--- a/crates/dispatcher/src/config.rs
+++ b/crates/dispatcher/src/config.rs
@@ -7,7 +7,7 @@
 use ruddervalve::{Names, Settings};
 use ruddervalve_broker::ListNews;
 use ruddervalve_http::read_news;
-use ruddervalve_settings::{Info, Network};
+use ruddervalve_settings::{Hearing, Info, Network};
 use serde::Deserialize;
 use serde_json::value::{RawValue, Value};
 use thiserror::Error;
@@ -76,6 +76,8 @@
     pub names: Names,
     /// What the sockets are told.
     pub network: Network,
+    /// What can be learnt from under the settings.
+    pub hearing: Hearing,
 }
 
 impl Config {
@@ -155,7 +157,7 @@
             ConfigError::Key("settings".to_owned(), problem.to_string())
         };
         let info = Info::read(given.settings.get()).map_err(in_settings)?;
-        let network = info.network();
+        let (network, hearing) = (info.network(), info.hearing());
         let (settings, names) = info.checked().map_err(in_settings)?;
         let sockets = given.limits.sockets.unwrap_or(1_024);
         if sockets < 64 {
@@ -176,6 +178,7 @@
             settings,
             names,
             network,
+            hearing,
         })
     }
 }
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -175,6 +175,7 @@
     }
     let front = Front::new(broker.clone(), clock.clone(), counters.clone(), limit, &config.network);
     counters.say(clock.now(), format_args!("{} listens on {at}", config.name));
+    tell_hearing(&config, &counters, &clock);
     let gearman = match &operators.gearman {
         None => None,
         Some(told) => {
@@ -233,6 +234,7 @@
                             let line = format_args!("configuration: {key} takes effect with the next start");
                             counters.say(clock.now(), line);
                         }
+                        tell_hearing(&new, &counters, &clock);
                         list.follow(new.discovery, &new.network);
                         probes.limit_to(&new.network);
                         config = new;
@@ -272,6 +274,12 @@
     Ok(())
 }
 
+/// Tells those on call what the dispatcher can learn from under its settings, and what is missing.
+fn tell_hearing(config: &Config, counters: &Counters, clock: &Clock) {
+    counters.say(clock.now(), &config.hearing.line);
+    config.hearing.missing.iter().for_each(|what| counters.say(clock.now(), format_args!("warning: {what}")));
+}
+
 /// Reads the operator file again and puts it in force, as far as that can be done while the program runs.
 fn take_operators(
     options: &Options,
--- a/crates/dispatcher/tests/process/switches.rs
+++ b/crates/dispatcher/tests/process/switches.rs
@@ -458,3 +458,51 @@
     rig.reload(&rig.config.replace(&agent.to_string(), &address.to_string()), "reloads.taken=3");
     until("watched again", || (other.lock().unwrap().watches.len() >= 3).then_some(()));
 }
+
+#[test]
+fn at_a_start_and_after_a_reload_it_tells_what_it_learns_from_and_what_is_missing() {
+    let rig = Rig::new();
+    let said = || {
+        let lines = rig.lines.lock().unwrap();
+        let about = |line: &&String| line.contains("learns from") || line.contains("warning");
+        lines
+            .iter()
+            .filter(about)
+            .map(|line| line.replace("ruddervalve: ", ""))
+            .collect::<Vec<_>>()
+            .join("\n")
+    };
+    let first = until("it is told", || Some(said()).filter(|said| !said.is_empty()));
+    rig.lines.lock().unwrap().clear();
+    std::fs::write(config_path(), rig.config.replace("\"answers\"", "\"probe\"")).unwrap();
+    rig.signal("-HUP");
+    let then = until("it is told again", || Some(said()).filter(|said| said.contains("warning")));
+    assert_snapshot!(format!("{first}\n{then}"), @r"
+    learns from load reports: with answers; starts: told; progress: each 1000 ms; list: asked for
+    learns from load reports: none; starts: told; progress: each 1000 ms; list: asked for
+    warning: nothing tells that a node is idle again: settings.reporting.how is 'probe', and settings.limits.probes forbids them
+    ");
+}
+
+#[test]
+fn no_deployment_is_named_in_the_code() {
+    // Sites, zones, operators, classes and tenants are the settings' to name.
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let (mut folders, mut read) = (vec![root.join("src"), root.join("crates")], 0);
+    let names = ["cairo", "hanoi", "nile", "danang", "plan-view", "plan-issue", "dispense", "phuc-an"];
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(folder).unwrap().map(Result::unwrap) {
+            let path = entry.path();
+            if path.is_dir() {
+                // Tests may name them, as this one does.
+                folders.extend((!path.ends_with("tests")).then_some(path));
+            } else if path.extension().is_some_and(|kind| kind == "rs") {
+                let text = std::fs::read_to_string(&path).unwrap().to_lowercase();
+                let named: Vec<_> = names.iter().filter(|name| text.contains(*name)).collect();
+                assert!(named.is_empty(), "{}: {named:?}", path.display());
+                read += 1;
+            }
+        }
+    }
+    assert!(read > 30, "{read} files read");
+}
--- a/crates/http/src/claims.rs
+++ b/crates/http/src/claims.rs
@@ -36,11 +36,13 @@
 /// After its last line a stream ends at once; one that does not loses its connection.
 const TAIL: Duration = Duration::from_secs(1);
 /// A job that must not run twice is sent but for its last byte, which follows so much later: longer than the way to a
-/// node and back, and nothing beside the run of such a job.
+/// node and back, and nothing beside the run of such a job. At least so long, as a node may be slow to say that it ended.
 const HELD_BACK: Duration = Duration::from_millis(15);
-/// Where so large a part of the claims on kept connections breaks, what must not run twice goes by new ones: such a break
-/// ends the job, and a new connection costs about that part of what a job is worth.
-const BREAKS_TOO_OFTEN: f64 = 0.036;
+/// And at least so many times the time that its connection took to come up, which is the way there and back.
+const WAYS: f64 = 1.5;
+/// Where the part of the claims on kept connections that breaks is larger than what a new one costs of a job's worth, what
+/// must not run twice goes by new ones: such a break ends the job. Of fewer claims than these nothing can be told.
+const FEWEST_TOLD: f64 = 1.0 / 64.0;
 /// How much the newest claim counts in that part.
 const NEWEST: f64 = 1.0 / 16.0;
 /// The most free slots or waiting jobs that a report can tell of and mean.
@@ -72,6 +74,8 @@
     held_back: Option<Pin<Box<Sleep>>>,
     /// Part of a request was written, and no answer to it waited for yet.
     writing: Cell<bool>,
+    /// How long the last byte waits.
+    wait: Duration,
     /// What is written is a claim, and counts as one once it is whole.
     claims: Rc<Cell<bool>>,
     counters: Rc<Counters>,
@@ -104,7 +108,7 @@
             let written = ready!(Pin::new(&mut self.stream).poll_write(cx, &buf[..buf.len() - 1]))?;
             if written == buf.len() - 1 {
                 self.careful.set(false);
-                self.held_back = Some(Box::pin(tokio::time::sleep(HELD_BACK)));
+                self.held_back = Some(Box::pin(tokio::time::sleep(self.wait)));
             }
             return Poll::Ready(Ok(written));
         }
@@ -163,22 +167,31 @@
         self.made.get()
     }
 
-    fn new(network: &Network, counters: &Rc<Counters>) -> Self {
-        let counters = counters.clone();
+    fn new(network: &Network, counters: &Rc<Counters>, clock: &Clock) -> Self {
+        let (clock, counters) = (clock.clone(), counters.clone());
         let (made, careful) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(false)));
         let (count, careful_there) = (made.clone(), careful.clone());
         let claims = Rc::new(Cell::new(true));
         let claims_there = claims.clone();
         let connect = fn_service(move |info: ConnectInfo<Uri>| {
             let (count, careful, counters) = (count.clone(), careful_there.clone(), counters.clone());
-            let claims = claims_there.clone();
+            let (claims, clock) = (claims_there.clone(), clock.clone());
             async move {
                 let address = info.addrs().next().ok_or(TcpError::Unresolved)?;
+                let asked = clock.now();
                 let stream = TcpStream::connect(address).await.map_err(TcpError::Io)?;
+                let wait = span((clock.now() - asked) * WAYS).max(HELD_BACK);
                 stream.set_nodelay(true).map_err(TcpError::Io)?;
                 count.set(count.get() + 1);
-                let socket =
-                    Socket { stream, careful, held_back: None, writing: Cell::new(false), claims, counters };
+                let socket = Socket {
+                    stream,
+                    careful,
+                    held_back: None,
+                    writing: Cell::new(false),
+                    wait,
+                    claims,
+                    counters,
+                };
                 Ok(Connection::new(info.request().clone(), socket))
             }
         });
@@ -271,7 +284,8 @@
             return self.broker.ended(claim.claim, Outcome::Skipped, None, None);
         };
         let there = self.out.borrow().values().filter(|out| out.0 == address).count();
-        let fresh = claim.fresh || (claim.once && self.breaks.get() > BREAKS_TOO_OFTEN);
+        let too_often = self.network.borrow().connection_of_a_job.max(FEWEST_TOLD);
+        let fresh = claim.fresh || (claim.once && self.breaks.get() > too_often);
         let lane = if there < AT_ONE_NODE { self.take_lane(address, fresh) } else { None };
         let Some((lane, busy)) = lane else {
             return self.broker.ended(claim.claim, Outcome::Skipped, None, None);
@@ -316,7 +330,7 @@
             return lane;
         }
         self.make_room(&mut idle, self.limit.get());
-        Lane::new(&self.network.borrow(), &self.counters)
+        Lane::new(&self.network.borrow(), &self.counters, &self.clock)
     }
 
     /// Closes those idle for longest until fewer than this are held.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -47,6 +47,7 @@
 struct Family {
     class_kind: Vec<i64>,
     class_stretch: Vec<f64>,
+    progress: Micros,
     tells_start: bool,
 }
 
@@ -105,6 +106,7 @@
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
 struct InfoReporting {
+    fields: Vec<String>,
     how: String,
 }
 
@@ -152,6 +154,17 @@
     pub conn_idle_ms: f64,
     /// The longest wait that a submitter heeds.
     pub max_retry_after_ms: f64,
+    /// What a new connection to a node costs beside the dearest job that must not run twice, both as prices.
+    pub connection_of_a_job: f64,
+}
+
+/// What a dispatcher can learn from, for those who run it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Hearing {
+    /// All of it, in a line.
+    pub line: String,
+    /// What is missing, a line each.
+    pub missing: Vec<String>,
 }
 
 impl Network {
@@ -179,9 +192,60 @@
             drain_grace_ms: self.obligations.drain_grace as f64 / 1e3,
             conn_idle_ms: or(self.limits.conn_idle, 15_000.0),
             max_retry_after_ms: self.limits.max_retry_after as f64 / 1e3,
+            connection_of_a_job: self.connection_of_a_job(),
         }
     }
 
+    /// The price is for a connection with each job, in units of what all jobs are worth.
+    fn connection_of_a_job(&self) -> f64 {
+        let mean =
+            self.profiles.iter().map(|profile| profile.worth).sum::<f64>() / self.profiles.len() as f64;
+        let once = self.profiles.iter().filter(|profile| profile.effect() != Effect::Safe);
+        let dearest = once.map(|profile| profile.worth).fold(0.0, f64::max);
+        let part = self.prices.handshake * mean / dearest;
+        if part.is_finite() { part } else { 0.0 }
+    }
+
+    /// What a dispatcher hears of nodes under these settings, and what it would need and does not hear.
+    pub fn hearing(&self) -> Hearing {
+        let (how, told) = (self.reporting.how.as_str(), |told: bool| if told { "told" } else { "not told" });
+        let reports = match (how, self.limits.probes) {
+            ("answers", false) => "with answers",
+            ("answers", true) => "with answers and probes",
+            ("probe", true) => "by probes",
+            _ => "none",
+        };
+        let progress = match self.family_info.progress {
+            0 => "not told".to_owned(),
+            every => format!("each {} ms", every as f64 / 1e3),
+        };
+        let list = match self.list_comes() {
+            Discovery::Pushed => "pushed",
+            Discovery::OnRequest => "asked for",
+        };
+        let starts = told(self.family_info.tells_start);
+        let line = format!(
+            "learns from load reports: {reports}; starts: {starts}; progress: {progress}; list: {list}"
+        );
+        let mut missing = Vec::new();
+        let mut lacks = |lacks: bool, what: &str| {
+            if lacks {
+                missing.push(format!("nothing tells that a node is idle again: {what}"));
+            }
+        };
+        lacks(!matches!(how, "answers" | "probe"), "settings.reporting.how is neither 'answers' nor 'probe'");
+        lacks(
+            how == "probe" && !self.limits.probes,
+            "settings.reporting.how is 'probe', and settings.limits.probes forbids them",
+        );
+        let fields = &self.reporting.fields;
+        lacks(
+            reports != "none" && !fields.is_empty() && !fields.iter().any(|field| field == "x0"),
+            "settings.reporting.fields has no 'x0', the free slots",
+        );
+        Hearing { line, missing }
+    }
+
     fn list_comes(&self) -> Discovery {
         match self.discovery.as_deref() {
             Some("on_request") => Discovery::OnRequest,
@@ -328,4 +392,57 @@
             );
         }
     }
+
+    /// The example's settings with these keys changed.
+    fn with(changes: &[(&str, serde_json::Value)]) -> Info {
+        let mut example: serde_json::Value =
+            serde_json::from_str(include_str!("../../../examples/config.json")).unwrap();
+        for (pointer, value) in changes {
+            let (parent, key) = pointer.rsplit_once('/').unwrap();
+            example["settings"].pointer_mut(parent).unwrap()[key] = value.clone();
+        }
+        Info::read(&example["settings"].to_string()).unwrap()
+    }
+
+    #[test]
+    fn what_can_be_learnt_from_is_told_and_what_is_missing_named() {
+        use serde_json::json;
+        let probes = ("/limits/probes", json!(true));
+        for (changes, line, missing) in [
+            (vec![], "with answers; starts: told; progress: each 1000 ms; list: asked for", ""),
+            (vec![probes.clone()], "with answers and probes; starts: told", ""),
+            (vec![("/reporting/how", json!("probe")), probes.clone()], "by probes; starts: told", ""),
+            (vec![("/reporting/how", json!("probe"))], "none; starts", "settings.limits.probes forbids"),
+            (vec![("/reporting/how", json!("none")), probes], "none; starts", "neither"),
+            (vec![("/reporting/fields", json!(["queue"]))], "with answers; starts", "no 'x0'"),
+            (vec![("/reporting/fields", json!([]))], "with answers; starts", ""),
+            (
+                vec![("/family_info/tells_start", json!(false))],
+                "with answers; starts: not told; progress",
+                "",
+            ),
+            (vec![("/family_info/progress", json!(0))], "starts: told; progress: not told", ""),
+            (vec![("/discovery", json!("pushed"))], "list: pushed", ""),
+        ] {
+            let hearing = with(&changes).hearing();
+            assert!(hearing.line.contains(line), "{changes:?}: {}", hearing.line);
+            assert_eq!(hearing.missing.is_empty(), missing.is_empty(), "{changes:?}");
+            assert!(hearing.missing.iter().all(|told| told.contains(missing)), "{:?}", hearing.missing);
+        }
+    }
+
+    #[test]
+    fn what_a_connection_costs_of_a_job_follows_from_the_prices() {
+        use serde_json::json;
+        // Jobs are worth 5 and 10, the second of which must not run twice.
+        for (changes, part) in [
+            (vec![], 0.06),
+            (vec![("/prices/handshake", json!(0.0))], 0.0),
+            (vec![("/profiles/1/semantics", json!("retryable"))], 0.0),
+            (vec![("/profiles/1/worth", json!(1.0))], 0.24),
+        ] {
+            let told = with(&changes).network().connection_of_a_job;
+            assert!((told - part).abs() < 1e-9, "{changes:?}: {told}");
+        }
+    }
 }
