Ask nodes that failed for their health where there are no reports

Need: where the settings allow probes and have no reports, a probe tells whether a node is well, and nobody asked: a harmless job was spent as the trial of a node that still failed. Now nodes in doubt are probed, at most one probe a job, and one that is unwell stays in doubt.

--- a/crates/dispatcher/tests/process/switches.rs
+++ b/crates/dispatcher/tests/process/switches.rs
@@ -24,6 +24,8 @@
     probed: &'static str,
     /// It drains, though the list does not say so yet: it hands back what has not started.
     returns: bool,
+    /// It fails each job.
+    fails: bool,
     /// It is busy with others' jobs for so long that a first one waits in its queue unstarted.
     stuck: bool,
 }
@@ -35,6 +37,8 @@
     /// Heads of what came.
     heads: Vec<Message>,
     probes: usize,
+    /// What probes asked for.
+    asked: BTreeSet<String>,
     handed_back: usize,
     left_waiting: usize,
     connections: usize,
@@ -56,7 +60,9 @@
                 let mut from = BufReader::new(stream.try_clone().unwrap());
                 while let Some(asked) = Message::read(&mut from) {
                     let answer = if asked.first.starts_with("GET ") {
-                        log.lock().unwrap().probes += 1;
+                        let mut log = log.lock().unwrap();
+                        log.probes += 1;
+                        log.asked.insert(asked.first.clone());
                         manner.probed.to_owned()
                     } else {
                         let Some(answer) = run(name, &manner, asked, &log) else {
@@ -88,6 +94,9 @@
     let line = |state: &str, more: &str| {
         chunk(&format!("{{\"id\":\"{id}\",\"from\":\"{name}\",\"state\":\"{state}\"{more}}}\n"))
     };
+    if manner.fails {
+        return Some("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n".to_owned());
+    }
     let load = if manner.reports { ",\"load\":{\"x0\":4,\"queue\":0}" } else { "" };
     let mut answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned();
     if manner.returns {
@@ -217,9 +226,25 @@
         assert!(probes <= 12, "{how}: at most one for each job, {probes}");
         assert_eq!(counted(&counters, "probes.sent"), probes, "{how}");
         assert_eq!(counted(&counters, "probes.answered"), probes, "{how}");
+        assert!(log.asked.iter().all(|asked| asked == "GET /load HTTP/1.1"), "{:?}", log.asked);
     }
 }
 
+#[test]
+fn where_there_are_no_reports_a_node_that_failed_is_asked_for_its_health() {
+    let settings = vec![
+        ("/reporting/how", json!("none")),
+        ("/limits/probes", json!(true)),
+        ("/profiles/1/semantics", json!("retryable")),
+    ];
+    let unwell = "HTTP/1.1 503 Unwell\r\nContent-Length: 0\r\n\r\n";
+    let well = Manner { reports: false, probed: WELL, ..usual() };
+    let other = Some(Manner { fails: true, probed: unwell, ..well.clone() });
+    let (log, counters) = play(&Site { other, ..site(settings, well) });
+    assert_eq!(log.asked, BTreeSet::from(["GET /healthz HTTP/1.1".to_owned()]));
+    assert_eq!(counted(&counters, "probes.unwell"), log.probes, "and no other node is");
+}
+
 #[test]
 fn starts_and_progress_may_be_told_or_not() {
     for (tells_start, progress) in [(true, true), (true, false), (false, true), (false, false)] {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -314,10 +314,12 @@
         self.workers.entry(id).and_modify(|worker| worker.token &= token);
     }
 
+    /// Where there are no reports a probe tells of health alone, which is asked of workers that failed.
     fn probe(&mut self, out: &mut Vec<Action>) {
-        let useful = self.settings.reporting != Reporting::None && self.settings.limits.probes;
-        while useful && self.probe_credit >= 1.0 {
-            let wanting = |worker: &&Worker| worker.ready() && !worker.probing;
+        let reports = self.settings.reporting != Reporting::None;
+        while self.settings.limits.probes && self.probe_credit >= 1.0 {
+            let asked = |worker: &&Worker| reports || worker.failures > 0;
+            let wanting = |worker: &&Worker| worker.ready() && !worker.probing && asked(worker);
             let oldest = self.kept().filter(wanting).min_by_key(|worker| (worker.probed, worker.lot));
             let Some(id) = oldest.map(|worker| worker.member.worker) else { return };
             let Some(worker) = self.workers.get_mut(&id) else { return };
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -104,6 +104,35 @@
     assert_eq!(probes(&rig.round(MS, &[request(2, 0), request(3, 0)])), 2);
 }
 
+#[test]
+fn where_there_are_no_reports_only_workers_that_failed_are_probed_and_unwell_ones_stay_in_doubt() {
+    let mut settings = settings();
+    (settings.reporting, settings.limits.probes) = (Reporting::None, true);
+    let mut rig = Rig::new(settings, 2);
+    let probed = |out: &[Action]| {
+        let probed = |action: &Action| if let Action::Probe(worker) = action { Some(worker.0) } else { None };
+        out.iter().filter_map(probed).collect::<Vec<_>>()
+    };
+    let out = rig.round(MS, &[request(1, 0)]);
+    assert_eq!(probed(&out), []);
+    let failed = sends(&out)[0].1;
+    let out = rig.round(MS, &[ended(1, 0, Outcome::Error, None)]);
+    assert_eq!(probed(&out), [failed], "the job has paid for one probe");
+    // Unwell, it gets nothing though its first doubt of a second is over; well, it gets a trial.
+    let answer = |outcome| Event::Probed { worker: WorkerId(failed), outcome, report: None };
+    rig.round(900 * MS, &[answer(Outcome::Error), ended(1, 1, Outcome::Served, None)]);
+    let sent = |rig: &mut Rig, id| {
+        let out = rig.round(300 * MS, &[request(id, 0)]);
+        let to = sends(&out).first().map(|send| send.1);
+        rig.round(MS, &[ended(id, 0, Outcome::Served, None)]);
+        rig.round(0, &[answer(Outcome::Served)]);
+        to
+    };
+    assert_ne!(sent(&mut rig, 2), Some(failed));
+    let later: Vec<_> = (3..20).filter_map(|id| sent(&mut rig, id)).collect();
+    assert!(later.contains(&failed), "{later:?}");
+}
+
 #[test]
 fn worth_for_work_decides_who_waits() {
     let mut settings = settings();
