--- a/crates/broker/src/broker.rs
+++ b/crates/broker/src/broker.rs
@@ -693,9 +693,12 @@
         self.take_list(Pool::PLATFORM, ListKind::Changes, &[], |_| None);
     }
 
-    /// A call for the list failed or the watch on it ended.
-    pub fn list_failed(&self, problem: &str) {
+    /// A call for the list failed or the watch on it ended; `again`: as the one before did, which was told.
+    pub fn list_failed(&self, problem: &str, again: bool) {
         self.counters.count("list", "failed");
+        if again {
+            return;
+        }
         self.counters.say(self.clock.now(), format_args!("machine list: {problem}"));
         let mut table = self.table.borrow_mut();
         let steps = table.facade(Pool::PLATFORM).list_failed(self.clock.now());
--- a/crates/dispatcher/tests/process/switches.rs
+++ b/crates/dispatcher/tests/process/switches.rs
@@ -460,7 +460,10 @@
     let agent = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let config = config.replace("127.0.0.1:8500", &agent.to_string());
     let rig = Rig::started(start(&config, &[]), seen.clone(), node, config);
-    until("calls fail", || (counted(&rig.counters("list"), "list.failed") > 1).then_some(()));
+    let tells = || rig.lines.lock().unwrap().iter().filter(|line| line.contains("machine list:")).count();
+    until("it is told", || (tells() > 0).then_some(()));
+    until("calls fail", || (counted(&rig.counters("list"), "list.failed") > 3).then_some(()));
+    assert_eq!(tells(), 0, "once is enough, and the lines were emptied since");
     discovery_at(&seen, node, TcpListener::bind(agent).unwrap());
     until("ready", || (rig.ask(HEALTH).status() == "200").then_some(()));
     // It ends, then it falls silent with its connection open: what it has counts as told all the while.
--- a/crates/http/src/machine_list.rs
+++ b/crates/http/src/machine_list.rs
@@ -175,9 +175,9 @@
         let watch = actix_rt::spawn(async move {
             loop {
                 let problem = follow(&client, address, &broker, &told).await;
-                broker.list_failed(&problem);
-                let Some(longest) = told.pushed.get() else { return };
+                let Some(longest) = told.pushed.get() else { return broker.list_failed(&problem, false) };
                 let ended = told.ended.get();
+                broker.list_failed(&problem, ended > 0);
                 told.ended.set(ended.saturating_add(1));
                 tokio::time::sleep((FIRST_PAUSE * (1 << ended.min(8))).min(longest)).await;
             }
