Read how reports come in one place, and let probes share what claims know of answers

Read once more: probes held a copy of the network's figures beside the claims' own, and read two headers with the claims' words again; how reports come was read from its word in three places, of which one took an unknown word for reports and would have asked for load where the decisions, that take it for none, ask for health. Now each stands once. Nothing else changes; all tests as before.

--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -140,7 +140,7 @@
     let facade = Facade::new(config.settings.clone(), config.names.clone(), config.seed)?;
     let (broker, orders) = Broker::new(facade, clock.clone(), counters.clone());
     let claims = Claims::new(config.network.clone(), broker.clone(), clock.clone(), counters.clone(), limit);
-    let probes = Probes::new(config.network.clone(), broker.clone(), claims.clone(), counters.clone());
+    let probes = Probes::new(broker.clone(), claims.clone(), counters.clone());
     let list = Rc::new(MachineList::new(&config.network, config.discovery, broker.clone()));
     actix_rt::spawn(obey(
         orders,
@@ -236,7 +236,6 @@
                         }
                         tell_hearing(&new, &counters, &clock);
                         list.follow(new.discovery, &new.network);
-                        probes.limit_to(&new.network);
                         config = new;
                     }
                 }
--- a/crates/http/src/claims.rs
+++ b/crates/http/src/claims.rs
@@ -22,7 +22,7 @@
 use futures_util::StreamExt as _;
 use ruddervalve::{LoadReport, Outcome};
 use ruddervalve_broker::{Broker, Claim, Clock, Counters, FOR_EVER, span};
-use ruddervalve_settings::Network;
+use ruddervalve_settings::{Asked, Network};
 use serde::Deserialize;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -276,6 +276,12 @@
         self.make_room(&mut self.idle.borrow_mut(), limit + 1);
     }
 
+    /// What a probe asks for, and how long it waits.
+    pub(crate) fn of_probes(&self) -> (Asked, Duration) {
+        let network = self.network.borrow();
+        (network.probe, span(network.probe_timeout_ms))
+    }
+
     /// Starts a claim.
     pub fn start(self: &Rc<Self>, claim: Claim) {
         let (address, errand) = (claim.address, claim.errand.clone().downcast::<Request>());
@@ -399,9 +405,7 @@
         };
         let status = response.status().as_u16();
         if status != 200 {
-            let turned_away = response.headers().get("x-turned-away").is_some_and(|value| value == "1");
-            let load =
-                response.headers().get("x-pressure").and_then(|value| value.to_str().ok()).map(read_header);
+            let (turned_away, load) = (turned_away(&response), header_load(&response));
             *tail = Some(response);
             let outcome = match status {
                 503 | 504 if turned_away => Outcome::Full,
@@ -514,6 +518,16 @@
     LoadReport { free_slots: free_slots.filter(sound), queued: queued.filter(sound) }
 }
 
+/// Whether an answer says that its request was never looked at.
+pub(crate) fn turned_away(answer: &awc::ClientResponse) -> bool {
+    answer.headers().get("x-turned-away").is_some_and(|value| value == "1")
+}
+
+/// The load report in an answer's header.
+pub(crate) fn header_load(answer: &awc::ClientResponse) -> Option<LoadReport> {
+    answer.headers().get("x-pressure").and_then(|value| value.to_str().ok()).map(read_header)
+}
+
 /// A load report by its fields.
 pub(crate) type Fields = BTreeMap<String, serde_json::Value>;
 
--- a/crates/http/src/probes.rs
+++ b/crates/http/src/probes.rs
@@ -2,15 +2,14 @@
 //! exactly one outcome. It must never probe a node that the decisions did not name, wait on a connection behind a claim,
 //! repeat a probe by itself, or guess what a report leaves out.
 
-use std::cell::RefCell;
 use std::rc::Rc;
 
 use awc::{ClientResponse, http::StatusCode};
 use ruddervalve::{LoadReport, Outcome};
-use ruddervalve_broker::{Broker, Counters, Probe, span};
-use ruddervalve_settings::{Asked, Network};
+use ruddervalve_broker::{Broker, Counters, Probe};
+use ruddervalve_settings::Asked;
 
-use crate::claims::{Claims, Fields, Lane, outcome_of, read_fields, read_header};
+use crate::claims::{Claims, Fields, Lane, header_load, outcome_of, read_fields, read_header, turned_away};
 
 /// The longest report that is read.
 const LONGEST_REPORT: usize = 4 << 10;
@@ -20,7 +19,6 @@
     broker: Rc<Broker>,
     claims: Rc<Claims>,
     counters: Rc<Counters>,
-    network: RefCell<Network>,
 }
 
 /// How a probe ended, what came with it, and by which name it is counted.
@@ -40,13 +38,8 @@
 
 impl Probes {
     /// Probes for a broker, on connections of these claims.
-    pub fn new(network: Network, broker: Rc<Broker>, claims: Rc<Claims>, counters: Rc<Counters>) -> Rc<Self> {
-        Rc::new(Self { broker, claims, counters, network: RefCell::new(network) })
-    }
-
-    /// Takes new limits for probes to come.
-    pub fn limit_to(&self, network: &Network) {
-        self.network.replace(network.clone());
+    pub fn new(broker: Rc<Broker>, claims: Rc<Claims>, counters: Rc<Counters>) -> Rc<Self> {
+        Rc::new(Self { broker, claims, counters })
     }
 
     /// Sends a probe.
@@ -55,10 +48,10 @@
             return self.end(&probe, &End::of(Outcome::Skipped, "no_room"));
         };
         self.counters.count("probes", "sent");
-        let (this, network) = (self.clone(), self.network.borrow().clone());
+        let (this, (asked, patience)) = (self.clone(), self.claims.of_probes());
         actix_rt::spawn(async move {
-            let answer = ask(&probe, &lane, network.probe);
-            let end = tokio::time::timeout(span(network.probe_timeout_ms), answer).await;
+            let answer = ask(&probe, &lane, asked);
+            let end = tokio::time::timeout(patience, answer).await;
             let end = end.unwrap_or_else(|_| End::of(Outcome::TimedOut, "late"));
             if end.whole {
                 this.claims.keep_lane(probe.address, lane);
@@ -94,10 +87,9 @@
         Err(_) if kept => return End::of(Outcome::Skipped, "kept_broken"),
         Err(error) => return End::of(outcome_of(&error, false), "could_not_ask"),
     };
-    let turned_away = answer.headers().get("x-turned-away").is_some_and(|value| value == "1");
     let (outcome, counted) = match answer.status() {
         StatusCode::OK => (Outcome::Served, "answered"),
-        _ if turned_away => (Outcome::Full, "turned_away"),
+        _ if turned_away(&answer) => (Outcome::Full, "turned_away"),
         // A node that knows no probes is not at fault: the settings are.
         StatusCode::NOT_FOUND => (Outcome::Skipped, "not_known_there"),
         _ => (Outcome::Error, "unwell"),
@@ -109,7 +101,7 @@
 
 /// The report in the body or, where that holds none, in the header; and whether the answer was read to its end.
 async fn read_answer(answer: &mut ClientResponse) -> (Option<LoadReport>, bool) {
-    let header = answer.headers().get("x-pressure").and_then(|value| value.to_str().ok()).map(read_header);
+    let header = header_load(answer);
     match answer.body().limit(LONGEST_REPORT).await {
         Ok(body) => (read_body(&body).or(header), true),
         Err(_) => (header, false),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -187,7 +187,7 @@
         Network {
             connect_timeout_ms: or(self.limits.connect_timeout, 250.0),
             probe_timeout_ms: or(self.limits.probe_timeout, 2.0 * or(self.limits.connect_timeout, 250.0)),
-            probe: if self.reporting.how.as_str() == "none" { Asked::Health } else { Asked::Load },
+            probe: if self.reports_come() == Reporting::None { Asked::Health } else { Asked::Load },
             list_pushed: self.list_comes() == Discovery::Pushed,
             drain_grace_ms: self.obligations.drain_grace as f64 / 1e3,
             conn_idle_ms: or(self.limits.conn_idle, 15_000.0),
@@ -208,11 +208,11 @@
 
     /// What a dispatcher hears of nodes under these settings, and what it would need and does not hear.
     pub fn hearing(&self) -> Hearing {
-        let (how, told) = (self.reporting.how.as_str(), |told: bool| if told { "told" } else { "not told" });
+        let how = self.reports_come();
         let reports = match (how, self.limits.probes) {
-            ("answers", false) => "with answers",
-            ("answers", true) => "with answers and probes",
-            ("probe", true) => "by probes",
+            (Reporting::Answers, false) => "with answers",
+            (Reporting::Answers, true) => "with answers and probes",
+            (Reporting::Probes, true) => "by probes",
             _ => "none",
         };
         let progress = match self.family_info.progress {
@@ -223,7 +223,7 @@
             Discovery::Pushed => "pushed",
             Discovery::OnRequest => "asked for",
         };
-        let starts = told(self.family_info.tells_start);
+        let starts = if self.family_info.tells_start { "told" } else { "not told" };
         let line = format!(
             "learns from load reports: {reports}; starts: {starts}; progress: {progress}; list: {list}"
         );
@@ -233,9 +233,9 @@
                 missing.push(format!("nothing tells that a node is idle again: {what}"));
             }
         };
-        lacks(!matches!(how, "answers" | "probe"), "settings.reporting.how is neither 'answers' nor 'probe'");
+        lacks(how == Reporting::None, "settings.reporting.how is neither 'answers' nor 'probe'");
         lacks(
-            how == "probe" && !self.limits.probes,
+            how == Reporting::Probes && !self.limits.probes,
             "settings.reporting.how is 'probe', and settings.limits.probes forbids them",
         );
         let fields = &self.reporting.fields;
@@ -246,6 +246,14 @@
         Hearing { line, missing }
     }
 
+    fn reports_come(&self) -> Reporting {
+        match self.reporting.how.as_str() {
+            "answers" => Reporting::Answers,
+            "probe" => Reporting::Probes,
+            _ => Reporting::None,
+        }
+    }
+
     fn list_comes(&self) -> Discovery {
         match self.discovery.as_deref() {
             Some("on_request") => Discovery::OnRequest,
@@ -307,11 +315,7 @@
             cross_zone_price: self.prices.cross_zone,
             conn_kept,
             discovery: self.list_comes(),
-            reporting: match self.reporting.how.as_str() {
-                "answers" => Reporting::Answers,
-                "probe" => Reporting::Probes,
-                _ => Reporting::None,
-            },
+            reporting: self.reports_come(),
             live_weights: self.weights.as_deref() == Some("live"),
             tells_start: self.family_info.tells_start,
             limits: Limits {
