Look again before a claim goes out: window, drain and submitter may have changed meanwhile

The decisions look at the window when they choose the node (logic.rs, repeat_allowed), the connection to it may come up as late as limits.connect_timeout allows, and claims.rs wrote the request on whatever came up. The same gap let a job go to a node told as leaving meanwhile, and a job whose submitter had left where settings allow no cancel. Change: a claim carries by when its last byte has to be there; Outgoing::may_go asks the broker when a connection is there and before a last byte held back. What is withheld counts as never sent. Two nodes whose zone or cell is not told are not of one group. Tests: three of crossings.rs fail without the check in may_go and pass with it; a fourth rules out the end of the job's time.

--- a/crates/broker/src/broker.rs
+++ b/crates/broker/src/broker.rs
@@ -124,6 +124,7 @@
 pub type Errand = Rc<dyn Any>;
 
 /// What a claim is to do.
+#[derive(Clone)]
 pub struct Claim {
     /// The claim: job and number.
     pub claim: (u64, usize),
@@ -137,6 +138,8 @@
     pub errand: Errand,
     /// When the wait for it ends.
     pub until_ms: f64,
+    /// By when its last byte has to be at the node.
+    pub by_ms: f64,
     /// The job must not run twice.
     pub once: bool,
     /// A kept connection has failed the job before.
@@ -709,7 +712,9 @@
     fn take(&self, table: &mut Table, pool: Pool, steps: Vec<Step>) {
         for step in steps {
             match step {
-                Step::Claim { job, claim, machine, once } => self.claim(table, (job, claim), machine, once),
+                Step::Claim { job, claim, machine, once, by_ms } => {
+                    self.claim(table, (job, claim), machine, once, by_ms);
+                }
                 Step::Withdraw { job, claim } => table.order(pool, Order::Withdraw { claim: (job, claim) }),
                 Step::Refuse { job, wait_ms } => self.answer(table, job, Answer::Refused { wait_ms }),
                 Step::Fail { job } => {
@@ -724,7 +729,19 @@
         }
     }
 
-    fn claim(&self, table: &mut Table, claim: (u64, usize), node: String, once: bool) {
+    /// Whether a claim may still be sent when a connection to its node is there, on which its last byte arrives `way_ms`
+    /// later: its job is open and in time, and the node takes new jobs as far as is known by now.
+    pub fn may_send(&self, claim: &Claim, way_ms: f64) -> bool {
+        let (table, now) = (self.table.borrow(), self.clock.now());
+        let listed = table.pools[claim.pool.0].nodes.get(&claim.node);
+        let ready = listed.is_some_and(|(machine, _)| machine.availability == Availability::Ready);
+        ready
+            && table.jobs.contains_key(&claim.claim.0)
+            && now < claim.until_ms
+            && now + way_ms <= claim.by_ms
+    }
+
+    fn claim(&self, table: &mut Table, claim: (u64, usize), node: String, once: bool, by_ms: Option<f64>) {
         let pool = Pool::of(claim.0);
         let address = table.pools[pool.0].nodes.get(&node).map(|(_, address)| *address);
         let Some((open, address)) = table.jobs.get(&claim.0).zip(address) else {
@@ -736,7 +753,8 @@
         };
         self.counters.count("claims", "made");
         let (errand, until_ms, fresh) = (open.errand.clone(), open.until_ms, open.fresh);
-        let order = Order::Claim(Claim { claim, pool, node, address, errand, until_ms, once, fresh });
+        let by_ms = by_ms.unwrap_or(f64::INFINITY);
+        let order = Order::Claim(Claim { claim, pool, node, address, errand, until_ms, by_ms, once, fresh });
         table.order(pool, order);
     }
 
--- /dev/null
+++ b/crates/dispatcher/tests/process/crossings.rs
@@ -0,0 +1,148 @@
+//! Events that may cross, each made to cross in the bad order: a stand-in withholds a connection, a byte or a close until
+//! it has seen the state that it waits for.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+use socket2::{Domain, Socket as Raw, Type};
+
+use crate::rig::*;
+
+/// A node whose connections do not come up until it lets them: its queue of new connections is full, so that the first
+/// word of any further one is dropped and said again a second later.
+struct Late {
+    listener: TcpListener,
+    before: Vec<TcpStream>,
+    address: SocketAddr,
+}
+
+impl Late {
+    fn new() -> Self {
+        let raw = Raw::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        raw.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        raw.listen(0).unwrap();
+        let listener = TcpListener::from(raw);
+        let address = listener.local_addr().unwrap();
+        let mut before = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
+            before.push(stream);
+        }
+        Self { listener, before, address }
+    }
+
+    /// Whether somebody's connection to it is on its way: the first word was said.
+    fn asked_now(&self) -> bool {
+        let (port, table) =
+            (format!(":{:04X}", self.address.port()), std::fs::read_to_string("/proc/net/tcp"));
+        // The third column is the other side, the fourth the state.
+        table.unwrap().lines().any(|line| {
+            let mut fields = line.split_whitespace().skip(2);
+            fields.next().is_some_and(|to| to.ends_with(&port)) && fields.next() == Some("02")
+        })
+    }
+
+    fn asked(&self) {
+        until("a connection is on its way", || self.asked_now().then_some(()));
+    }
+
+    fn given_up(&self) {
+        until("it is given up", || (!self.asked_now()).then_some(()));
+    }
+
+    /// Lets the connection come up, and reads all that is said on it.
+    fn let_in(mut self) -> String {
+        for _ in self.before.drain(..) {
+            drop(self.listener.accept().unwrap());
+        }
+        let mut stream = self.listener.accept().unwrap().0;
+        stream.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
+        let mut said = Vec::new();
+        let mut piece = [0; 4096];
+        loop {
+            match stream.read(&mut piece) {
+                Ok(0) | Err(_) => return String::from_utf8(said).unwrap(),
+                Ok(length) => said.extend_from_slice(&piece[..length]),
+            }
+            // A job as these tests send it: whoever runs it has it now.
+            if said.ends_with(b"ocean") {
+                return String::from_utf8(said).unwrap();
+            }
+        }
+    }
+}
+
+fn patient(config: &str) -> String {
+    config.replace("\"connect_timeout\": 250000", "\"connect_timeout\": 20000000")
+}
+
+fn uncancelled(config: &str) -> String {
+    patient(config).replace("\"cancel\": true", "\"cancel\": false")
+}
+
+fn keyed(config: &str) -> String {
+    let keyed = "\"semantics\": \"dedup\", \"group\": \"all\", \"window\": 4000000";
+    patient(config).replace("\"semantics\": \"fragile\"", keyed)
+}
+
+#[test]
+fn a_node_told_as_leaving_while_its_connection_comes_up_gets_nothing_on_it() {
+    let late = Late::new();
+    let rig = Rig::with(Shared::default(), late.address, patient);
+    let mut held = rig.send(&job("tint", "done", 5_000));
+    late.asked();
+    let leaving = chunk(&list(8, false, rig.node, "leaving"));
+    rig.seen.lock().unwrap().watches[0].1.write_all(leaving.as_bytes()).unwrap();
+    until("it is told", || rig.counters("list.").contains(&"list.changes=1".to_owned()).then_some(()));
+    assert_eq!(late.let_in(), "");
+    assert_eq!(Message::read(&mut held).unwrap().status(), "503", "it never ran");
+    assert!(rig.counters("claims").contains(&"claims.never_sent=1".to_owned()));
+}
+
+#[test]
+fn a_job_whose_submitter_left_while_the_connection_to_its_node_came_up_is_not_sent() {
+    // Where nodes take no cancels the decisions leave the claim alone.
+    for (change, given_up) in [(patient as fn(&str) -> String, true), (uncancelled, false)] {
+        let late = Late::new();
+        let rig = Rig::with(Shared::default(), late.address, change);
+        let held = rig.send(&job("pour", "done", 25_000));
+        late.asked();
+        drop(held);
+        let left = "answers.submitter_left=1".to_owned();
+        until("it is seen to leave", || rig.counters("answers").contains(&left).then_some(()));
+        match given_up {
+            true => late.given_up(),
+            false => assert_eq!(late.let_in(), "", "it was sent after its submitter had left"),
+        }
+    }
+}
+
+#[test]
+fn a_job_whose_time_is_over_when_the_connection_comes_up_is_not_sent() {
+    let late = Late::new();
+    let rig = Rig::with(Shared::default(), late.address, patient);
+    let mut held = rig.send(&job("pour", "done", 300));
+    late.asked();
+    assert!(["502", "503"].contains(&Message::read(&mut held).unwrap().status()));
+    late.given_up();
+}
+
+#[test]
+fn a_repeat_whose_connection_comes_up_after_the_window_is_not_sent() {
+    let late = Late::new();
+    let rig = Rig::configured(keyed);
+    // It begins at the first node, the only one then, and is broken off there once a second node is known.
+    let mut held = rig.send(&job("pour", "breaks-late", 25_000));
+    until("the node has it", || rig.seen(|seen| seen.requests.len() == 1).then_some(()));
+    let begun = Instant::now();
+    let other = list(8, false, late.address, "active").replace("\"id\":\"a\"", "\"id\":\"b\"");
+    rig.seen.lock().unwrap().watches[0].1.write_all(chunk(&other).as_bytes()).unwrap();
+    until("the second node is known", || {
+        rig.counters("list.").contains(&"list.changes=1".to_owned()).then_some(())
+    });
+    rig.seen.lock().unwrap().break_off = true;
+    late.asked();
+    until("the window is over", || (begun.elapsed() > Duration::from_millis(4_000)).then_some(()));
+    assert_eq!(late.let_in(), "", "the first node may still run it");
+    assert_eq!(Message::read(&mut held).unwrap().status(), "503", "submitters may repeat it anywhere");
+}
--- a/crates/dispatcher/tests/process/rig.rs
+++ b/crates/dispatcher/tests/process/rig.rs
@@ -54,6 +54,8 @@
     pub requests: Vec<Message>,
     pub closed: usize,
     pub watches: Vec<(String, TcpStream)>,
+    /// The test lets go of what nodes keep broken jobs for.
+    pub break_off: bool,
 }
 
 pub type Shared = Arc<Mutex<Seen>>;
@@ -137,6 +139,11 @@
                 seen.lock().unwrap().closed += 1;
                 return;
             }
+            // Runs until the test has it broken off.
+            "breaks-late" => {
+                stream.write_all(format!("{head}{started}").as_bytes()).unwrap();
+                return until("break off", || seen.lock().unwrap().break_off.then_some(()));
+            }
             // Runs until the test lets go by emptying the list of watches.
             _ => {
                 stream.write_all(format!("{head}{started}").as_bytes()).unwrap();
--- a/crates/http/src/claims.rs
+++ b/crates/http/src/claims.rs
@@ -5,6 +5,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -63,31 +64,67 @@
     pub body: Bytes,
 }
 
+/// What is about to go out on a lane, as the lane and its connection both see it.
+struct Outgoing {
+    broker: Rc<Broker>,
+    /// The claim, which counts as one once it is whole; none: a probe.
+    claim: RefCell<Option<Claim>>,
+    /// The next bytes written begin a request that must not run twice.
+    careful: Cell<bool>,
+    /// The claim was not sent, or not whole: it was too late for it when its turn came.
+    withheld: Cell<bool>,
+}
+
+impl Outgoing {
+    /// What goes out next; what was known of the one before is forgotten.
+    fn begin(&self, claim: Option<&Claim>) {
+        self.careful.set(claim.is_some_and(|claim| claim.once));
+        self.claim.replace(claim.cloned());
+        self.withheld.set(false);
+    }
+
+    /// Whether it may go out, now that a connection is there or the last byte's turn has come: meanwhile the node may have
+    /// been told as leaving, the submitter may have left, or the window for a repeat may be over.
+    fn may_go(&self, way_ms: f64) -> bool {
+        let claim = self.claim.borrow();
+        let may = claim.as_ref().is_none_or(|claim| self.broker.may_send(claim, way_ms));
+        self.withheld.set(!may);
+        may
+    }
+}
+
 /// A connection to a node. Before the last byte of a request that must not run twice it waits a little, and looks
 /// whether the node still is there: a kept connection may have ended at the other side, and what breaks before the last
 /// byte is written never ran.
-#[derive(Debug)]
 struct Socket {
     stream: TcpStream,
-    /// The next bytes written begin such a request.
-    careful: Rc<Cell<bool>>,
+    outgoing: Rc<Outgoing>,
     held_back: Option<Pin<Box<Sleep>>>,
     /// Part of a request was written, and no answer to it waited for yet.
     writing: Cell<bool>,
-    /// How long the last byte waits.
-    wait: Duration,
-    /// What is written is a claim, and counts as one once it is whole.
-    claims: Rc<Cell<bool>>,
+    /// The way to the node, as far as the time that the connection took to come up tells it.
+    way_ms: f64,
     counters: Rc<Counters>,
 }
 
+impl fmt::Debug for Socket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.stream.fmt(f)
+    }
+}
+
 impl Socket {
     /// The client reads only once it has written a request whole.
     fn reads(&self) {
-        if self.writing.take() && self.claims.get() {
+        if self.writing.take() && self.outgoing.claim.borrow().is_some() {
             self.counters.claim_written();
         }
     }
+
+    /// How long the last byte waits.
+    fn wait(&self) -> Duration {
+        span(self.way_ms * 2.0 * WAYS).max(HELD_BACK)
+    }
 }
 
 impl AsyncRead for Socket {
@@ -104,11 +141,11 @@
 impl AsyncWrite for Socket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.writing.set(true);
-        if self.careful.get() && buf.len() > 1 {
+        if self.outgoing.careful.get() && buf.len() > 1 {
             let written = ready!(Pin::new(&mut self.stream).poll_write(cx, &buf[..buf.len() - 1]))?;
             if written == buf.len() - 1 {
-                self.careful.set(false);
-                self.held_back = Some(Box::pin(tokio::time::sleep(self.wait)));
+                self.outgoing.careful.set(false);
+                self.held_back = Some(Box::pin(tokio::time::sleep(self.wait())));
             }
             return Poll::Ready(Ok(written));
         }
@@ -121,6 +158,9 @@
             {
                 return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
             }
+            if !self.outgoing.may_go(self.way_ms) {
+                return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+            }
         }
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
@@ -150,16 +190,14 @@
     pub(crate) client: Client,
     /// Connections made so far.
     made: Rc<Cell<usize>>,
-    careful: Rc<Cell<bool>>,
-    claims: Rc<Cell<bool>>,
+    outgoing: Rc<Outgoing>,
     idle_since_ms: f64,
 }
 
 impl Lane {
     /// What goes out next is no claim.
     pub(crate) fn for_a_probe(&self) {
-        self.careful.set(false);
-        self.claims.set(false);
+        self.outgoing.begin(None);
     }
 
     /// How many connections it has made so far.
@@ -167,31 +205,27 @@
         self.made.get()
     }
 
-    fn new(network: &Network, counters: &Rc<Counters>, clock: &Clock) -> Self {
-        let (clock, counters) = (clock.clone(), counters.clone());
-        let (made, careful) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(false)));
-        let (count, careful_there) = (made.clone(), careful.clone());
-        let claims = Rc::new(Cell::new(true));
-        let claims_there = claims.clone();
+    fn new(network: &Network, broker: &Rc<Broker>, counters: &Rc<Counters>, clock: &Clock) -> Self {
+        let (clock, counters, broker) = (clock.clone(), counters.clone(), broker.clone());
+        let (claim, careful, withheld) = (RefCell::new(None), Cell::new(false), Cell::new(false));
+        let outgoing = Rc::new(Outgoing { broker, claim, careful, withheld });
+        let made = Rc::new(Cell::new(0));
+        let (count, outgoing_there) = (made.clone(), outgoing.clone());
         let connect = fn_service(move |info: ConnectInfo<Uri>| {
-            let (count, careful, counters) = (count.clone(), careful_there.clone(), counters.clone());
-            let (claims, clock) = (claims_there.clone(), clock.clone());
+            let (count, outgoing, counters) = (count.clone(), outgoing_there.clone(), counters.clone());
+            let clock = clock.clone();
             async move {
                 let address = info.addrs().next().ok_or(TcpError::Unresolved)?;
                 let asked = clock.now();
                 let stream = TcpStream::connect(address).await.map_err(TcpError::Io)?;
-                let wait = span((clock.now() - asked) * WAYS).max(HELD_BACK);
+                let way_ms = (clock.now() - asked) / 2.0;
                 stream.set_nodelay(true).map_err(TcpError::Io)?;
                 count.set(count.get() + 1);
-                let socket = Socket {
-                    stream,
-                    careful,
-                    held_back: None,
-                    writing: Cell::new(false),
-                    wait,
-                    claims,
-                    counters,
-                };
+                if !outgoing.may_go(way_ms) {
+                    return Err(TcpError::Io(io::ErrorKind::TimedOut.into()));
+                }
+                let (held_back, writing) = (None, Cell::new(false));
+                let socket = Socket { stream, outgoing, held_back, writing, way_ms, counters };
                 Ok(Connection::new(info.request().clone(), socket))
             }
         });
@@ -199,7 +233,7 @@
         // How long a connection is kept is looked at here, not in the pool.
         let connector = connector.conn_keep_alive(FOR_EVER).conn_lifetime(FOR_EVER);
         let builder = Client::builder().connector(connector).disable_timeout().disable_redirects();
-        Self { client: builder.no_default_headers().finish(), made, careful, claims, idle_since_ms: 0.0 }
+        Self { client: builder.no_default_headers().finish(), made, outgoing, idle_since_ms: 0.0 }
     }
 }
 
@@ -289,6 +323,9 @@
             // Of a pool that listens nowhere, or another protocol's: nothing that could be sent.
             return self.broker.ended(claim.claim, Outcome::Skipped, None, None);
         };
+        if !self.broker.may_send(&claim, 0.0) {
+            return self.broker.ended(claim.claim, Outcome::Skipped, None, None);
+        }
         let there = self.out.borrow().values().filter(|out| out.0 == address).count();
         let too_often = self.network.borrow().connection_of_a_job.max(FEWEST_TOLD);
         let fresh = claim.fresh || (claim.once && self.breaks.get() > too_often);
@@ -336,7 +373,7 @@
             return lane;
         }
         self.make_room(&mut idle, self.limit.get());
-        Lane::new(&self.network.borrow(), &self.counters, &self.clock)
+        Lane::new(&self.network.borrow(), &self.broker, &self.counters, &self.clock)
     }
 
     /// Closes those idle for longest until fewer than this are held.
@@ -391,8 +428,7 @@
         let left = (claim.until_ms - self.clock.now()).max(0.0) as u64;
         request = request.insert_header(("x-remaining-ms", left));
         let made = lane.made.get();
-        lane.careful.set(claim.once);
-        lane.claims.set(true);
+        lane.outgoing.begin(Some(claim));
         let sent = request.send_body(errand.body.clone()).await;
         let kept = made > 0 && lane.made.get() == made;
         if kept {
@@ -401,6 +437,8 @@
         }
         let mut response = match sent {
             Ok(response) => response,
+            // Held back here: nothing is told of the node, and nothing ran.
+            Err(_) if lane.outgoing.withheld.get() => return Outcome::Skipped.into(),
             Err(error) => return outcome_of(&error, kept).into(),
         };
         let status = response.status().as_u16();
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -95,6 +95,8 @@
         machine: String,
         /// The job must not run twice.
         once: bool,
+        /// By when its last byte has to be with the machine; none: by the end of the job's time.
+        by_ms: Option<f64>,
     },
     /// Give a claim up.
     Withdraw {
@@ -501,7 +503,8 @@
                 let made = self.claims.entry(request.0).or_default();
                 *made += 1;
                 let (claim, once) = (*made - 1, self.dispatcher.must_run_once(request));
-                Step::Claim { job: request.0, claim, machine: self.name(worker), once }
+                let by_ms = self.dispatcher.send_by(request).map(|by| by as f64 / 1e3);
+                Step::Claim { job: request.0, claim, machine: self.name(worker), once, by_ms }
             }
             Action::Cancel { request, attempt } => Step::Withdraw { job: request.0, claim: attempt },
             Action::Refuse { request, wait } => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -68,8 +68,9 @@
     pub fn holds(self, one: &Member, other: &Member) -> bool {
         match self {
             Self::All => true,
-            Self::Zone => one.zone == other.zone,
-            Self::Cell => one.cell == other.cell,
+            // What is not told of two workers is not known to be the same.
+            Self::Zone => one.worker == other.worker || (one.zone.is_some() && one.zone == other.zone),
+            Self::Cell => one.worker == other.worker || (one.cell.is_some() && one.cell == other.cell),
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -215,6 +215,17 @@
         self.sizes = sizes;
     }
 
+    /// By when the newest attempt of a request has to be out: what may have run before is repeated within its window.
+    pub(crate) fn send_by(&self, id: RequestId) -> Option<Micros> {
+        let request = self.requests.get(&id)?;
+        let (_, earlier) = request.attempts.split_last()?;
+        let first = earlier.iter().find(|attempt| attempt.may_have_run())?;
+        match request.class.effect {
+            Effect::Keyed { window, .. } => Some(first.sent.saturating_add(window)),
+            Effect::Safe | Effect::Unsafe => None,
+        }
+    }
+
     /// Keeps what a send changes: the worker's own jobs and slots, its sends while cold, the flight and the attempt.
     /// Returns when the request expires.
     pub(crate) fn record_send(&mut self, id: RequestId, to: WorkerId, cold: bool) -> Option<Micros> {
