Read lists as whole values, and keep one clock for a watch that falls silent

A watch was given up 5 s after its last byte, the new call could hang for 5 s more, and the pause before it grew with the dispatchers; what was missed counts as told 6 s after the silence began (machine_list.rs, SILENCE; logic.rs, discovery_failed). Seen with stand-ins: a list broken into lines was never read (framing by newline), a whole list older than the one in hand was taken (a node that leaves came back), and a hung agent was waited for over the grace. Ruled out: a list that cannot be read already ended its watch and changed nothing; an aborted watch tells nothing more, as its task is not polled again. Change: lists are framed as whole JSON values within the same bound; one state machine holds where the watch stands, one clock runs from the last byte heard over all calls; the decisions ask twice before what was missed counts as told. An older whole list is taken only as the answer to a call for the whole list. The connection for the list sends small writes at once and follows connect_timeout when settings are read again. Tests: three of the four new ones in crossings.rs fail on the code before (seen), the fourth rules out.

--- a/crates/broker/src/broker.rs
+++ b/crates/broker/src/broker.rs
@@ -696,15 +696,16 @@
         self.take_list(Pool::PLATFORM, ListKind::Changes, &[], |_| None);
     }
 
-    /// A call for the list failed or the watch on it ended; `again`: as the one before did, which was told.
-    pub fn list_failed(&self, problem: &str, again: bool) {
+    /// A call for the list failed or the watch on it ended; `again`: as the one before did, which was told. What was missed
+    /// counts as told at `told_ms`, heard or not.
+    pub fn list_failed(&self, problem: &str, again: bool, told_ms: f64) {
         self.counters.count("list", "failed");
         if again {
             return;
         }
         self.counters.say(self.clock.now(), format_args!("machine list: {problem}"));
         let mut table = self.table.borrow_mut();
-        let steps = table.facade(Pool::PLATFORM).list_failed(self.clock.now());
+        let steps = table.facade(Pool::PLATFORM).list_failed(self.clock.now(), told_ms);
         self.take(&mut table, Pool::PLATFORM, steps);
     }
 
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -141,7 +141,7 @@
     let (broker, orders) = Broker::new(facade, clock.clone(), counters.clone());
     let claims = Claims::new(config.network.clone(), broker.clone(), clock.clone(), counters.clone(), limit);
     let probes = Probes::new(broker.clone(), claims.clone(), counters.clone());
-    let list = Rc::new(MachineList::new(&config.network, config.discovery, broker.clone()));
+    let list = Rc::new(MachineList::new(&config.network, config.discovery, broker.clone(), clock.clone()));
     actix_rt::spawn(obey(
         orders,
         (claims.clone(), probes.clone()),
--- a/crates/dispatcher/tests/process/crossings.rs
+++ b/crates/dispatcher/tests/process/crossings.rs
@@ -1,8 +1,10 @@
 //! Events that may cross, each made to cross in the bad order: a stand-in withholds a connection, a byte or a close until
 //! it has seen the state that it waits for.
 
-use std::io::{Read, Write};
+use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use socket2::{Domain, Socket as Raw, Type};
@@ -146,3 +148,137 @@
     assert_eq!(late.let_in(), "", "the first node may still run it");
     assert_eq!(Message::read(&mut held).unwrap().status(), "503", "submitters may repeat it anywhere");
 }
+
+/// A discovery whose calls the test answers itself, in turn.
+struct Discovery {
+    address: SocketAddr,
+    calls: Receiver<(String, TcpStream)>,
+}
+
+impl Discovery {
+    fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (address, (sender, calls)) = (listener.local_addr().unwrap(), channel());
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let request = Message::read(&mut BufReader::new(stream.try_clone().unwrap()));
+                let Some(request) = request else { continue };
+                if sender.send((request.first, stream)).is_err() {
+                    return;
+                }
+            }
+        });
+        Self { address, calls }
+    }
+
+    /// The next call: its first line and where to answer it.
+    fn call(&self) -> (String, TcpStream) {
+        self.calls.recv_timeout(Duration::from_secs(60)).expect("a call")
+    }
+
+    /// Opens the watch of the next call with this text.
+    fn open(&self, text: &str) -> (String, TcpStream) {
+        let (call, mut stream) = self.call();
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        stream.write_all(format!("{head}{}", chunk(text)).as_bytes()).unwrap();
+        (call, stream)
+    }
+}
+
+/// The program with a node and this discovery, which has told it of the node by this text.
+fn told(
+    discovery: &Discovery,
+    first: &dyn Fn(SocketAddr) -> String,
+    change: fn(&str) -> String,
+) -> (Rig, TcpStream) {
+    let seen = Shared::default();
+    let node = node(&seen);
+    let config = CONFIG.replace("127.0.0.1:8000", "127.0.0.1:0");
+    let config = change(&config.replace("127.0.0.1:8500", &discovery.address.to_string()));
+    let rig = Rig::started(start(&config, &[]), seen, node, config);
+    let watch = discovery.open(&first(node)).1;
+    until("ready", || (rig.ask(HEALTH).status() == "200").then_some(()));
+    (rig, watch)
+}
+
+fn as_it_is(config: &str) -> String {
+    config.to_owned()
+}
+
+fn pushed(config: &str) -> String {
+    config.replace("\"on_request\"", "\"pushed\"")
+}
+
+/// Broken into lines as a printer for people would.
+fn indented(list: &str) -> String {
+    list.replace('{', "{\n  ").replace(',', ",\n\n  ").replace('}', "\n}")
+}
+
+#[test]
+fn a_list_broken_into_lines_and_pieces_is_read_whole_and_taken_once() {
+    let discovery = Discovery::new();
+    let (rig, mut watch) = told(&discovery, &|node| indented(&list(7, true, node, "active")), as_it_is);
+    assert_eq!(rig.ask(&job("tint", "done", 5_000)).status(), "200");
+    // Two values in a row, cut in the middle of a word, with an empty line's chunk between the halves' chunks.
+    let both =
+        indented(&list(8, false, rig.node, "active")) + &indented(&list(9, false, rig.node, "leaving"));
+    let (one, other) = both.split_at(both.find("version").unwrap() + 3);
+    for piece in [one, other, "\n"] {
+        watch.write_all(chunk(piece).as_bytes()).unwrap();
+    }
+    let counts = until("both are taken", || {
+        Some(rig.counters("list.")).filter(|counts| counts.contains(&"list.changes=2".to_owned()))
+    });
+    assert_eq!(counts, ["list.changes=2", "list.whole=1"], "no failure among them");
+    assert_eq!(rig.ask(&job("tint", "done", 700)).status(), "503");
+}
+
+#[test]
+fn a_list_that_cannot_be_read_ends_the_watch_and_changes_nothing() {
+    let discovery = Discovery::new();
+    let (rig, mut watch) = told(&discovery, &|node| list(7, true, node, "active"), as_it_is);
+    watch.write_all(chunk("{\"version\":8,\"full\":\"perhaps\",\"servers\":[]}\n").as_bytes()).unwrap();
+    let (call, _watch) = discovery.open("\n");
+    assert!(call.contains("index=7"), "{call}");
+    let line = until("a line", || {
+        rig.lines.lock().unwrap().iter().find(|line| line.contains("machine list: ")).cloned()
+    });
+    assert!(line.contains("full: invalid type"), "{line}");
+    assert_eq!(rig.ask(&job("tint", "done", 5_000)).status(), "200");
+}
+
+#[test]
+fn what_a_silent_watch_missed_is_had_before_it_counts_as_told_though_a_call_hangs() {
+    // It counts as told six seconds after the silence began, and may be sent to for the half second of the grace: a job
+    // that is given up then tells the time.
+    for (change, hangs) in [(pushed as fn(&str) -> String, true), (as_it_is, false)] {
+        let discovery = Discovery::new();
+        let (rig, _silent) = told(&discovery, &|node| list(7, true, node, "active"), change);
+        let mut time = rig.send(&job("pour", "runs", 6_500));
+        let hung = hangs.then(|| discovery.call());
+        let (call, _watch) = discovery.open(&list(8, false, rig.node, "leaving"));
+        assert!(call.contains("index=7"), "{call}");
+        until("it is told", || rig.counters("list.").contains(&"list.changes=1".to_owned()).then_some(()));
+        time.get_ref().set_nonblocking(true).unwrap();
+        let early = time.get_mut().read(&mut [0]).map_err(|error| error.kind());
+        assert_eq!(early, Err(ErrorKind::WouldBlock), "the job's time is not over yet");
+        drop(hung);
+    }
+}
+
+#[test]
+fn a_whole_list_older_than_the_one_in_hand_takes_nothing_back_unless_asked_for_anew() {
+    let discovery = Discovery::new();
+    let (rig, watch) = told(&discovery, &|node| list(7, true, node, "leaving"), as_it_is);
+    drop(watch);
+    let (call, _old) = discovery.open(&list(6, true, rig.node, "active"));
+    assert!(call.contains("index=7"), "{call}");
+    let (call, mut stream) = discovery.call();
+    assert!(call.contains("index=0"), "the whole list, whatever it is: {call}");
+    assert_eq!(rig.ask(&job("tint", "done", 700)).status(), "503", "the node leaves");
+    assert_eq!(rig.seen(|seen| seen.requests.len()), 0);
+    // A service that counts anew is believed the second time.
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream.write_all(format!("{head}{}", chunk(&list(1, true, rig.node, "active"))).as_bytes()).unwrap();
+    until("it is taken", || (rig.ask(&job("tint", "done", 700)).status() == "200").then_some(()));
+}
--- a/crates/http/src/claims.rs
+++ b/crates/http/src/claims.rs
@@ -215,11 +215,9 @@
             let (count, outgoing, counters) = (count.clone(), outgoing_there.clone(), counters.clone());
             let clock = clock.clone();
             async move {
-                let address = info.addrs().next().ok_or(TcpError::Unresolved)?;
                 let asked = clock.now();
-                let stream = TcpStream::connect(address).await.map_err(TcpError::Io)?;
+                let stream = open(&info).await?;
                 let way_ms = (clock.now() - asked) / 2.0;
-                stream.set_nodelay(true).map_err(TcpError::Io)?;
                 count.set(count.get() + 1);
                 if !outgoing.may_go(way_ms) {
                     return Err(TcpError::Io(io::ErrorKind::TimedOut.into()));
@@ -237,9 +235,21 @@
     }
 }
 
+/// A connection whose small writes go out at once: what the system still holds back goes with a reset.
+async fn open(info: &ConnectInfo<Uri>) -> Result<TcpStream, TcpError> {
+    let address = info.addrs().next().ok_or(TcpError::Unresolved)?;
+    let stream = TcpStream::connect(address).await.map_err(TcpError::Io)?;
+    stream.set_nodelay(true).map_err(TcpError::Io)?;
+    Ok(stream)
+}
+
 /// The client for discovery: no retries, no redirects, no time-out but that of connecting.
 pub(crate) fn client(network: &Network) -> Client {
-    let connector = Connector::new().timeout(span(network.connect_timeout_ms));
+    let connect = fn_service(|info: ConnectInfo<Uri>| async move {
+        let stream = open(&info).await?;
+        Ok::<_, TcpError>(Connection::new(info.request().clone(), stream))
+    });
+    let connector = Connector::new().connector(connect).timeout(span(network.connect_timeout_ms));
     Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
 }
 
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -232,7 +232,7 @@
                     "D" => ListKind::Changes,
                     "F" => ListKind::Full,
                     "C" => ListKind::Cached,
-                    "X" => return Ok(Some(Event::DiscoveryFailed)),
+                    "X" => return Ok(Some(Event::DiscoveryFailed { told: None })),
                     _ => return Err(line.wrong("how", "D, F, C or X")),
                 };
                 let entries = sheets.get(&line.number("sheet")?);
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -480,9 +480,10 @@
         self.happened(now_ms, Event::Members { kind, members })
     }
 
-    /// A call for the machine list failed, or the watch on it ended.
-    pub fn list_failed(&mut self, now_ms: f64) -> Vec<Step> {
-        self.happened(now_ms, Event::DiscoveryFailed)
+    /// A call for the machine list failed, or the watch on it ended; what was missed counts as told at `told_ms`.
+    pub fn list_failed(&mut self, now_ms: f64, told_ms: f64) -> Vec<Step> {
+        let told = told_ms.is_finite().then(|| micros(told_ms));
+        self.happened(now_ms, Event::DiscoveryFailed { told })
     }
 
     /// Time has passed.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -356,7 +356,10 @@
         members: Vec<Member>,
     },
     /// A call to discovery failed or the subscription broke.
-    DiscoveryFailed,
+    DiscoveryFailed {
+        /// When what was missed counts as told, where that does not follow from the rules' time for asking.
+        told: Option<Micros>,
+    },
     /// A request was taken; one final answer is owed.
     Request(NewRequest),
     /// The answer of an attempt has started to stream: it belongs to the client from now on.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -62,7 +62,7 @@
     fn take(&mut self, event: &Event, out: &mut Vec<Action>) {
         match event {
             Event::Members { kind, members } => self.take_members(*kind, members),
-            Event::DiscoveryFailed => self.discovery_failed(),
+            Event::DiscoveryFailed { told } => self.discovery_failed(*told),
             Event::Request(new) => self.admit(new, out),
             Event::StreamStarted { request } => drop(self.close(*request, false)),
             Event::JobStarted { request, attempt } | Event::JobProgress { request, attempt, .. } => {
@@ -106,11 +106,12 @@
     }
 
     /// A failed call or a broken subscription is tried again, later each time, so that a discovery service
-    /// in trouble is not held down by those who ask.
-    fn discovery_failed(&mut self) {
+    /// in trouble is not held down by those who ask; but twice before what was missed counts as told.
+    fn discovery_failed(&mut self, told: Option<Micros>) {
         if self.settings.discovery == Discovery::OnRequest {
             self.note(Note::DiscoveryFailed);
-            let wait = self.ask_pause();
+            let left = told.and_then(|told| told.checked_sub(self.now)).filter(|left| *left > ASK_AGAIN);
+            let wait = self.ask_pause().min(left.map_or(Micros::MAX, |left| left / 3));
             self.ask_failures += 1;
             self.ask_at = Some(self.now + self.rng.random_range(wait / 2..=wait + wait / 2));
         }
--- a/tests/robustness.rs
+++ b/tests/robustness.rs
@@ -88,7 +88,9 @@
                 vec![list(ListKind::Changes, [Member { availability, booted, ..member(worker) }])]
             }
             11 => {
-                let Some(ledger) = self.ledger.get_mut(&pick) else { return vec![Event::DiscoveryFailed] };
+                let Some(ledger) = self.ledger.get_mut(&pick) else {
+                    return vec![Event::DiscoveryFailed { told: None }];
+                };
                 ledger.answered += u32::from(ledger.open);
                 ledger.open = false;
                 vec![Event::ClientGone { request: RequestId(pick) }]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -217,7 +217,7 @@
 
 /// How long after a failed call the next one is made, in milliseconds.
 fn pause(rig: &mut Rig) -> u64 {
-    rig.round(MS, &[Event::DiscoveryFailed]);
+    rig.round(MS, &[Event::DiscoveryFailed { told: None }]);
     let mut wait = 0;
     while !subscribes(&rig.round(10 * MS, &[Event::Wake])) {
         wait += 10;
