End a submitter's connection in one way, and send nothing on behind one who left

Seen with stand-ins, each in the bad order every time (held still by a signal, or bytes withheld): - one who sent over 16 KiB behind a job was not watched any more and never seen to leave (front.rs, Wire::left); - make_room aborted a task at once: a request that had just come was reset, a half request closed without an answer; - the listener closed over connections that had come up before: they were reset; - a claim whose connection came up and whose submitter left in one turn went out behind it (the node's event came first); - an answer that came a second time before the last byte on a kept connection was taken for the next job's: a stale 503 said that a job never ran which then ran (claims.rs, poll_write, looked only for an end). Ruled out: a request crossing a close is dropped unread and runs once when sent again; a burst of leavers behind an ending job; a node that hangs at SIGTERM. Change: eviction is a phase of the connection's state machine and its own task obeys it; a connection ends in one function (stop sending, drop what comes within a bound, close), at most one lingering for each four held. The listener's queue is taken in before it closes. may_go looks at the submitter's socket itself. Before the last byte anything that came breaks the connection: the job never ran. A submitter that overruns gets its answer with Connection: close.

--- a/crates/broker/src/broker.rs
+++ b/crates/broker/src/broker.rs
@@ -271,9 +271,9 @@
 }
 
 impl Pending {
-    /// Waits for the final answer.
-    pub async fn answer(mut self) -> Answer {
-        (&mut self.answer).await.unwrap_or(Answer::Failed)
+    /// Waits for the final answer; none if the submitter was seen to leave, and none is owed any more.
+    pub async fn answer(mut self) -> Option<Answer> {
+        (&mut self.answer).await.ok()
     }
 }
 
--- a/crates/dispatcher/tests/process/crossings.rs
+++ b/crates/dispatcher/tests/process/crossings.rs
@@ -2,12 +2,12 @@
 //! it has seen the state that it waits for.
 
 use std::io::{BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use socket2::{Domain, Socket as Raw, Type};
+use socket2::{Domain, SockRef, Socket as Raw, Type};
 
 use crate::rig::*;
 
@@ -52,24 +52,34 @@
         until("it is given up", || (!self.asked_now()).then_some(()));
     }
 
-    /// Lets the connection come up, and reads all that is said on it.
-    fn let_in(mut self) -> String {
+    /// Lets the connection come up.
+    fn accept(&mut self) -> TcpStream {
         for _ in self.before.drain(..) {
             drop(self.listener.accept().unwrap());
         }
-        let mut stream = self.listener.accept().unwrap().0;
+        let stream = self.listener.accept().unwrap().0;
         stream.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
-        let mut said = Vec::new();
-        let mut piece = [0; 4096];
-        loop {
-            match stream.read(&mut piece) {
-                Ok(0) | Err(_) => return String::from_utf8(said).unwrap(),
-                Ok(length) => said.extend_from_slice(&piece[..length]),
-            }
-            // A job as these tests send it: whoever runs it has it now.
-            if said.ends_with(b"ocean") {
-                return String::from_utf8(said).unwrap();
-            }
+        stream
+    }
+
+    /// Lets the connection come up, and reads all that is said on it.
+    fn let_in(mut self) -> String {
+        heard(self.accept())
+    }
+}
+
+/// All that is said on a connection.
+fn heard(mut stream: TcpStream) -> String {
+    let mut said = Vec::new();
+    let mut piece = [0; 4096];
+    loop {
+        match stream.read(&mut piece) {
+            Ok(0) | Err(_) => return String::from_utf8(said).unwrap(),
+            Ok(length) => said.extend_from_slice(&piece[..length]),
+        }
+        // A job as these tests send it: whoever runs it has it now.
+        if said.ends_with(b"ocean") {
+            return String::from_utf8(said).unwrap();
         }
     }
 }
@@ -282,3 +292,210 @@
     stream.write_all(format!("{head}{}", chunk(&list(1, true, rig.node, "active"))).as_bytes()).unwrap();
     until("it is taken", || (rig.ask(&job("tint", "done", 700)).status() == "200").then_some(()));
 }
+
+/// Holds the program still while things happen to it, so that all of them wait for it together when it goes on.
+fn held_still(rig: &Rig, meanwhile: impl FnOnce()) {
+    rig.signal("-STOP");
+    let state = format!("/proc/{}/stat", rig.child.id());
+    until("it stands still", || std::fs::read_to_string(&state).unwrap().contains(") T ").then_some(()));
+    meanwhile();
+    rig.signal("-CONT");
+}
+
+/// Closes a connection with a reset, as the system of a submitter that died does.
+fn reset(stream: BufReader<TcpStream>) {
+    SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
+fn half_close(stream: &BufReader<TcpStream>) {
+    stream.get_ref().shutdown(Shutdown::Write).unwrap();
+}
+
+#[test]
+fn a_submitter_that_sent_much_behind_its_job_is_seen_to_leave_however_it_goes() {
+    let rig = Rig::new();
+    let much = format!("{}{}", job("pour", "runs", 25_000), "x".repeat(100_000));
+    for (number, leave) in [drop as fn(BufReader<TcpStream>), reset, |stream| {
+        half_close(&stream);
+        until("it is told", || stream.get_ref().peek(&mut [0]).is_ok().then_some(()));
+    }]
+    .into_iter()
+    .enumerate()
+    {
+        let stream = rig.send(&much.replace("X-Txn: ", &format!("X-Txn: {number}")));
+        until("the node has it", || rig.seen(|seen| seen.requests.len() == number + 1).then_some(()));
+        leave(stream);
+        until("the node sees the end", || rig.seen(|seen| seen.closed == number + 1).then_some(()));
+    }
+    assert_eq!(rig.counters("answers"), ["answers.submitter_left=3"]);
+}
+
+#[test]
+fn what_came_behind_a_job_is_served_next_or_dropped_with_the_connection_told_to_end() {
+    let rig = Rig::new();
+    let next = job("tint", "done", 25_000);
+    for (behind, answers) in [(next.clone(), 2), (next + &"x".repeat(100_000), 1)] {
+        rig.seen.lock().unwrap().watches.truncate(1);
+        let mut stream = rig.send(&(job("pour", "done", 25_000) + &behind));
+        for number in 1..=answers {
+            let answer = Message::read(&mut stream).expect("an answer");
+            assert_eq!(answer.status(), "200");
+            assert_eq!(answer.headers.contains_key("connection"), answers == 1 && number == 1);
+        }
+    }
+}
+
+#[test]
+fn submitters_that_leave_in_a_burst_have_no_job_sent_on_behind_them() {
+    // One job keeps the node, further ones wait for their first claim. What ends the one is told before they leave.
+    let rig = Rig::configured(uncancelled);
+    let mut first = rig.send(&job("pour", "mute", 25_000));
+    until("the node has it", || rig.seen(|seen| seen.requests.len() == 1).then_some(()));
+    let waiting: Vec<_> = (0..12).map(|_| rig.send(&job("pour", "done", 25_000))).collect();
+    until("all are taken", || rig.counters("jobs").contains(&"jobs.taken=13".to_owned()).then_some(()));
+    held_still(&rig, || {
+        rig.seen.lock().unwrap().break_off = true;
+        until("it is told", || rig.seen(|seen| seen.closed == 1).then_some(()));
+        let ways = [drop as fn(BufReader<TcpStream>), reset];
+        waiting.into_iter().zip(ways.iter().cycle()).for_each(|(stream, leave)| leave(stream));
+    });
+    assert_eq!(Message::read(&mut first).unwrap().body, "late");
+    let left = "answers.submitter_left=12".to_owned();
+    until("all are seen to leave", || rig.counters("answers").contains(&left).then_some(()));
+    assert_eq!(rig.seen(|seen| seen.requests.len()), 1);
+}
+
+#[test]
+fn a_submitter_that_has_left_unseen_has_no_job_sent_on_behind_it() {
+    // The connection to the node comes up, then the submitter leaves, and the program learns of both at once.
+    let mut late = Late::new();
+    let rig = Rig::with(Shared::default(), late.address, uncancelled);
+    let held = rig.send(&job("pour", "done", 25_000));
+    late.asked();
+    let mut stream = None;
+    held_still(&rig, || {
+        stream = Some(late.accept());
+        drop(held);
+    });
+    assert_eq!(heard(stream.unwrap()), "");
+    assert_eq!(rig.counters("answers"), ["answers.submitter_left=1"]);
+}
+
+#[test]
+fn a_request_that_comes_while_its_connection_is_to_make_room_is_served() {
+    // Two fifths of the 48 descriptors that operators leave are 19 connections.
+    let rig = Rig::configured(|config| config.replace("1024", "64"));
+    let mut kept: Vec<_> = (0..19).map(|_| rig.send(HEALTH)).collect();
+    kept.iter_mut().for_each(|kept| assert_eq!(Message::read(kept).unwrap().status(), "200"));
+    let mut further = None;
+    held_still(&rig, || {
+        further = Some(rig.send(&job("tint", "done", 25_000)));
+        // The one idle for longest; the program hears of the connection first.
+        kept[0].get_mut().write_all(job("tint", "done", 25_000).as_bytes()).unwrap();
+    });
+    assert_eq!(Message::read(&mut kept[0]).expect("not reset").status(), "200");
+    assert_eq!(Message::read(&mut further.unwrap()).unwrap().status(), "200");
+}
+
+#[test]
+fn a_request_that_crossed_the_close_of_its_connection_is_sent_on_only_when_sent_again() {
+    let rig = Rig::configured(|config| config.replace("1024", "64"));
+    let mut kept: Vec<_> = (0..19).map(|_| rig.send(HEALTH)).collect();
+    kept.iter_mut().for_each(|kept| assert_eq!(Message::read(kept).unwrap().status(), "200"));
+    let _further = rig.send(HEALTH);
+    assert!(Message::read(&mut kept[0]).is_none(), "the one idle for longest makes room");
+    let crossed = job("pour", "done", 25_000);
+    kept[0].get_mut().write_all(crossed.as_bytes()).unwrap();
+    assert!(Message::read(&mut kept[0]).is_none());
+    assert_eq!(rig.ask(&crossed).status(), "200", "no copy of it is open");
+    assert_eq!(rig.seen(|seen| seen.requests.len()), 1);
+}
+
+#[test]
+fn a_request_that_has_to_make_room_before_it_is_whole_is_refused_and_told_so() {
+    let rig = Rig::configured(|config| config.replace("1024", "64"));
+    let good = job("tint", "done", 25_000);
+    for half in [&good[..40], &good[..good.len() - 1]] {
+        let mut halves: Vec<_> = (0..19).map(|_| rig.send(half)).collect();
+        halves.iter().for_each(|half| half.get_ref().set_nonblocking(true).unwrap());
+        let refused = until("one makes room", || {
+            assert_eq!(rig.ask(&job("tint", "done", 25_000)).status(), "200");
+            halves.iter().position(|half| half.get_ref().peek(&mut [0]).is_ok())
+        });
+        halves[refused].get_ref().set_nonblocking(false).unwrap();
+        let answer = Message::read(&mut halves[refused]).expect("an answer");
+        assert_eq!((answer.status(), &*answer.headers["connection"]), ("503", "close"));
+        assert!(answer.headers.contains_key("retry-after"));
+    }
+}
+
+#[test]
+fn what_came_up_before_the_listener_closes_is_served() {
+    let rig = Rig::new();
+    let _busy = rig.send(&job("pour", "waits", 25_000));
+    until("the node has it", || rig.seen(|seen| seen.requests.len() == 1).then_some(()));
+    rig.signal("-TERM");
+    until("it ends", || (rig.ask(HEALTH).status() == "503").then_some(()));
+    let mut late = Vec::new();
+    held_still(&rig, || {
+        let since = Instant::now();
+        late.extend((0..3).map(|_| rig.send(&job("tint", "done", 2_500))));
+        until("it accepts no more", || (since.elapsed() > Duration::from_millis(700)).then_some(()));
+    });
+    for late in &mut late {
+        let answer = Message::read(late).expect("not reset");
+        assert_eq!((answer.status(), &*answer.headers["connection"]), ("200", "close"));
+    }
+}
+
+#[test]
+fn a_node_that_hangs_at_sigterm_costs_its_job_its_time_and_the_end_no_more() {
+    let mut rig = Rig::new();
+    let mut hung = rig.send(&job("pour", "runs", 1_500));
+    let mut kept = rig.send(HEALTH);
+    assert_eq!(Message::read(&mut kept).unwrap().status(), "200");
+    until("the node has it", || rig.seen(|seen| seen.requests.len() == 1).then_some(()));
+    rig.signal("-TERM");
+    // One that comes on a resting connection meanwhile, and one that rests until it is closed.
+    let mut rests = rig.send(&job("tint", "done", 1_500));
+    kept.get_mut().write_all(job("tint", "done", 1_500).as_bytes()).unwrap();
+    for stream in [&mut rests, &mut kept] {
+        assert!(["200", "503"].contains(&Message::read(stream).expect("an answer").status()));
+        assert!(Message::read(stream).is_none(), "and a close behind it");
+    }
+    let answer = Message::read(&mut hung).unwrap();
+    assert_eq!((answer.status(), &*answer.headers["connection"]), ("502", "close"));
+    assert!(rig.ended().success());
+}
+
+#[test]
+fn an_answer_that_comes_a_second_time_is_not_taken_for_the_next_jobs() {
+    // The connection took long to come up, so the last byte of what must not run twice is held back for long.
+    let mut late = Late::new();
+    let rig = Rig::with(Shared::default(), late.address, patient);
+    let mut first = rig.send(&job("tint", "done", 25_000));
+    late.asked();
+    let stream = late.accept();
+    let mut from = BufReader::new(stream.try_clone().unwrap());
+    let (id, mut to) = (Message::read(&mut from).unwrap().headers["x-txn"].clone(), stream);
+    let done = chunk(&format!("{{\"id\":\"{id}\",\"from\":\"a\",\"state\":\"done\",\"result\":\"red\"}}\n"));
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    to.write_all(format!("{head}{done}0\r\n\r\n").as_bytes()).unwrap();
+    assert_eq!(Message::read(&mut first).unwrap().body, "red");
+    // On the kept connection, while the last byte is missing, comes what would say that the job never ran.
+    let seen = rig.seen.clone();
+    let mut second = rig.send(&job("pour", "done", 25_000));
+    let mut said = Vec::new();
+    while !said.ends_with(b"ocea") {
+        let mut byte = [0];
+        from.read_exact(&mut byte).unwrap();
+        said.push(byte[0]);
+    }
+    to.write_all(b"HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n").unwrap();
+    let mut rest = Vec::new();
+    let _ = from.read_to_end(&mut rest);
+    assert_eq!(rest, b"", "the last byte is not sent on it");
+    thread::spawn(move || serve(late.accept(), &seen));
+    assert_eq!(Message::read(&mut second).unwrap().body, "a \"red\" tint");
+    assert_eq!(rig.seen(|seen| seen.requests.len()), 1);
+}
--- a/crates/dispatcher/tests/process/rig.rs
+++ b/crates/dispatcher/tests/process/rig.rs
@@ -139,6 +139,15 @@
                 seen.lock().unwrap().closed += 1;
                 return;
             }
+            // Tells nothing, not even a start, until the test has it broken off.
+            "mute" => {
+                until("break off", || seen.lock().unwrap().break_off.then_some(()));
+                stream
+                    .write_all(format!("{head}{}{last}", line("done", ",\"result\":\"late\"")).as_bytes())
+                    .unwrap();
+                seen.lock().unwrap().closed += 1;
+                continue;
+            }
             // Runs until the test has it broken off.
             "breaks-late" => {
                 stream.write_all(format!("{head}{started}").as_bytes()).unwrap();
--- a/crates/http/src/claims.rs
+++ b/crates/http/src/claims.rs
@@ -7,9 +7,10 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 use ruddervalve_broker::{Broker, Claim, Clock, Counters, FOR_EVER, span};
 use ruddervalve_settings::{Asked, Network};
 use serde::Deserialize;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -62,6 +64,38 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// Whose it is.
+    pub submitter: Submitter,
+}
+
+/// The connection of a job's submitter, as far as claims look at it.
+#[derive(Debug)]
+pub struct Submitter(Weak<TcpStream>);
+
+impl Submitter {
+    /// The one on this connection.
+    pub fn on(stream: &Rc<TcpStream>) -> Self {
+        Self(Rc::downgrade(stream))
+    }
+
+    /// Whether its end has come, seen by the connection's own task or not yet: what comes before it is that one's to read.
+    fn has_left(&self) -> bool {
+        let Some(stream) = self.0.upgrade() else { return true };
+        match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(length) => length == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+}
+
+/// Whether a claim may go out: "a client that closes its connection has gone", its node may have been told as leaving since
+/// it was chosen, or the window for a repeat may be over when its last byte is there, `way_ms` later.
+fn may_go(broker: &Broker, claim: &Claim, way_ms: f64) -> bool {
+    let request = claim.errand.downcast_ref::<Request>();
+    if request.is_some_and(|request| request.submitter.has_left()) {
+        broker.left(claim.claim.0);
+    }
+    broker.may_send(claim, way_ms)
 }
 
 /// What is about to go out on a lane, as the lane and its connection both see it.
@@ -83,19 +117,18 @@
         self.withheld.set(false);
     }
 
-    /// Whether it may go out, now that a connection is there or the last byte's turn has come: meanwhile the node may have
-    /// been told as leaving, the submitter may have left, or the window for a repeat may be over.
+    /// Whether it may go out, now that a connection is there or the last byte's turn has come.
     fn may_go(&self, way_ms: f64) -> bool {
         let claim = self.claim.borrow();
-        let may = claim.as_ref().is_none_or(|claim| self.broker.may_send(claim, way_ms));
+        let may = claim.as_ref().is_none_or(|claim| may_go(&self.broker, claim, way_ms));
         self.withheld.set(!may);
         may
     }
 }
 
 /// A connection to a node. Before the last byte of a request that must not run twice it waits a little, and looks
-/// whether the node still is there: a kept connection may have ended at the other side, and what breaks before the last
-/// byte is written never ran.
+/// whether the node still is there and has nothing to say yet: a kept connection may have ended at the other side, or bring
+/// what belongs to the request before, and what breaks before the last byte is written never ran.
 struct Socket {
     stream: TcpStream,
     outgoing: Rc<Outgoing>,
@@ -152,11 +185,10 @@
         if let Some(held_back) = &mut self.held_back {
             ready!(held_back.as_mut().poll(cx));
             self.held_back = None;
+            // Its end, or what nobody has asked for yet: an answer that comes a second time would be taken for this job's.
             let mut byte = [0];
-            if let Poll::Ready(ended) = self.stream.poll_peek(cx, &mut ReadBuf::new(&mut byte))
-                && ended? == 0
-            {
-                return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+            if let Poll::Ready(came) = self.stream.poll_peek(cx, &mut ReadBuf::new(&mut byte)) {
+                return Poll::Ready(Err(came.err().unwrap_or(io::ErrorKind::BrokenPipe.into())));
             }
             if !self.outgoing.may_go(self.way_ms) {
                 return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
@@ -333,7 +365,7 @@
             // Of a pool that listens nowhere, or another protocol's: nothing that could be sent.
             return self.broker.ended(claim.claim, Outcome::Skipped, None, None);
         };
-        if !self.broker.may_send(&claim, 0.0) {
+        if !may_go(&self.broker, &claim, 0.0) {
             return self.broker.ended(claim.claim, Outcome::Skipped, None, None);
         }
         let there = self.out.borrow().values().filter(|out| out.0 == address).count();
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -1,10 +1,12 @@
 //! Owns the platform's protocol towards submitters: their connections and how long each may keep the program waiting,
 //! what a job must look like, and how answers are worded. It must never decide about a job, nor answer one by itself once
-//! the broker has it, nor end a connection by its own choice while a job's answer is owed on it.
+//! the broker has it, nor end a connection by its own choice while a job's answer is owed on it, nor read a request on one
+//! that it has shut down.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
+use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,16 +19,17 @@
     ServiceConfigBuilder, StatusCode,
 };
 use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt as _;
 use ruddervalve::JobFacts;
 use ruddervalve_broker::{Answer, Broker, Clock, Counters, FOR_EVER, NotTaken, Standing};
 use ruddervalve_settings::Network;
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
-use tokio::task::AbortHandle;
+use tokio::task::coop::{consume_budget, unconstrained};
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
-use crate::claims;
+use crate::claims::{self, Submitter};
 
 /// The longest body.
 const LONGEST_BODY: usize = 64 << 10;
@@ -38,10 +41,13 @@
 /// A request is whole so long after its first byte, in however many pieces.
 const WHOLE_MS: f64 = 10_000.0;
 /// How long a submitter may take to read an answer.
-const READS: Duration = Duration::from_secs(5);
-/// After its last answer a connection is read on for so long and what comes is dropped: a close over unread bytes would
-/// reset the answer away.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// After its last answer a connection is read on for so long and what comes is dropped: "a close over unread bytes resets
+/// the connection", and the answer with it.
 const LINGER: Duration = Duration::from_secs(1);
+/// Connections that linger, beside those that submitters hold: one for so many of these. What is left of the descriptors
+/// is for discovery and the program itself.
+const HELD_FOR_EACH_ENDING: usize = 4;
 /// A connection that comes up later than that still has so long to say something, as those who ask for health do.
 const FIRST_WORD_MS: f64 = 500.0;
 /// What is read at once.
@@ -72,21 +78,24 @@
     ended: Notify,
 }
 
-/// What a connection is busy with, in the order in which connections are given up where too many are held.
+/// What a connection is busy with, in the order in which connections are evicted where too many are held. Its own task
+/// alone moves it on, but for [`Connection::evict`]; it ends in one way, [`Front::end`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
     /// Nothing has come.
     Silent,
     /// A part of a head has come.
     Head,
-    /// All is answered, only the end is waited for.
-    Ending,
     /// Idle between requests.
     Kept,
     /// A head has come, its body has not.
     Body,
-    /// A job is out: never given up.
+    /// A job is out: never evicted.
     Job,
+    /// It is to make room. Its task has not looked at it since: should a request have come just then, it goes on.
+    Evicted,
+    /// Nothing is sent any more nor taken for a request, only the other side's end is waited for.
+    Ending,
 }
 
 /// A submitter's connection as the others see it.
@@ -94,12 +103,27 @@
     phase: Cell<Phase>,
     /// Since when.
     since_ms: Cell<f64>,
-    task: RefCell<Option<AbortHandle>>,
+    /// Tells its task that it is to make room.
+    evicted: Notify,
+}
+
+impl Connection {
+    fn held(&self) -> bool {
+        self.phase.get() < Phase::Evicted
+    }
+
+    /// It is to make room; one that is ending already waits no longer.
+    fn evict(&self) {
+        if self.held() {
+            self.phase.set(Phase::Evicted);
+        }
+        self.evicted.notify_one();
+    }
 }
 
 /// A submitter's connection as its task sees it.
 struct Wire {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     codec: Codec,
     inbox: BytesMut,
     connection: Rc<Connection>,
@@ -109,6 +133,8 @@
     due_ms: f64,
     /// When it must be whole.
     whole_ms: f64,
+    /// More came behind a job than is kept, and was dropped: its answer is the last one here.
+    overrun: bool,
 }
 
 /// Forgets a connection when its task ends, however it ends.
@@ -132,6 +158,8 @@
     Silent(&'static str),
     /// The submitter left between requests: nothing bad.
     Left,
+    /// It has to make room for others before it was whole: nothing bad, and worth another try.
+    Evicted,
 }
 
 /// What came of a request.
@@ -171,13 +199,13 @@
     }
 
     /// How many connections submitters hold.
-    fn connections(&self) -> usize {
-        self.connections.borrow().len()
+    fn held(&self) -> usize {
+        self.connections.borrow().values().filter(|connection| connection.held()).count()
     }
 
-    /// Waits until submitters hold no connection.
+    /// Waits until submitters have no connection.
     pub async fn empty(&self) {
-        while self.connections() > 0 {
+        while !self.connections.borrow().is_empty() {
             self.ended.notified().await;
         }
     }
@@ -193,14 +221,16 @@
                 () = self.broker.passed(&mut standing, Standing::no_more_accepted) => return,
             }
         }
-        for number in 0.. {
+        let mut numbers = 0..;
+        let mut taken = |stream| self.take(numbers.next().unwrap_or_default(), stream, &config);
+        loop {
             let accepted = tokio::select! {
                 biased;
-                () = self.broker.passed(&mut standing, Standing::no_more_accepted) => return,
+                () = self.broker.passed(&mut standing, Standing::no_more_accepted) => break,
                 accepted = listener.accept() => accepted,
             };
             match accepted {
-                Ok((stream, _)) => self.take(number, stream, &config),
+                Ok((stream, _)) => taken(stream),
                 Err(error) => {
                     self.counters.count("connections", "accept_failed");
                     self.counters.say(self.clock.now(), format_args!("accept: {error}"));
@@ -211,51 +241,54 @@
             // Those taken read first, so that a crowd of silent ones behind them does not push them out.
             tokio::task::yield_now().await;
         }
+        // What came up before is taken, too: a listener that closes resets it. A shared one stays open at others.
+        tokio::task::yield_now().await;
+        while !shared && let Some(Ok((stream, _))) = unconstrained(listener.accept()).now_or_never() {
+            taken(stream);
+        }
     }
 
     fn take(self: &Rc<Self>, number: u64, stream: TcpStream, config: &ServiceConfig) {
         let _ = stream.set_nodelay(true);
-        if self.connections() >= self.most.get() {
-            self.make_room();
-        }
+        // One that was to make room may have gone on, so more than one may be over the limit.
+        while self.held() >= self.most.get() && self.make_room() {}
         let now = self.clock.now();
         let connection = Rc::new(Connection {
             phase: Cell::new(Phase::Silent),
             since_ms: Cell::new(now),
-            task: RefCell::default(),
+            evicted: Notify::new(),
         });
         self.connections.borrow_mut().insert(number, connection.clone());
-        self.counters.highest("connections", "submitters_at_once", self.connections() as u64);
+        self.counters.highest("connections", "submitters_at_once", self.held() as u64);
         self.counters.count("connections", "submitters");
         let (codec, inbox) = (Codec::new(config.clone()), BytesMut::new());
         let wire = Wire {
-            stream,
+            stream: Rc::new(stream),
             codec,
             inbox,
-            connection: connection.clone(),
+            connection,
             opened_ms: now,
             due_ms: now + PIECE_MS,
             whole_ms: 0.0,
+            overrun: false,
         };
         let registered = Registered { front: self.clone(), number };
-        let task = actix_rt::spawn(async move {
+        actix_rt::spawn(async move {
             registered.front.converse(wire).await;
             drop(registered);
         });
-        connection.task.replace(Some(task.abort_handle()));
     }
 
-    /// Guards against submitters that connect and stay: of those without a job the one that shows least goes, the oldest
-    /// first. Its descriptor is free as soon as its task has been looked at.
-    fn make_room(&self) {
-        let mut connections = self.connections.borrow_mut();
-        let without = connections.iter().filter(|(_, connection)| connection.phase.get() < Phase::Job);
-        let least = without.min_by(|(_, left), (_, right)| {
+    /// Guards against submitters that connect and stay: of those without a job the one that shows least is evicted, the
+    /// oldest first. False if there is none.
+    fn make_room(&self) -> bool {
+        let connections = self.connections.borrow();
+        let without = connections.values().filter(|connection| connection.phase.get() < Phase::Job);
+        let least = without.min_by(|left, right| {
             let phase = left.phase.get().cmp(&right.phase.get());
             phase.then(left.since_ms.get().total_cmp(&right.since_ms.get()))
         });
-        let Some((&number, _)) = least else { return };
-        let Some(connection) = connections.remove(&number) else { return };
+        let Some(connection) = least else { return false };
         self.counters.count(
             "connections",
             match connection.phase.get() {
@@ -264,7 +297,8 @@
                 _ => "others_given_up",
             },
         );
-        connection.task.borrow().iter().for_each(AbortHandle::abort);
+        connection.evict();
+        true
     }
 
     /// One connection, from its first byte to its end.
@@ -278,6 +312,11 @@
             let mut response = match made {
                 Ok(Made::Answer(response)) => response,
                 Ok(Made::Left) | Err(Bad::Left) => break,
+                Err(Bad::Evicted) => {
+                    let mut response = worded(Answer::Refused { wait_ms: self.crowded_wait_ms.get() });
+                    response.head_mut().set_connection_type(ConnectionType::Close);
+                    response
+                }
                 Err(Bad::Silent(problem)) => {
                     self.counters.count("bad_input", problem);
                     break;
@@ -291,21 +330,43 @@
                     response
                 }
             };
-            if *standing.borrow() != Standing::Serving {
+            if wire.overrun || *standing.borrow() != Standing::Serving {
                 response.head_mut().set_connection_type(ConnectionType::Close);
             }
-            let written = tokio::time::timeout(READS, wire.write(response)).await;
+            let written = tokio::time::timeout(WRITE_TIMEOUT, wire.write(response)).await;
             if !matches!(written, Ok(Ok(()))) {
-                return self.counters.count("connections", "answers_not_read");
+                self.counters.count("connections", "answers_not_read");
+                break;
             }
             if !wire.codec.keep_alive() {
                 break;
             }
             wire.enter(Phase::Kept, self.clock.now());
         }
+        self.end(wire).await;
+    }
+
+    /// The one way in which a connection ends: nothing is sent any more, what still comes is dropped for a while, and it is
+    /// closed over nothing unread.
+    async fn end(&self, wire: Wire) {
         wire.enter(Phase::Ending, self.clock.now());
-        if wire.stream.shutdown().await.is_ok() {
-            let _ = tokio::time::timeout(LINGER, self.drop_the_rest(&wire.stream)).await;
+        self.bound_the_ending();
+        if SockRef::from(&*wire.stream).shutdown(Shutdown::Write).is_ok() {
+            tokio::select! {
+                _ = tokio::time::timeout(LINGER, self.drop_the_rest(&wire.stream)) => {}
+                () = wire.connection.evicted.notified() => {}
+            }
+            let _ = wire.stream.try_read(&mut self.dropped.borrow_mut());
+        }
+    }
+
+    /// Where too many linger, the oldest does no longer.
+    fn bound_the_ending(&self) {
+        let connections = self.connections.borrow();
+        let ending = || connections.values().filter(|connection| connection.phase.get() == Phase::Ending);
+        if ending().count() > self.most.get() / HELD_FOR_EACH_ENDING {
+            let oldest = ending().min_by(|left, right| left.since_ms.get().total_cmp(&right.since_ms.get()));
+            oldest.into_iter().for_each(|connection| connection.evict());
         }
     }
 
@@ -327,7 +388,7 @@
         if wire.inbox.is_empty() {
             // Between requests a submitter may stay idle for as long as there is room; its first one is waited for.
             let most = if kept { FOR_EVER } else { self.clock.until(wire.due_ms) };
-            let opened_ms = wire.opened_ms;
+            let (opened_ms, evicted) = (wire.opened_ms, wire.connection.clone());
             let no_more_idle =
                 |standing: Standing| standing.no_more_idle().map(|at| at.max(opened_ms + FIRST_WORD_MS));
             let read = tokio::select! {
@@ -338,6 +399,10 @@
                     Err(_) => return Err(Bad::Left),
                     read => read,
                 },
+                () = evicted.evicted.notified() => match wire.read_now() {
+                    Err(_) => return Err(Bad::Left),
+                    read => read,
+                },
                 () = tokio::time::sleep(most) => return Err(Bad::Silent("silent")),
             };
             match read {
@@ -370,11 +435,10 @@
                 Ok(Some(_)) => return Err(Bad::Told(StatusCode::BAD_REQUEST, "target")),
                 Err(error) => return Err(unreadable(&error)),
             }
-            let late = self.clock.until(wire.due_ms);
-            match tokio::time::timeout(late, wire.read()).await {
-                Ok(Ok(1..)) => wire.due_ms = wire.whole_ms.min(self.clock.now() + PIECE_MS),
-                Ok(_) => return Err(Bad::Silent("half_a_head")),
-                Err(_) => return Err(Bad::Told(StatusCode::REQUEST_TIMEOUT, "slow_head")),
+            match self.piece(wire).await? {
+                Some(1..) => {}
+                Some(_) => return Err(Bad::Silent("half_a_head")),
+                None => return Err(Bad::Told(StatusCode::REQUEST_TIMEOUT, "slow_head")),
             }
         }
     }
@@ -392,7 +456,7 @@
             return Err(too_long);
         }
         if request.head().expect() {
-            let _ = wire.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+            let _ = wire.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         }
         let mut body = BytesMut::new();
         loop {
@@ -410,14 +474,27 @@
                 Ok(None) => {}
                 Err(_) => return Err(Bad::Told(StatusCode::BAD_REQUEST, "body_broken")),
             }
-            match tokio::time::timeout(self.clock.until(wire.due_ms), wire.read()).await {
-                Ok(Ok(1..)) => wire.due_ms = wire.whole_ms.min(self.clock.now() + PIECE_MS),
-                Ok(_) => return Err(Bad::Silent("half_a_body")),
-                Err(_) => return Err(Bad::Told(StatusCode::REQUEST_TIMEOUT, "slow_body")),
+            match self.piece(wire).await? {
+                Some(1..) => {}
+                Some(_) => return Err(Bad::Silent("half_a_body")),
+                None => return Err(Bad::Told(StatusCode::REQUEST_TIMEOUT, "slow_body")),
             }
         }
     }
 
+    /// The next piece of a request that has begun: how many bytes, 0 at the end, none if it did not come in time.
+    async fn piece(&self, wire: &mut Wire) -> Result<Option<usize>, Bad> {
+        let (connection, late) = (wire.connection.clone(), self.clock.until(wire.due_ms));
+        let read = tokio::select! {
+            biased;
+            read = wire.read() => read.unwrap_or_default(),
+            () = connection.evicted.notified() => return Err(Bad::Evicted),
+            () = tokio::time::sleep(late) => return Ok(None),
+        };
+        wire.due_ms = wire.whole_ms.min(self.clock.now() + PIECE_MS);
+        Ok(Some(read))
+    }
+
     async fn handle(&self, wire: &mut Wire, request: Request) -> Result<Made, Bad> {
         let came_ms = self.clock.now();
         if request.path() == "/healthz" {
@@ -443,6 +520,7 @@
             target: (request.uri().path_and_query()).map_or("/", |target| target.as_str()).to_owned(),
             headers: passed_on(request.headers()),
             body,
+            submitter: Submitter::on(&wire.stream),
         };
         let pending = match self.broker.submit(came_ms, &id, facts, Rc::new(errand)) {
             Ok(pending) => pending,
@@ -455,7 +533,7 @@
         wire.enter(Phase::Job, self.clock.now());
         tokio::select! {
             biased;
-            answer = pending.answer() => Ok(Made::Answer(worded(answer))),
+            answer = pending.answer() => Ok(answer.map_or(Made::Left, |answer| Made::Answer(worded(answer)))),
             () = wire.left() => Ok(Made::Left),
         }
     }
@@ -526,13 +604,24 @@
 
 impl Wire {
     fn enter(&self, phase: Phase, now_ms: f64) {
-        self.connection.phase.set(phase);
+        if self.connection.phase.replace(phase) == Phase::Evicted {
+            // It has looked: it goes on, or ends as it was to.
+            let _ = self.connection.evicted.notified().now_or_never();
+        }
         self.connection.since_ms.set(now_ms);
     }
 
+    /// Waits for what comes next. Given up, it has taken nothing.
     async fn read(&mut self) -> io::Result<usize> {
-        self.inbox.reserve(READ);
-        self.stream.read_buf(&mut self.inbox).await
+        // A submitter that sends at full speed must not keep the thread.
+        consume_budget().await;
+        loop {
+            self.stream.readable().await?;
+            match self.read_now() {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                read => return read,
+            }
+        }
     }
 
     /// What is there to read without waiting.
@@ -542,14 +631,16 @@
     }
 
     /// Waits until the submitter has left; one that ends its sending has left, too. What it sends meanwhile is kept for
-    /// later, up to a bound.
+    /// later, up to a bound: beyond it all is dropped, and read on, so that its end is seen whatever comes before.
     async fn left(&mut self) {
-        while self.inbox.len() <= LONGEST_HEAD {
-            if !matches!(self.read().await, Ok(1..)) {
-                return;
+        while matches!(self.read().await, Ok(1..)) {
+            if self.inbox.len() > LONGEST_HEAD {
+                self.overrun = true;
+            }
+            if self.overrun {
+                self.inbox.clear();
             }
         }
-        std::future::pending().await
     }
 
     async fn write(&mut self, response: Response<Bytes>) -> io::Result<()> {
@@ -560,7 +651,20 @@
             self.codec.encode(Message::Chunk(Some(body)), &mut outbox)?;
             self.codec.encode(Message::Chunk(None), &mut outbox)?;
         }
-        self.stream.write_all(&outbox).await
+        self.write_all(&outbox).await
+    }
+
+    async fn write_all(&self, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            self.stream.writable().await?;
+            match self.stream.try_write(bytes) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(written) => bytes = &bytes[written..],
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
     }
 }
 
