Know the other process by its socket too, and read nodes anew by the names of new settings

Seen with real processes: two dispatchers of one name in one folder on different sockets took each other's machine list and path (handover.rs, ask and listen: name alone); a list told by the other process was taken by its version though it came from another discovery, so that a node told as leaving came back (keep_up told no discovery). After SIGHUP with names of kinds or zones that the settings before did not have, nodes in hand kept none until told of again, and a class of such a kind was refused (facade.rs, member; broker.rs, reconfigure). A change of a node whose address cannot be read was left out: a node that leaves went on being claimed at its old address (machine_list.rs, read_news). Ruled out: settings read again between a job's submit and its repeat; a start while discovery hangs is ready with the list known before; answers that never end cost their job its time and nobody else's. Change: the two processes know each other by name and listening address, in words and in the socket's name, and each list tells whose it is; reconfigure lists the nodes in hand again; a node without a readable address takes nothing new.

--- a/crates/broker/src/broker.rs
+++ b/crates/broker/src/broker.rs
@@ -21,15 +21,16 @@
 
 /// The submitter's time is counted from its sending and the answer has to travel: so much of it is kept back.
 const MARGIN_MS: f64 = 10.0;
-/// So long after it was drained the dispatcher takes no job any more: by then nobody should send one.
+/// So long after it was drained the dispatcher takes no job any more: four seconds after the call for it no job of the last
+/// two may be out.
 const DRAINED_MS: f64 = 1_900.0;
-/// The platform kills a program that is told to end so long after the longest deadline, which counts for no more than
-/// this. What came before that span is over may be cut off, what came later is lost if it is.
+/// "SIGKILL comes no sooner than the longest deadline plus 0.7 s after SIGTERM. The longest deadline counts as 3 s where it
+/// is longer." And "what SIGKILL finds unanswered is also lost, if that request came more than 0.7 s after SIGTERM".
 const KILLED_AFTER_MS: f64 = 700.0;
 const LONGEST_DEADLINE_MS: f64 = 3_000.0;
 /// What has to be said before that is said so much sooner.
 const BEFORE_KILLED_MS: f64 = 150.0;
-/// For so long after the program's end has begun new connections keep arriving.
+/// "New connections keep coming for 0.2 to 0.4 s" after the program's end has begun, and half of that is left for a stall.
 const KEEP_ACCEPTING_MS: f64 = 600.0;
 /// So long after the dispatcher was drained its silent and idle connections go: new ones have stopped by then, and what
 /// is sent on them until then is answered in time.
@@ -422,9 +423,11 @@
         self.table.borrow().platform().facade.out_of_rotation()
     }
 
-    /// Takes new settings for the decisions. Jobs, claims and what was learnt of nodes stay.
+    /// Takes new settings for the decisions. Jobs, claims and what was learnt of nodes stay; what the list in hand says of
+    /// nodes is read by the new names.
     pub fn reconfigure(&self, pool: Pool, settings: Settings, names: Names) -> Result<(), SettingsError> {
         self.table.borrow_mut().facade(pool).reconfigure(settings, names)?;
+        self.list_again(pool);
         if pool == Pool::PLATFORM {
             let table = self.table.borrow();
             table.platform().facade.classes().iter().for_each(|class| self.counters.show_class(class));
@@ -642,9 +645,13 @@
         self.table.borrow_mut().facade(Pool::PLATFORM).succeeded(succeeded);
     }
 
-    /// A list that another process of this dispatcher has in hand, taken if it is newer.
+    /// A list that another process of this dispatcher has in hand, taken if it is newer, or if the one in hand is, like it,
+    /// from before any version.
     pub fn list_from_kin(&self, news: ListNews) {
-        if news.full && news.version > *self.version.borrow() {
+        let in_hand = *self.version.borrow();
+        // Told back and forth, the same list is no news.
+        let before_any = in_hand == 0 && news != self.list_in_hand();
+        if news.full && (news.version > in_hand || before_any) {
             self.list(ListKind::Cached, news);
         }
     }
@@ -665,6 +672,16 @@
         self.take_list(pool, ListKind::Changes, machines, |_| Some(None));
     }
 
+    fn list_again(&self, pool: Pool) {
+        let mut table = self.table.borrow_mut();
+        let machines: Vec<Machine> =
+            table.pools[pool.0].nodes.values().map(|(machine, _)| machine.clone()).collect();
+        if !machines.is_empty() {
+            let steps = table.facade(pool).list(self.clock.now(), ListKind::Cached, &machines);
+            self.take(&mut table, pool, steps);
+        }
+    }
+
     /// `listed` tells where a node listens, or that it cannot be claimed.
     fn take_list(
         &self,
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -157,7 +157,7 @@
     let handover = folder.map(|folder| {
         let (name, discovery) = (config.name.clone(), list.discovery());
         let (broker, clock, counters) = (broker.clone(), clock.clone(), counters.clone());
-        Handover::new(name, folder.as_ref(), broker, clock, counters, discovery)
+        Handover::new(name, at, folder.as_ref(), broker, clock, counters, discovery)
     });
     if let Some(handover) = &handover {
         handover.take_over().await;
--- a/crates/dispatcher/tests/process/crossings.rs
+++ b/crates/dispatcher/tests/process/crossings.rs
@@ -499,3 +499,140 @@
     assert_eq!(Message::read(&mut second).unwrap().body, "a \"red\" tint");
     assert_eq!(rig.seen(|seen| seen.requests.len()), 1);
 }
+
+/// The configuration of a dispatcher on this socket that has its list from this discovery.
+fn on(listener: &TcpListener, discovery: SocketAddr) -> String {
+    let config = with_control(CONFIG).replace("127.0.0.1:8000", &listener.local_addr().unwrap().to_string());
+    config.replace("127.0.0.1:8500", &discovery.to_string())
+}
+
+fn serves(rig: &Rig) {
+    until("it serves", || (rig.call("check\n") == "OK\n").then_some(()));
+}
+
+#[test]
+fn two_customers_dispatchers_of_one_name_in_one_folder_share_nothing() {
+    let (one, other) = (Shared::default(), Shared::default());
+    let nodes = [node(&one), node(&other)];
+    let listeners = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    let first = on(&listeners[0], discovery(&one, nodes[0]));
+    // The second one's discovery is down: it knows of no node.
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let second = on(&listeners[1], closed);
+    let [mine, theirs] = listeners.map(Socket::new);
+    let _rig = Rig::beside(&one, nodes[0], &first, &mine);
+    serves(&_rig);
+    let folder = Socket { folder: mine.folder.clone(), listener: theirs.listener.try_clone().unwrap() };
+    let stranger = Rig::beside(&other, nodes[1], &second, &folder);
+    until("its start is over", || stranger.call("vars\n").contains("registry_entries").then_some(()));
+    assert!(
+        stranger.call("vars\n").contains("registry_entries=0\n"),
+        "the other customer's nodes are none of its"
+    );
+    // And the first one's own successor still finds it.
+    let next = Rig::beside(&one, nodes[0], &on_again(&first, closed), &mine);
+    serves(&next);
+    assert_eq!(next.counters("handover"), ["handover.taken=1"]);
+}
+
+/// The same configuration with another discovery.
+fn on_again(config: &str, discovery: SocketAddr) -> String {
+    let old = config.split("\"discovery\": \"").nth(1).unwrap().split('"').next().unwrap();
+    config.replacen(old, &discovery.to_string(), 1)
+}
+
+#[test]
+fn versions_of_one_discovery_are_not_held_against_anothers_by_the_two_processes_of_a_dispatcher() {
+    // The newer process has its list elsewhere, where versions are lower.
+    let (seen, listener) = (Shared::default(), TcpListener::bind("127.0.0.1:0").unwrap());
+    let (node, elsewhere) = (node(&seen), Discovery::new());
+    let config = on(&listener, discovery(&seen, node));
+    let shared = Socket::new(listener);
+    let old = Rig::beside(&seen, node, &config, &shared);
+    serves(&old);
+    let new = Rig::beside(&seen, node, &on_again(&config, elsewhere.address), &shared);
+    let (call, mut watch) = elsewhere.open(&list(2, true, node, "leaving"));
+    assert!(call.contains("index=0"), "{call}");
+    until("the newer one is told", || new.call("vars\n").contains("out_of_rotation=1\n").then_some(()));
+    let still = chunk(&list(8, false, node, "active"));
+    seen.lock().unwrap().watches[0].1.write_all(still.as_bytes()).unwrap();
+    until("the older one is told", || {
+        old.counters("list.").contains(&"list.changes=1".to_owned()).then_some(())
+    });
+    // Whatever the older one says of it is with the newer one before the answer to a change that comes later.
+    watch.write_all(chunk(&list(3, false, node, "leaving")).as_bytes()).unwrap();
+    until("and the newer one again", || {
+        new.counters("list.").contains(&"list.changes=1".to_owned()).then_some(())
+    });
+    assert!(new.call("vars\n").contains("out_of_rotation=1\n"), "another service's version is none of its");
+}
+
+#[test]
+fn nodes_in_hand_are_known_by_the_names_of_new_settings() {
+    // Another customer's settings: the class needs a kind that they did not name before.
+    let rig = Rig::configured(|config| {
+        config.replace("[\"box\", \"vat\"]", "[\"vat\"]").replace("[\"north\", \"south\"]", "[\"south\"]")
+    });
+    assert_eq!(rig.ask(&job("pour", "done", 700)).status(), "503", "no node of its kind is known");
+    let renamed = rig.config.replace("[\"vat\"]", "[\"vat\", \"box\"]").replace("[-1, 0]", "[-1, 1]");
+    rig.reload(&renamed, "reloads.taken=1");
+    assert_eq!(rig.ask(&job("pour", "done", 5_000)).status(), "200");
+}
+
+#[test]
+fn settings_read_again_between_submit_and_repeat_change_nothing_for_the_job() {
+    let rig = Rig::new();
+    let mut fragile = rig.send(&job("pour", "breaks-late", 25_000));
+    until("the node has it", || rig.seen(|seen| seen.requests.len() == 1).then_some(()));
+    let harmless = rig.config.replace("\"fragile\"", "\"retryable\"");
+    rig.reload(&harmless, "reloads.taken=1");
+    rig.seen.lock().unwrap().break_off = true;
+    assert_eq!(
+        Message::read(&mut fragile).unwrap().status(),
+        "502",
+        "it came as one that must not run twice"
+    );
+    assert_eq!(rig.seen(|seen| seen.requests.len()), 1);
+}
+
+#[test]
+fn a_node_told_of_with_an_address_that_cannot_be_read_gets_nothing_new() {
+    for state in ["active", "leaving"] {
+        let rig = Rig::new();
+        let change = list(8, false, rig.node, state).replace(&rig.node.to_string(), "nowhere");
+        rig.seen.lock().unwrap().watches[0].1.write_all(chunk(&change).as_bytes()).unwrap();
+        until("it is told", || rig.counters("list.").contains(&"list.changes=1".to_owned()).then_some(()));
+        assert_eq!(rig.ask(&job("tint", "done", 700)).status(), "503");
+        assert_eq!(rig.seen(|seen| seen.requests.len()), 0);
+    }
+}
+
+#[test]
+fn a_start_with_a_list_known_before_is_ready_while_discovery_is_down() {
+    let seen = Shared::default();
+    let node = node(&seen);
+    // Bound, and never accepted from: calls hang.
+    let hangs = TcpListener::bind("127.0.0.1:0").unwrap();
+    let known = format!("\"known\": {}, \"settings\": {{", list(7, true, node, "active").trim());
+    for change in [as_it_is as fn(&str) -> String, pushed] {
+        let config = change(&CONFIG.replace("127.0.0.1:8000", "127.0.0.1:0"));
+        let config = config.replace("127.0.0.1:8500", &hangs.local_addr().unwrap().to_string());
+        let config = config.replacen("\"settings\": {", &known, 1);
+        let rig = Rig::started(start(&config, &[]), seen.clone(), node, config);
+        assert_eq!(rig.ask(HEALTH).status(), "200", "from its first answer on");
+        assert_eq!(rig.ask(&job("tint", "done", 5_000)).status(), "200");
+    }
+}
+
+#[test]
+fn an_answer_that_never_ends_costs_its_job_its_time_and_nobody_elses() {
+    for how in ["endless", "endless-line"] {
+        let rig = Rig::new();
+        let mut endless = rig.send(&job("pour", how, 1_500));
+        until("the node has it", || rig.seen(|seen| seen.requests.len() == 1).then_some(()));
+        assert_eq!(rig.ask(HEALTH).status(), "200", "others are answered meanwhile");
+        assert_eq!(Message::read(&mut endless).unwrap().status(), "502");
+        until("its connection is closed", || rig.seen(|seen| seen.closed == 1).then_some(()));
+        assert_eq!(rig.ask(&job("tint", "done", 25_000)).status(), "200");
+    }
+}
--- a/crates/dispatcher/tests/process/http.rs
+++ b/crates/dispatcher/tests/process/http.rs
@@ -589,11 +589,11 @@
 #[test]
 fn what_another_process_leaves_or_says_wrongly_keeps_none_from_starting() {
     let greet: fn(&str) -> String = |hello| format!("{hello}\n");
-    for said in ["", "not ours", "{\"format\":2}", "{\"format\":1,\"name\":\"n0\",\"at_ms\":1e999}"] {
+    for said in ["", "not ours", "{\"format\":1}", "{\"format\":2,\"name\":\"n0\",\"at_ms\":1e999}"] {
         let (seen, listener) = (Shared::default(), TcpListener::bind("127.0.0.1:0").unwrap());
         let (node, address) = (node(&seen), listener.local_addr().unwrap());
         let shared = Socket::new(listener);
-        let path = shared.folder.join("ruddervalve.handover");
+        let path = shared.folder.join(format!("ruddervalve.handover.{address}"));
         match said {
             "" => std::fs::write(path, "left by a crash").unwrap(),
             _ => {
@@ -611,8 +611,10 @@
         until("it serves", || (rig.call("check\n") == "OK\n").then_some(()));
         assert_eq!(rig.counters("handover"), ["handover.failed=1"], "{said}");
         // Those it does not understand, in turn, are told nothing.
-        let mut stranger = UnixStream::connect(shared.folder.join("ruddervalve.handover")).unwrap();
-        stranger.write_all(b"{\"format\":1,\"name\":\"n7\"}\n").unwrap();
+        let path = shared.folder.join(format!("ruddervalve.handover.{address}"));
+        let mut stranger = UnixStream::connect(path).unwrap();
+        let other = format!("{{\"format\":2,\"dispatcher\":{{\"name\":\"n7\",\"listen\":\"{address}\"}}}}\n");
+        stranger.write_all(other.as_bytes()).unwrap();
         let mut told = String::new();
         let _ = stranger.read_to_string(&mut told);
         assert_eq!(told, "");
--- a/crates/dispatcher/tests/process/rig.rs
+++ b/crates/dispatcher/tests/process/rig.rs
@@ -139,6 +139,14 @@
                 seen.lock().unwrap().closed += 1;
                 return;
             }
+            // Speaks at full speed for as long as it is heard: of another job, or without an end of the line.
+            "endless" | "endless-line" => {
+                let piece = if how == "endless" { other("id").repeat(64) } else { chunk(&"x".repeat(4_096)) };
+                stream.write_all(format!("{head}{started}").as_bytes()).unwrap();
+                while stream.write_all(piece.as_bytes()).is_ok() {}
+                seen.lock().unwrap().closed += 1;
+                return;
+            }
             // Tells nothing, not even a start, until the test has it broken off.
             "mute" => {
                 until("break off", || seen.lock().unwrap().break_off.then_some(()));
--- a/crates/http/src/handover.rs
+++ b/crates/http/src/handover.rs
@@ -1,7 +1,8 @@
 //! Owns what the process of a dispatcher that serves tells a newer one that is to take its place: the machine list with
 //! its version and what was learnt, over a local socket in `$TMPDIR`, and newer lists both ways for as long as both run.
-//! It must never take what it does not understand or what is another dispatcher's, keep a process from starting, or
-//! decide what follows from the other's being there.
+//! It must never take what it does not understand or what is another dispatcher's, known by its name and by the socket
+//! that both accept from, take one discovery's version for another's, keep a process from starting, or decide what follows
+//! from the other's being there.
 
 use std::io;
 use std::net::SocketAddr;
@@ -11,7 +12,7 @@
 
 use bytes::BytesMut;
 use ruddervalve::Learnt;
-use ruddervalve_broker::{Broker, Clock, Counters};
+use ruddervalve_broker::{Broker, Clock, Counters, ListNews};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -21,8 +22,8 @@
 use crate::machine_list::{read_news, write_news};
 
 /// The form of what is said here; a process that speaks another one is not understood.
-const FORMAT: u32 = 1;
-/// The socket's name in `$TMPDIR`.
+const FORMAT: u32 = 2;
+/// What the socket's name in `$TMPDIR` begins with; the address that the dispatcher listens on comes behind.
 const NAME: &str = "ruddervalve.handover";
 /// How long a process waits for the other's first words: at a start nothing else goes on meanwhile.
 const PATIENCE: Duration = Duration::from_millis(1_000);
@@ -37,20 +38,32 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct Greeting {
     format: u32,
-    /// The dispatcher's name.
+    dispatcher: Identity,
+}
+
+/// Whose process it is. Where a folder is shared, others of the same name may be there.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Identity {
     name: String,
+    listen: SocketAddr,
 }
 
-/// What the older process answers.
+/// A machine list in hand.
 #[derive(Debug, Serialize, Deserialize)]
-struct Hello {
-    format: u32,
-    name: String,
-    at_ms: f64,
+struct Listed {
     /// Whose list it is: versions are a service's own.
     discovery: SocketAddr,
     /// In discovery's form.
     list: Box<RawValue>,
+}
+
+/// What the older process answers.
+#[derive(Debug, Serialize, Deserialize)]
+struct Hello {
+    format: u32,
+    dispatcher: Identity,
+    at_ms: f64,
+    listed: Listed,
     learnt: Learnt,
 }
 
@@ -62,7 +75,7 @@
 
 /// The two processes of a dispatcher.
 pub struct Handover {
-    name: String,
+    dispatcher: Identity,
     path: PathBuf,
     broker: Rc<Broker>,
     clock: Clock,
@@ -99,17 +112,19 @@
 }
 
 impl Handover {
-    /// The link of the dispatcher of this name, in this folder.
+    /// The link of the dispatcher of this name that accepts there, in this folder.
     pub fn new(
         name: String,
+        listen: SocketAddr,
         folder: &Path,
         broker: Rc<Broker>,
         clock: Clock,
         counters: Rc<Counters>,
         discovery: watch::Receiver<SocketAddr>,
     ) -> Rc<Self> {
-        let (path, linked) = (folder.join(NAME), watch::Sender::new(false));
-        Rc::new(Self { name, path, broker, clock, counters, discovery, linked })
+        let (path, linked) = (folder.join(format!("{NAME}.{listen}")), watch::Sender::new(false));
+        let dispatcher = Identity { name, listen };
+        Rc::new(Self { dispatcher, path, broker, clock, counters, discovery, linked })
     }
 
     /// Whether another process of this dispatcher is there, now and when it changes.
@@ -148,20 +163,17 @@
     /// The newer process's first words, and what it takes from the answer.
     async fn ask(&self) -> io::Result<Link> {
         let mut link = Link::new(UnixStream::connect(&self.path).await?);
-        link.say(&Greeting { format: FORMAT, name: self.name.clone() }).await?;
+        link.say(&Greeting { format: FORMAT, dispatcher: self.dispatcher.clone() }).await?;
         let line = link.line().await?;
         let hello: Hello = serde_json::from_slice(&line)?;
         let unsound = |problem: &str| io::Error::new(io::ErrorKind::InvalidData, problem);
-        if hello.format != FORMAT || hello.name != self.name {
+        if hello.format != FORMAT || hello.dispatcher != self.dispatcher {
             return Err(unsound("another format or dispatcher"));
         }
         if (self.clock.now() - hello.at_ms).abs() > STALE_MS {
             return Err(unsound("stale"));
         }
-        let mut news = read_news(hello.list.get().as_bytes()).map_err(|problem| unsound(&problem))?;
-        if hello.discovery != *self.discovery.borrow() {
-            news.version = 0;
-        }
+        let news = self.read(&hello.listed).map_err(|problem| unsound(&problem))?;
         if !self.broker.inherit(news, &hello.learnt) {
             return Err(unsound("what was learnt makes no sense"));
         }
@@ -194,7 +206,7 @@
         let greeting = tokio::time::timeout(PATIENCE, link.line()).await;
         let greeting = greeting.ok().and_then(Result::ok);
         let greeting = greeting.and_then(|line| serde_json::from_slice::<Greeting>(&line).ok());
-        if !greeting.is_some_and(|other| other.format == FORMAT && other.name == self.name) {
+        if !greeting.is_some_and(|other| other.format == FORMAT && other.dispatcher == self.dispatcher) {
             return self.counters.count("handover", "not_understood");
         }
         // From here on the other one spends the budgets, so what it is told of them is all that was spent.
@@ -211,15 +223,28 @@
     async fn tell(&self, link: &mut Link) -> io::Result<()> {
         let hello = Hello {
             format: FORMAT,
-            name: self.name.clone(),
+            dispatcher: self.dispatcher.clone(),
             at_ms: self.clock.now(),
-            discovery: *self.discovery.borrow(),
-            list: RawValue::from_string(write_news(&self.broker.list_in_hand()))?,
+            listed: self.listed()?,
             learnt: self.broker.learnt(),
         };
         link.say(&hello).await
     }
 
+    fn listed(&self) -> io::Result<Listed> {
+        let list = RawValue::from_string(write_news(&self.broker.list_in_hand()))?;
+        Ok(Listed { discovery: *self.discovery.borrow(), list })
+    }
+
+    /// The other process's list. Where it is had elsewhere than here its version tells nothing: it is from before any.
+    fn read(&self, listed: &Listed) -> Result<ListNews, String> {
+        let mut news = read_news(listed.list.get().as_bytes())?;
+        if listed.discovery != *self.discovery.borrow() {
+            news.version = 0;
+        }
+        Ok(news)
+    }
+
     /// Tells the other process of newer lists and takes those it tells of, until it has gone.
     async fn keep_up(&self, mut link: Link) {
         let mut version = self.broker.list_version();
@@ -228,14 +253,15 @@
             tokio::select! {
                 line = link.line() => {
                     let Ok(line) = line else { return };
-                    match read_news(&line) {
+                    let listed = serde_json::from_slice::<Listed>(&line).map_err(|error| error.to_string());
+                    match listed.and_then(|listed| self.read(&listed)) {
                         Ok(news) => self.broker.list_from_kin(news),
                         Err(_) => return self.counters.count("handover", "not_understood"),
                     }
                 }
                 Ok(()) = version.changed() => {
-                    let Ok(list) = RawValue::from_string(write_news(&self.broker.list_in_hand())) else { return };
-                    if link.say(&list).await.is_err() {
+                    let Ok(listed) = self.listed() else { return };
+                    if link.say(&listed).await.is_err() {
                         return;
                     }
                 }
--- a/crates/http/src/machine_list.rs
+++ b/crates/http/src/machine_list.rs
@@ -55,23 +55,23 @@
     started_ms: f64,
 }
 
-/// Reads one line. A machine whose address cannot be read is left out, one in an unknown state takes nothing new.
+/// Reads one list. A machine in an unknown state takes nothing new, nor does one whose address cannot be read.
 pub fn read_news(line: &[u8]) -> Result<ListNews, String> {
     let mut json = serde_json::Deserializer::from_slice(line);
     let line: Line = serde_path_to_error::deserialize(&mut json).map_err(|error| error.to_string())?;
     let mut news =
         ListNews { version: line.version, full: line.full, machines: Vec::new(), addresses: BTreeMap::new() };
     for entry in line.servers {
-        let availability = match entry.state.as_str() {
+        let mut availability = match entry.state.as_str() {
             "active" => Availability::Ready,
             "left" => Availability::Gone,
             _ => Availability::Draining,
         };
         match entry.addr.parse() {
             Ok(address) => drop(news.addresses.insert(entry.id.clone(), address)),
-            // Gone machines need no address; any other without one cannot be claimed.
+            // Gone machines need no address. Any other must not be claimed where it was before.
             Err(_) if availability == Availability::Gone => {}
-            Err(_) => continue,
+            Err(_) => availability = Availability::Draining,
         }
         news.machines.push(Machine {
             name: entry.id,
