--- a/crates/dispatcher/tests/process/crossings.rs
+++ b/crates/dispatcher/tests/process/crossings.rs
@@ -276,6 +276,21 @@
     }
 }
 
+#[test]
+fn a_discovery_that_lets_calls_wait_longer_than_usual_is_waited_for_in_the_end() {
+    let discovery = Discovery::new();
+    let (rig, _silent) = told(&discovery, &|node| list(7, true, node, "active"), as_it_is);
+    let (_, mut first) = discovery.call();
+    assert!(matches!(first.read(&mut [0]), Ok(0) | Err(_)), "given up, so that another one is made in time");
+    let (_, mut second) = discovery.call();
+    // Longer than the first call was waited for, by a job that is given up then.
+    assert_eq!(rig.ask(&job("pour", "runs", 3_000)).status(), "502");
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    second.write_all(format!("{head}{}", chunk(&list(8, false, rig.node, "leaving"))).as_bytes()).unwrap();
+    until("it is told", || rig.counters("list.").contains(&"list.changes=1".to_owned()).then_some(()));
+    assert!(discovery.calls.try_recv().is_err(), "there was no third call");
+}
+
 #[test]
 fn a_whole_list_older_than_the_one_in_hand_takes_nothing_back_unless_asked_for_anew() {
     let discovery = Discovery::new();
@@ -463,11 +478,43 @@
         assert!(["200", "503"].contains(&Message::read(stream).expect("an answer").status()));
         assert!(Message::read(stream).is_none(), "and a close behind it");
     }
+    // There is no way back, and no new settings either.
+    rig.signal("-HUP");
     let answer = Message::read(&mut hung).unwrap();
     assert_eq!((answer.status(), &*answer.headers["connection"]), ("502", "close"));
     assert!(rig.ended().success());
 }
 
+#[test]
+fn what_came_behind_the_last_answer_on_a_connection_is_not_sent_on() {
+    let rig = Rig::new();
+    let _busy = rig.send(&job("pour", "waits", 25_000));
+    until("the node has it", || rig.seen(|seen| seen.requests.len() == 1).then_some(()));
+    rig.signal("-TERM");
+    until("it ends", || (rig.ask(HEALTH).status() == "503").then_some(()));
+    let mut both = rig.send(&(job("tint", "done", 2_500) + &job("tint", "done", 2_500)));
+    let answer = Message::read(&mut both).unwrap();
+    assert_eq!((answer.status(), &*answer.headers["connection"]), ("200", "close"));
+    assert!(Message::read(&mut both).is_none(), "told to end, it is the submitter's to send again");
+    assert_eq!(rig.seen(|seen| seen.requests.len()), 2);
+}
+
+#[test]
+fn a_request_sent_again_as_its_connection_was_reset_meets_no_open_copy() {
+    let rig = Rig::new();
+    let request = job("tint", "runs", 25_000);
+    let first = rig.send(&request);
+    until("the node has it", || rig.seen(|seen| seen.requests.len() == 1).then_some(()));
+    let mut second = None;
+    held_still(&rig, || {
+        reset(first);
+        second = Some(rig.send(&request));
+    });
+    until("the node has it again", || rig.seen(|seen| seen.requests.len() == 2).then_some(()));
+    until("the first is given up", || rig.seen(|seen| seen.closed == 1).then_some(()));
+    drop(second);
+}
+
 #[test]
 fn an_answer_that_comes_a_second_time_is_not_taken_for_the_next_jobs() {
     // The connection took long to come up, so the last byte of what must not run twice is held back for long.
@@ -636,3 +683,25 @@
         assert_eq!(rig.ask(&job("tint", "done", 25_000)).status(), "200");
     }
 }
+
+#[test]
+fn what_discovery_has_elsewhere_is_had_before_it_counts_as_told_though_its_first_call_hangs() {
+    // "After SIGHUP it counts 4 s later", and half a second of grace is behind that: a job given up then tells the time.
+    for change in [as_it_is as fn(&str) -> String, pushed] {
+        let (before, elsewhere) = (Discovery::new(), Discovery::new());
+        let (rig, mut old) = told(&before, &|node| list(7, true, node, "active"), change);
+        rig.reload(&on_again(&rig.config, elsewhere.address), "reloads.taken=1");
+        let mut time = rig.send(&job("pour", "runs", 4_500));
+        let _hung = elsewhere.call();
+        // What the watch given up still says is heard by nobody.
+        let _ = old.write_all(chunk(&list(9, false, rig.node, "active")).as_bytes());
+        let (call, _watch) = elsewhere.open(&list(2, true, rig.node, "leaving"));
+        assert!(call.contains("index=0"), "{call}");
+        until("it is told", || rig.counters("list.whole").contains(&"list.whole=2".to_owned()).then_some(()));
+        time.get_ref().set_nonblocking(true).unwrap();
+        let early = time.get_mut().read(&mut [0]).map_err(|error| error.kind());
+        assert_eq!(early, Err(ErrorKind::WouldBlock), "the job's time is not over yet");
+        assert!(!rig.counters("list.").contains(&"list.changes=1".to_owned()));
+        assert_eq!(rig.ask(&job("tint", "done", 700)).status(), "503");
+    }
+}
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -388,24 +388,22 @@
         if wire.inbox.is_empty() {
             // Between requests a submitter may stay idle for as long as there is room; its first one is waited for.
             let most = if kept { FOR_EVER } else { self.clock.until(wire.due_ms) };
-            let (opened_ms, evicted) = (wire.opened_ms, wire.connection.clone());
+            let (opened_ms, connection) = (wire.opened_ms, wire.connection.clone());
             let no_more_idle =
                 |standing: Standing| standing.no_more_idle().map(|at| at.max(opened_ms + FIRST_WORD_MS));
+            let over = async {
+                tokio::select! {
+                    () = self.broker.passed(standing, no_more_idle) => Bad::Left,
+                    () = connection.evicted.notified() => Bad::Left,
+                    () = tokio::time::sleep(most) => Bad::Silent("silent"),
+                }
+            };
             let read = tokio::select! {
                 biased;
-                read = wire.read() => read,
-                // Never closed over bytes that wait unread.
-                () = self.broker.passed(standing, no_more_idle) => match wire.read_now() {
-                    Err(_) => return Err(Bad::Left),
-                    read => read,
-                },
-                () = evicted.evicted.notified() => match wire.read_now() {
-                    Err(_) => return Err(Bad::Left),
-                    read => read,
-                },
-                () = tokio::time::sleep(most) => return Err(Bad::Silent("silent")),
+                read = wire.read() => Ok(read),
+                over = over => Err(over),
             };
-            match read {
+            match read.or_else(|over| wire.read_now().map(Ok).map_err(|_| over))? {
                 Ok(1..) => {}
                 _ if kept => return Err(Bad::Left),
                 _ => return Err(Bad::Silent("nothing_sent")),
--- a/crates/http/src/machine_list.rs
+++ b/crates/http/src/machine_list.rs
@@ -29,9 +29,11 @@
 const TOLD_AFTER_SILENCE_MS: f64 = 6_000.0;
 /// "After SIGHUP it counts 4 s later."
 const TOLD_AFTER_MOVE_MS: f64 = 4_000.0;
-/// A call that is not answered within this is made again. Discovery that is asked handles calls in turn and answers one
-/// that waited too long, too; a second call still fits in before what a silent watch missed counts as told.
+/// A call that is not answered within this is made again: a second one still fits in before what a silent watch missed
+/// counts as told. Discovery that is asked handles calls in turn and may let them wait for longer than that: each call in a
+/// row that is given up doubles the time of the next one, so many times at most.
 const CALL: Duration = Duration::from_secs(2);
+const CALL_DOUBLINGS: u32 = 2;
 /// The longest list that is read: some thousand machines.
 const LONGEST_LIST: usize = 4 << 20;
 
@@ -145,6 +147,8 @@
     pushed: Cell<Option<Pushed>>,
     /// Watches on an agent that ended since one last told something.
     ended: Cell<u32>,
+    /// Calls given up in a row.
+    unanswered: Cell<u32>,
 }
 
 /// How an agent is called.
@@ -182,6 +186,7 @@
             same_service: Cell::new(true),
             pushed: Cell::new(pushed(network)),
             ended: Cell::new(0),
+            unanswered: Cell::new(0),
         };
         Self {
             discovery: watch::Sender::new(discovery),
@@ -240,6 +245,11 @@
         self.watch.set(Watch::Called { since_ms: self.clock.now() });
     }
 
+    /// A call was answered, be it with an error.
+    fn answered(&self) {
+        self.unanswered.set(0);
+    }
+
     /// Something was heard, be it an empty line.
     fn heard(&self) {
         let now = self.clock.now();
@@ -251,6 +261,7 @@
     /// The list is had elsewhere from now on.
     fn moved(&self) {
         self.same_service.set(false);
+        self.unanswered.set(0);
         self.told_ms.set(self.clock.now() + TOLD_AFTER_MOVE_MS);
     }
 
@@ -258,11 +269,11 @@
     /// where the decisions say when to call.
     fn broke(&self, problem: &str) -> Option<Duration> {
         let silent = self.due().is_some_and(|due| due <= self.clock.now());
-        if let Watch::Open { .. } = self.watch.replace(Watch::Closed)
-            && !silent
-        {
+        match self.watch.replace(Watch::Closed) {
             // Its end was told: the clock of silence does not run.
-            self.told_ms.set(f64::INFINITY);
+            Watch::Open { .. } if !silent => self.told_ms.set(f64::INFINITY),
+            Watch::Called { .. } if silent => self.unanswered.set(self.unanswered.get() + 1),
+            _ => {}
         }
         let told_ms = self.told_ms.get();
         let Some(pushed) = self.pushed.get() else {
@@ -277,7 +288,8 @@
 
     /// When the watch is given up unless something is heard before.
     fn due(&self) -> Option<f64> {
-        let answer = self.pushed.get().map_or(CALL, |pushed| pushed.answer);
+        let asked = || CALL * (1 << self.unanswered.get().min(CALL_DOUBLINGS));
+        let answer = self.pushed.get().map_or_else(asked, |pushed| pushed.answer);
         match self.watch.get() {
             Watch::Closed => None,
             Watch::Called { since_ms } => Some(since_ms + answer.as_secs_f64() * 1e3),
@@ -310,6 +322,7 @@
         let url = format!("http://{address}/v1/servers?stream=1&index={version}");
         let call = self.client.borrow().get(url).address(address).send();
         let mut response = self.next(call).await?.map_err(|error| error.to_string())?;
+        self.answered();
         if !response.status().is_success() {
             return Err(format!("status {}", response.status()));
         }
