--- a/crates/http/src/handover.rs
+++ b/crates/http/src/handover.rs
@@ -26,7 +26,7 @@
 /// What the socket's name in `$TMPDIR` begins with; the address that the dispatcher listens on comes behind.
 const NAME: &str = "ruddervalve.handover";
 /// How long a process waits for the other's first words: at a start nothing else goes on meanwhile.
-const PATIENCE: Duration = Duration::from_millis(1_000);
+const GREETING_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// What was said longer ago than this is no news.
 const STALE_MS: f64 = 10_000.0;
 /// The longest line: some thousand machines.
@@ -135,7 +135,7 @@
     /// Takes over from the process that serves, if there is one, then waits for a newer one. Whatever goes wrong here,
     /// the process starts as though it were alone.
     pub async fn take_over(self: &Rc<Self>) {
-        match tokio::time::timeout(PATIENCE, self.ask()).await {
+        match tokio::time::timeout(GREETING_TIMEOUT, self.ask()).await {
             Ok(Ok(link)) => {
                 self.counters.count("handover", "taken");
                 self.linked.send_replace(true);
@@ -203,7 +203,7 @@
     }
 
     async fn hand_on(&self, mut link: Link) {
-        let greeting = tokio::time::timeout(PATIENCE, link.line()).await;
+        let greeting = tokio::time::timeout(GREETING_TIMEOUT, link.line()).await;
         let greeting = greeting.ok().and_then(Result::ok);
         let greeting = greeting.and_then(|line| serde_json::from_slice::<Greeting>(&line).ok());
         if !greeting.is_some_and(|other| other.format == FORMAT && other.dispatcher == self.dispatcher) {
@@ -255,7 +255,7 @@
                     let Ok(line) = line else { return };
                     let listed = serde_json::from_slice::<Listed>(&line).map_err(|error| error.to_string());
                     match listed.and_then(|listed| self.read(&listed)) {
-                        Ok(news) => self.broker.list_from_kin(news),
+                        Ok(news) => self.broker.list_from_other_process(news),
                         Err(_) => return self.counters.count("handover", "not_understood"),
                     }
                 }
