--- a/crates/dispatcher/tests/process/crossings.rs
+++ b/crates/dispatcher/tests/process/crossings.rs
@@ -709,3 +709,22 @@
         assert_eq!(rig.ask(&job("tint", "done", 700)).status(), "503");
     }
 }
+
+#[test]
+fn submitters_that_send_much_at_once_and_go_take_no_room_from_jobs() {
+    let rig = Rig::configured(|config| config.replace("1024", "64"));
+    let much = "x".repeat(60_000);
+    let ways = [drop as fn(BufReader<TcpStream>), reset, |stream| half_close(&stream)];
+    for (number, leave) in ways.iter().cycle().take(90).enumerate() {
+        let whole = job("tint", "runs", 25_000);
+        // Behind a job, behind half of one, and nothing else.
+        let before = [&*whole, &whole[..whole.len() / 2], ""][number / 3 % 3];
+        leave(rig.send(&format!("{before}{much}")));
+    }
+    // As long granted as those before: one granted less counts as a later try, and late ones wait for tokens.
+    assert_eq!(rig.ask(&job("tint", "done", 25_000)).status(), "200");
+    until("all have gone", || {
+        let open = std::fs::read_dir(format!("/proc/{}/fd", rig.child.id())).unwrap().count();
+        (open < 24).then_some(())
+    });
+}
