--- /dev/null
+++ b/crates/configuration/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings of a process and the operator's configurations: reading, checking, the route table
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,1 @@
+//! The edge: accepts messages, delivers them to runners, calls back
--- /dev/null
+++ b/crates/protocol/src/control.rs
@@ -0,0 +1,149 @@
+//! What coordinators tell edges and stores, and what these tell them.
+
+use nanoserde::{DeBin, SerBin};
+
+use crate::{Blob, GroupId, Incarnation, ReplicaId};
+
+/// To a coordinator.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub enum CoordinatorRequest {
+    /// Makes the sender known and asks for updates on this connection from now on. Sent again whenever it changes.
+    Register(Registration),
+    /// The sender is alive; each is answered by [`CoordinatorReply::Alive`].
+    Heartbeat,
+    /// A store is done with its part of a retirement: it holds no replica any more.
+    Emptied,
+}
+
+/// Who registers.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub enum Registration {
+    /// An edge.
+    Edge {
+        /// Its life.
+        incarnation: Incarnation,
+    },
+    /// A store.
+    Store(StoreMember),
+    /// A coordinator that wants to be, or is, a member of the group.
+    Coordinator(CoordinatorMember),
+}
+
+/// A store machine.
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub struct StoreMember {
+    /// Its `NodeName`.
+    pub node: String,
+    /// The identity of its disk.
+    pub replica: ReplicaId,
+    /// Its internal address, `ip:port`.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+}
+
+/// A coordinator.
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub struct CoordinatorMember {
+    /// Its `NodeName`.
+    pub node: String,
+    /// The identity of its disk.
+    pub replica: ReplicaId,
+    /// Its internal address, `ip:port`.
+    pub address: String,
+    /// Its `ControlPlane` address, `ip:port`.
+    pub control_address: String,
+}
+
+/// From a coordinator. Only the leader sends updates, and only while its lease is valid.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub enum CoordinatorReply {
+    /// The sender does not lead; the internal address of the one that does, where it is known.
+    NotLeader {
+        /// `ip:port`.
+        leader: Option<String>,
+    },
+    /// Answers a heartbeat: the sender still leads in this term.
+    Alive {
+        /// The leader's term.
+        term: u64,
+    },
+    /// The configuration in force.
+    Configuration(ConfigurationUpdate),
+    /// Stores, coordinators and the placement of shards.
+    Directory(Directory),
+    /// The runners, whole.
+    Runners(RunnerList),
+}
+
+/// A configuration as the operator sent it.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct ConfigurationUpdate {
+    /// Its `ResourceVersion`.
+    pub version: u64,
+    /// The JSON body, byte for byte.
+    pub body: Blob,
+}
+
+/// Who is there, and who holds which shard.
+#[derive(Debug, Clone, PartialEq, Default, SerBin, DeBin)]
+pub struct Directory {
+    /// Grows with each change; a receiver ignores older ones.
+    pub version: u64,
+    /// All stores known, by node name, each with its newest disk.
+    pub stores: Vec<StoreMember>,
+    /// All coordinators known.
+    pub coordinators: Vec<CoordinatorMember>,
+    /// All shards; empty until there are enough stores.
+    pub shards: Vec<ShardPlacement>,
+}
+
+/// Where a shard lives.
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub struct ShardPlacement {
+    /// The shard's group.
+    pub group: GroupId,
+    /// The disks that the shard was founded on. A store creates the group only if its own disk is among them.
+    pub founders: Vec<ReplicaId>,
+    /// The nodes that shall hold it, the preferred leader first. The shard's leader moves its membership towards this.
+    pub wanted: Vec<String>,
+}
+
+/// The platform's list of runners.
+#[derive(Debug, Clone, PartialEq, Default, SerBin, DeBin)]
+pub struct RunnerList {
+    /// The term of the coordinator that read it.
+    pub term: u64,
+    /// Counts lists within a term; receivers ignore lists that are older by (term, sequence).
+    pub sequence: u64,
+    /// The entries.
+    pub runners: Vec<Runner>,
+}
+
+/// One runner, as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub struct Runner {
+    /// The `Uid` of its incarnation.
+    pub uid: String,
+    /// The name of its service.
+    pub service: String,
+    /// `ip:port`.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// Messages it works on at the same time.
+    pub capacity: u32,
+    /// Whether it takes new work.
+    pub phase: RunnerPhase,
+    /// How much longer it is slow from its start, in milliseconds.
+    pub cold_remaining_ms: u32,
+}
+
+/// Whether a runner takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub enum RunnerPhase {
+    /// It does.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,22 @@
+//! Messages that the processes of the system exchange, in nanoserde binary.
+//!
+//! Types only: no I/O, no clock, no decisions. Times named `_ms` are milliseconds; where they are points in time, the
+//! comment names the clock. Consensus messages are in `ruddervalve-consensus`, as only replicas exchange them.
+
+mod blob;
+mod control;
+mod delivery;
+mod greeting;
+mod identity;
+
+pub use blob::Blob;
+pub use control::{
+    ConfigurationUpdate, CoordinatorMember, CoordinatorReply, CoordinatorRequest, Directory, Registration, Runner,
+    RunnerList, RunnerPhase, ShardPlacement, StoreMember,
+};
+pub use delivery::{
+    AppendOutcome, DeliveryOutcome, EdgeToStore, EndPhase, Grant, InventoryItem, LeaseId, MessagePhase, NewMessage,
+    StoreToEdge,
+};
+pub use greeting::{Channel, Greeting, PROTOCOL_VERSION};
+pub use identity::{GroupId, Incarnation, MessageId, ReplicaId};
--- /dev/null
+++ b/crates/rpc/src/lib.rs
@@ -0,0 +1,1 @@
+//! Framed connections between the processes of the system
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! The store: shards of the durable queue
