--- /dev/null
+++ b/crates/consensus/src/body.rs
@@ -0,0 +1,143 @@
+//! The contents of messages. All is public in a private module, as the derivation of the encoding asks for it; none of it
+//! leaves the crate.
+
+use nanoserde::{DeBin, DeBinErr, SerBin};
+use ruddervalve_protocol::Blob;
+
+use crate::entry::Entry;
+use crate::membership::Membership;
+use crate::wire::decode_list;
+
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub enum Body {
+    PreVote(Candidacy),
+    PreVoteReply(PreVoteReply),
+    Vote(VoteRequest),
+    VoteReply(VoteReply),
+    Append(Append),
+    AppendReply(AppendReply),
+    Heartbeat(Heartbeat),
+    HeartbeatReply(HeartbeatReply),
+    Chunk(Chunk),
+    ChunkReply(ChunkReply),
+    Stale,
+    TimeoutNow,
+}
+
+/// How far the log of one that would lead goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub struct Candidacy {
+    pub last_index: u64,
+    pub last_term: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub struct PreVoteReply {
+    /// The term that the asker had when it asked.
+    pub asked_term: u64,
+    pub granted: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub struct VoteRequest {
+    pub candidacy: Candidacy,
+    /// The leader itself gave up its lease for this candidate, so its voters need not wait for the lease's end.
+    pub transfer: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub struct VoteReply {
+    pub granted: bool,
+}
+
+/// Returned unchanged in the answer to what a leader sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub struct Stamp {
+    /// When the leader sent it, by its own clock; ms.
+    pub sent: u64,
+    /// Counts how often the leader began anew with this follower: refusals of what it sent before are void.
+    pub stream: u32,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub struct Append {
+    pub stamp: Stamp,
+    pub previous_index: u64,
+    pub previous_term: u64,
+    pub commit: u64,
+    pub entries: EntryList,
+}
+
+/// Entries, decoded without trust in the stated length.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntryList(pub Vec<Entry>);
+
+impl SerBin for EntryList {
+    fn ser_bin(&self, output: &mut Vec<u8>) {
+        self.0.ser_bin(output);
+    }
+}
+
+impl DeBin for EntryList {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Self, DeBinErr> {
+        Ok(Self(decode_list(offset, bytes)?))
+    }
+}
+
+/// Where a follower's log may still agree with the leader's: at or before this entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub struct Hint {
+    pub index: u64,
+    pub term: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub struct AppendReply {
+    pub stamp: Stamp,
+    /// Up to here the follower's log agrees with the leader's and is on its disk.
+    pub matched: u64,
+    /// Set if the follower lacks the entry that the appended ones follow.
+    pub rejection: Option<Hint>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub struct Heartbeat {
+    pub stamp: Stamp,
+    /// The newest entry that the leader has sent to this follower: does it have it?
+    pub check_index: u64,
+    pub check_term: u64,
+    pub commit: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub struct HeartbeatReply {
+    pub stamp: Stamp,
+    /// Up to here the follower's log agrees with the leader's and is on its disk.
+    pub matched: u64,
+    /// Set if the follower lacks the entry asked for.
+    pub rejection: Option<Hint>,
+}
+
+/// A part of a snapshot.
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub struct Chunk {
+    pub stamp: Stamp,
+    /// The last entry that the snapshot includes.
+    pub index: u64,
+    pub term: u64,
+    pub membership: Membership,
+    /// Bytes of the whole snapshot.
+    pub total: u64,
+    /// Where in the snapshot this part begins; bytes.
+    pub offset: u64,
+    pub data: Blob,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub struct ChunkReply {
+    pub stamp: Stamp,
+    /// Which snapshot.
+    pub index: u64,
+    /// How much of it has come without a gap; bytes.
+    pub received: u64,
+}
--- /dev/null
+++ b/crates/consensus/src/election.rs
@@ -0,0 +1,188 @@
+//! Elections: pre-votes, votes, and following whoever leads.
+
+use ruddervalve_protocol::ReplicaId;
+
+use crate::entry::HardState;
+use crate::membership::Membership;
+use crate::message::{Body, Candidacy, PreVoteReply, VoteReply, VoteRequest};
+use crate::replica::{Replica, Role};
+
+/// The answers to a pre-vote or a vote.
+#[derive(Debug, Default)]
+pub(crate) struct Ballot {
+    granted: Vec<ReplicaId>,
+    denied: Vec<ReplicaId>,
+}
+
+impl Ballot {
+    fn clear(&mut self) {
+        self.granted.clear();
+        self.denied.clear();
+    }
+
+    fn count(&mut self, voter: ReplicaId, granted: bool) {
+        if self.granted.contains(&voter) || self.denied.contains(&voter) {
+            return;
+        }
+        let answers = if granted { &mut self.granted } else { &mut self.denied };
+        answers.push(voter);
+    }
+
+    fn is_won(&self, membership: &Membership) -> bool {
+        is_quorum(&self.granted, membership)
+    }
+
+    fn is_lost(&self, membership: &Membership) -> bool {
+        is_quorum(&self.denied, membership)
+    }
+}
+
+fn is_quorum(replicas: &[ReplicaId], membership: &Membership) -> bool {
+    let voters = replicas.iter().filter(|id| membership.is_voter(**id)).count();
+    voters >= membership.quorum()
+}
+
+impl Replica {
+    /// Asks whether it would be elected, before it raises the term.
+    pub(crate) fn start_pre_vote(&mut self) {
+        self.set_role(Role::PreCandidate, None);
+        self.draw_election_timeout();
+        self.ballot.clear();
+        self.ballot.count(self.id, true);
+        let candidacy = self.candidacy();
+        for voter in self.other_voters() {
+            self.send(voter, Body::PreVote(candidacy));
+        }
+        if self.ballot.is_won(self.memberships.latest()) {
+            self.start_campaign(false);
+        }
+    }
+
+    /// Asks for votes in a new term. `transfer`: the leader gave up its lease for this campaign.
+    pub(crate) fn start_campaign(&mut self, transfer: bool) {
+        if !self.has_next_term() {
+            return;
+        }
+        self.set_role(Role::Candidate, None);
+        self.incoming = None;
+        self.set_hard_state(HardState { term: self.hard_state.term + 1, vote: Some(self.id) });
+        self.draw_election_timeout();
+        self.ballot.clear();
+        let request = VoteRequest { candidacy: self.candidacy(), transfer };
+        for voter in self.other_voters() {
+            self.send_after_write(voter, Body::Vote(request));
+        }
+    }
+
+    /// Its own vote counts only once it is on disk.
+    pub(crate) fn count_own_vote(&mut self) {
+        if self.writes.hard_state_durable() {
+            self.ballot.count(self.id, true);
+            self.settle_campaign();
+        }
+    }
+
+    pub(crate) fn on_pre_vote(&mut self, from: ReplicaId, term: u64, candidacy: Candidacy) {
+        let granted = term >= self.hard_state.term && !self.refuses_votes() && self.is_up_to_date(candidacy);
+        self.send(from, Body::PreVoteReply(PreVoteReply { asked_term: term, granted }));
+    }
+
+    pub(crate) fn on_pre_vote_reply(&mut self, from: ReplicaId, term: u64, reply: PreVoteReply) {
+        if self.role() != Role::PreCandidate || reply.asked_term != self.hard_state.term {
+            return;
+        }
+        if !reply.granted && term > self.hard_state.term {
+            self.become_follower(term, None);
+            return;
+        }
+        self.ballot.count(from, reply.granted);
+        if self.ballot.is_won(self.memberships.latest()) {
+            self.start_campaign(false);
+        } else if self.ballot.is_lost(self.memberships.latest()) {
+            self.set_role(Role::Follower, None);
+        }
+    }
+
+    pub(crate) fn on_vote(&mut self, from: ReplicaId, term: u64, request: VoteRequest) {
+        if !request.transfer && self.refuses_votes() {
+            return;
+        }
+        if term > self.hard_state.term {
+            self.become_follower(term, None);
+        }
+        let free = self.hard_state.vote.is_none_or(|vote| vote == from);
+        let granted = term == self.hard_state.term && free && self.is_up_to_date(request.candidacy);
+        if granted {
+            if self.hard_state.vote.is_none() {
+                self.set_hard_state(HardState { vote: Some(from), ..self.hard_state });
+            }
+            self.reset_election_timer();
+        }
+        self.send_after_write(from, Body::VoteReply(VoteReply { granted }));
+    }
+
+    pub(crate) fn on_vote_reply(&mut self, from: ReplicaId, term: u64, reply: VoteReply) {
+        if self.role() != Role::Candidate || term < self.hard_state.term {
+            return;
+        }
+        if term > self.hard_state.term {
+            self.become_follower(term, None);
+            return;
+        }
+        self.ballot.count(from, reply.granted);
+        self.settle_campaign();
+    }
+
+    /// Follows `leader`, or nobody until one is heard, in `term`.
+    pub(crate) fn become_follower(&mut self, term: u64, leader: Option<ReplicaId>) {
+        if term > self.hard_state.term {
+            self.incoming = None;
+            self.set_hard_state(HardState { term, vote: None });
+        }
+        if self.role() != Role::Follower {
+            self.draw_election_timeout();
+        }
+        self.set_role(Role::Follower, leader);
+    }
+
+    /// Whether `from` leads in a term that counts; then it is followed, and heard.
+    pub(crate) fn accept_leader(&mut self, from: ReplicaId, term: u64) -> bool {
+        if term < self.hard_state.term {
+            self.send(from, Body::Stale);
+            return false;
+        }
+        let same_term = term == self.hard_state.term;
+        let other_leader = self.leader.is_some_and(|leader| leader != from);
+        if same_term && other_leader {
+            return false;
+        }
+        if !same_term || self.leader.is_none() || self.role() != Role::Follower {
+            self.become_follower(term, Some(from));
+        }
+        self.heard_leader_at = Some(self.now);
+        self.reset_election_timer();
+        true
+    }
+
+    fn settle_campaign(&mut self) {
+        let membership = self.memberships.latest();
+        if self.ballot.is_won(membership) && self.writes.hard_state_durable() {
+            self.become_leader();
+        } else if self.ballot.is_lost(membership) {
+            self.become_follower(self.hard_state.term, None);
+        }
+    }
+
+    fn candidacy(&self) -> Candidacy {
+        Candidacy { last_index: self.log.last_index(), last_term: self.log.last_term() }
+    }
+
+    fn is_up_to_date(&self, candidacy: Candidacy) -> bool {
+        (candidacy.last_term, candidacy.last_index) >= (self.log.last_term(), self.log.last_index())
+    }
+
+    fn other_voters(&self) -> Vec<ReplicaId> {
+        let voters = &self.memberships.latest().voters;
+        voters.iter().copied().filter(|voter| *voter != self.id).collect()
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/lease.rs
@@ -0,0 +1,36 @@
+//! The leader's lease, the refusal of votes that it rests on, and stepping down without a quorum's answers.
+//!
+//! A follower refuses votes for `election_min_ms` after it heard from a leader, in whatever term they are asked for. So
+//! once a quorum has answered what the leader sent at a time, nobody else is elected for `election_min_ms` from that time
+//! on, and the leader may trust in that for the shorter `lease_ms`. Only votes of a transfer are not refused, and a leader
+//! that has asked another to take over holds no lease for the rest of its term.
+
+use crate::replica::{Replica, Role};
+
+impl Replica {
+    /// Whether this replica leads and nobody else can, until `now` and a little longer: it may answer from its own state.
+    pub fn lease_valid(&self, now: u64) -> bool {
+        let Some(leadership) = &self.leadership else { return false };
+        if leadership.lease_given_up() || self.commit < leadership.first_index {
+            return false;
+        }
+        let Some(answered) = leadership.quorum_answered_sent(now) else { return false };
+        now < answered.saturating_add(self.timing.lease_ms)
+    }
+
+    /// Whether a leader may count on this replica's refusal of votes.
+    pub(crate) fn refuses_votes(&self) -> bool {
+        let heard_until = self.heard_leader_at.map_or(0, |at| at.saturating_add(self.timing.election_min_ms));
+        self.role() == Role::Leader || self.now < heard_until || self.now < self.no_votes_before
+    }
+
+    /// Steps down if a quorum has been silent for too long; whether it did.
+    pub(crate) fn check_quorum(&mut self) -> bool {
+        let Some(leadership) = &self.leadership else { return false };
+        if self.now < leadership.quorum_deadline(&self.timing) {
+            return false;
+        }
+        self.become_follower(self.hard_state.term, None);
+        true
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/behaviour/main.rs
@@ -0,0 +1,11 @@
+//! Single behaviours of replicas.
+
+mod durability;
+mod elections;
+mod group;
+mod memberships;
+mod nonsense;
+mod replication;
+mod snapshots;
+mod timing;
+mod transfers;
--- /dev/null
+++ b/crates/consensus/tests/simulation/main.rs
@@ -0,0 +1,74 @@
+//! Groups of replicas on a seeded network with faults, checked after each event. `SIMULATION_SEEDS` sets how many seeds
+//! are played, `SIMULATION_FIRST_SEED` the first of them.
+
+mod checks;
+mod cluster;
+mod disk;
+mod faults;
+mod network;
+mod node;
+
+use std::panic::AssertUnwindSafe;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use cluster::{Cluster, Plan};
+
+/// Seeds of a normal run, for each plan.
+const SEEDS: u64 = 150;
+/// Seeds played at the same time.
+const THREADS: u64 = 4;
+
+fn setting(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(default)
+}
+
+fn play(plan: Plan) {
+    let first = setting("SIMULATION_FIRST_SEED", 0);
+    let end = first + setting("SIMULATION_SEEDS", SEEDS);
+    let next = AtomicU64::new(first);
+    let failures = std::sync::Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= end {
+                        return;
+                    }
+                    let played = std::panic::catch_unwind(AssertUnwindSafe(|| Cluster::play(plan, seed)));
+                    if played.is_err() {
+                        failures.lock().expect("no thread panics with the lock").push(seed);
+                    }
+                }
+            });
+        }
+    });
+    let failures = failures.into_inner().expect("no thread panics with the lock");
+    assert!(failures.is_empty(), "seeds that failed: {failures:?}");
+}
+
+#[test]
+fn three_replicas_stay_consistent_under_all_faults() {
+    play(Plan { replicas: 3, losses: true, replacements: true });
+}
+
+#[test]
+fn five_replicas_stay_consistent_under_all_faults() {
+    play(Plan { replicas: 5, losses: true, replacements: true });
+}
+
+#[test]
+fn a_single_replica_and_its_successors_stay_consistent() {
+    play(Plan { replicas: 1, losses: true, replacements: true });
+}
+
+#[test]
+fn four_replicas_stay_consistent_with_a_fixed_membership() {
+    play(Plan { replicas: 4, losses: true, replacements: false });
+}
+
+#[test]
+fn the_same_seed_plays_the_same() {
+    let plan = Plan { replicas: 3, losses: true, replacements: true };
+    assert_eq!(Cluster::play(plan, 7), Cluster::play(plan, 7));
+}
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -1,1 +1,25 @@
-//! The coordinator: configuration, members, placement of shards and the list of runners, agreed upon
+//! The coordinator: configuration, members, placement of shards and the list of runners, agreed upon.
+
+pub mod duties;
+pub mod founding;
+mod list_client;
+pub mod listing;
+pub mod listing_pace;
+pub mod listing_page;
+pub mod operator;
+pub mod operator_answer;
+pub mod operator_call;
+mod operator_server;
+pub mod placement;
+pub mod placement_improve;
+pub mod placement_spread;
+mod role;
+pub mod sessions;
+pub mod state;
+pub mod state_command;
+pub mod state_envelope;
+mod state_members;
+mod state_placement;
+mod state_retirement;
+
+pub use role::{CoordinatorError, run_coordinator};
--- /dev/null
+++ b/crates/coordinator/src/sessions.rs
@@ -0,0 +1,116 @@
+//! The processes that are connected to this coordinator, and what each was told.
+
+use std::collections::BTreeMap;
+
+use ruddervalve_protocol::{ConfigurationUpdate, CoordinatorReply, Directory, Registration, RunnerList};
+use ruddervalve_rpc::Outbox;
+
+/// What is in force: sessions are told what they do not know of it.
+#[derive(Debug)]
+pub struct InForce<'a> {
+    /// The leader's term.
+    pub term: u64,
+    /// The configuration; none before the first.
+    pub configuration: Option<&'a ConfigurationUpdate>,
+    /// Stores, coordinators and shards.
+    pub directory: &'a Directory,
+    /// The runners; none before the first list.
+    pub runners: Option<&'a RunnerList>,
+}
+
+/// What a session was told, by version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+struct Told {
+    term: u64,
+    configuration: u64,
+    directory: u64,
+    runners: u64,
+}
+
+#[derive(Debug)]
+struct Session {
+    outbox: Outbox,
+    registration: Option<Registration>,
+    told: Told,
+    heard_at: u64,
+}
+
+/// All sessions, by a number of their connection.
+#[derive(Debug, Default)]
+pub struct Sessions {
+    sessions: BTreeMap<u64, Session>,
+    opened: u64,
+}
+
+impl Sessions {
+    /// A connection came up; the number names it from now on.
+    pub fn open(&mut self, outbox: Outbox, now: u64) -> u64 {
+        self.opened += 1;
+        let session = Session { outbox, registration: None, told: Told::default(), heard_at: now };
+        self.sessions.insert(self.opened, session);
+        self.opened
+    }
+
+    /// A connection ended.
+    pub fn close(&mut self, number: u64) -> Option<Registration> {
+        self.sessions.remove(&number)?.registration
+    }
+
+    /// Something came on a connection.
+    pub fn heard(&mut self, number: u64, now: u64) {
+        if let Some(session) = self.sessions.get_mut(&number) {
+            session.heard_at = now;
+        }
+    }
+
+    /// A process says who it is: it is told all anew.
+    pub fn register(&mut self, number: u64, registration: Registration) {
+        if let Some(session) = self.sessions.get_mut(&number) {
+            session.registration = Some(registration);
+            session.told = Told::default();
+        }
+    }
+
+    /// Sends a reply on one connection.
+    pub fn send(&self, number: u64, reply: &CoordinatorReply) {
+        if let Some(session) = self.sessions.get(&number) {
+            session.outbox.send(reply);
+        }
+    }
+
+    /// All that are registered, with when they were last heard of.
+    pub fn registered(&self) -> impl Iterator<Item = (&Registration, u64)> {
+        self.sessions.values().filter_map(|session| Some((session.registration.as_ref()?, session.heard_at)))
+    }
+
+    /// Tells each session what it does not know yet.
+    pub fn tell(&mut self, now: &InForce<'_>) {
+        for session in self.sessions.values_mut().filter(|session| session.registration.is_some()) {
+            session.tell(now);
+        }
+    }
+}
+
+impl Session {
+    fn tell(&mut self, now: &InForce<'_>) {
+        if self.told.term != now.term {
+            self.told = Told { term: now.term, ..Told::default() };
+        }
+        if let Some(configuration) = now.configuration
+            && configuration.version > self.told.configuration
+        {
+            self.outbox.send(&CoordinatorReply::Configuration(configuration.clone()));
+            self.told.configuration = configuration.version;
+        }
+        if now.directory.version > self.told.directory {
+            self.outbox.send(&CoordinatorReply::Directory(now.directory.clone()));
+            self.told.directory = now.directory.version;
+        }
+        if let Some(runners) = now.runners
+            && runners.sequence > self.told.runners
+        {
+            self.outbox.send(&CoordinatorReply::Runners(runners.clone()));
+            self.told.runners = runners.sequence;
+        }
+    }
+}
--- a/crates/dispatcher/src/main.rs
+++ b/crates/dispatcher/src/main.rs
@@ -59,6 +59,9 @@
 }
 
 fn main() -> ExitCode {
+    if let Some(code) = ruddervalve_system::run(std::env::args_os().skip(1).collect()) {
+        return code;
+    }
     let options = Options::parse();
     let config = match Config::read(variable, file) {
         Ok(config) => config,
--- /dev/null
+++ b/crates/edge/src/core/appends.rs
@@ -0,0 +1,291 @@
+//! Messages on their way into a shard, whose clients wait.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use ruddervalve_protocol::{AppendOutcome, EdgeToStore, GroupId, LeaseId, NewMessage, ReplicaId};
+
+use super::EdgeCore;
+use super::ingress::{come_back, refusal};
+use super::output::ClientNumber;
+use super::statuses::message_name;
+use crate::front::{FrontHeader, FrontResponse, StatusCode};
+
+/// A message that was never sent to a store is held for so many times its route's `TargetLatencyMs`: a shard's new leader
+/// may come within it, and the client can still use what is left of its time.
+const TARGETS_UNSENT: u64 = 4;
+/// One whose fate is not known is asked for longer, as its client cannot be told anything yet.
+const TARGETS_UNKNOWN: u64 = 16;
+/// A leader that says nothing for so many times the target is asked again elsewhere.
+const TARGETS_SILENT: u64 = 4;
+
+/// Whether a store may have it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    /// No store was sent it, or those that were refused it for certain.
+    Unsent,
+    /// It is on its way to this store.
+    Sent(ReplicaId),
+    /// A store may have kept it: only the same shard knows.
+    Unknown,
+}
+
+/// A message on its way.
+#[derive(Debug)]
+pub struct Append {
+    client: ClientNumber,
+    message: Arc<NewMessage>,
+    /// The shard; `is_bound`: it can be no other.
+    group: Option<GroupId>,
+    is_bound: bool,
+    lease_here: bool,
+    fate: Fate,
+    /// A shard that refused it.
+    refused_by: Option<GroupId>,
+    since: u64,
+    target_ms: u64,
+    limit_ms: u64,
+    /// When to look at it again.
+    check_at: u64,
+}
+
+impl Append {
+    pub fn new(
+        client: ClientNumber,
+        message: NewMessage,
+        group: Option<GroupId>,
+        lease_here: bool,
+        target_ms: u64,
+        limit_ms: u64,
+        now: u64,
+    ) -> Self {
+        Self {
+            client,
+            message: Arc::new(message),
+            group,
+            is_bound: group.is_some(),
+            lease_here,
+            fate: Fate::Unsent,
+            refused_by: None,
+            since: now,
+            target_ms: target_ms.max(1),
+            limit_ms,
+            check_at: 0,
+        }
+    }
+
+    /// When it is given up if nothing else happens.
+    fn ends_at(&self) -> u64 {
+        let targets = if self.fate == Fate::Unsent { TARGETS_UNSENT } else { TARGETS_UNKNOWN };
+        self.since.saturating_add((self.target_ms * targets).min(self.limit_ms))
+    }
+
+    /// What its delay and retention have left, as of now.
+    fn message_now(&self, now: u64) -> NewMessage {
+        let waited = now.saturating_sub(self.since);
+        let mut message = NewMessage::clone(&self.message);
+        message.delay_ms = message.delay_ms.saturating_sub(waited);
+        message.retention_ms = message.retention_ms.saturating_sub(waited);
+        message
+    }
+}
+
+/// All messages on their way, by request number.
+#[derive(Debug, Default)]
+pub struct Appends {
+    appends: BTreeMap<u64, Append>,
+    checks: std::collections::BTreeSet<(u64, u64)>,
+    last: u64,
+    waiting_bytes: usize,
+    reserved: HashMap<String, u32>,
+}
+
+impl Appends {
+    pub fn is_empty(&self) -> bool {
+        self.appends.is_empty()
+    }
+
+    /// Bytes of bodies that wait.
+    pub fn waiting_bytes(&self) -> usize {
+        self.waiting_bytes
+    }
+
+    /// Deliveries of a service that may come back with an acknowledgement.
+    pub fn reserved(&self, service: &str) -> u32 {
+        self.reserved.get(service).copied().unwrap_or(0)
+    }
+
+    pub fn next_wake(&self) -> Option<u64> {
+        self.checks.first().map(|(at, _)| *at)
+    }
+
+    /// What was sent to a store may or may not be kept.
+    pub fn store_down(&mut self, store: ReplicaId) {
+        for append in self.appends.values_mut() {
+            if append.fate == Fate::Sent(store) {
+                append.fate = Fate::Unknown;
+            }
+        }
+    }
+
+    fn insert(&mut self, append: Append) -> u64 {
+        self.last += 1;
+        self.waiting_bytes += append.message.body.len();
+        if append.lease_here {
+            *self.reserved.entry(append.message.service.clone()).or_default() += 1;
+        }
+        self.appends.insert(self.last, append);
+        self.last
+    }
+
+    fn remove(&mut self, number: u64) -> Option<Append> {
+        let append = self.appends.remove(&number)?;
+        self.checks.remove(&(append.check_at, number));
+        self.waiting_bytes = self.waiting_bytes.saturating_sub(append.message.body.len());
+        if append.lease_here
+            && let Some(reserved) = self.reserved.get_mut(&append.message.service)
+        {
+            *reserved = reserved.saturating_sub(1);
+        }
+        Some(append)
+    }
+
+    fn check_at(&mut self, number: u64, at: u64) {
+        let Some(append) = self.appends.get_mut(&number) else { return };
+        self.checks.remove(&(append.check_at, number));
+        append.check_at = at;
+        self.checks.insert((at, number));
+    }
+}
+
+impl EdgeCore {
+    /// Sends a message to its shard, or answers at once.
+    pub(super) fn begin_append(&mut self, append: Append) -> Option<FrontResponse> {
+        if self.shards.groups().is_empty() {
+            return Some(come_back("no store is known yet: come back later", append.target_ms));
+        }
+        let number = self.appends.insert(append);
+        self.send_append(number);
+        None
+    }
+
+    /// Sends a message, if it is not on its way and somebody leads a shard that it may go to.
+    fn send_append(&mut self, number: u64) {
+        let now = self.now;
+        let Some(append) = self.appends.appends.get_mut(&number) else { return };
+        if matches!(append.fate, Fate::Sent(_)) {
+            return;
+        }
+        if !append.is_bound && append.fate == Fate::Unsent {
+            append.group = self.shards.for_any(append.refused_by);
+        }
+        let leader = append.group.and_then(|group| Some((group, self.shards.leader(group)?)));
+        let (at, send) = match leader {
+            Some((group, store)) => {
+                append.fate = Fate::Sent(store);
+                let message = append.message_now(now);
+                let silent = now.saturating_add(append.target_ms * TARGETS_SILENT);
+                let send = EdgeToStore::Append { request: number, group, lease_here: append.lease_here, message };
+                (silent.min(append.ends_at()), Some((store, send)))
+            }
+            None => (append.ends_at(), None),
+        };
+        self.appends.check_at(number, at.max(now + 1));
+        if let Some((store, message)) = send {
+            self.send(store, message);
+        }
+    }
+
+    /// Somebody leads now that did not before, or does not any more.
+    pub(super) fn retry_appends(&mut self) {
+        let waiting = self.appends.appends.iter().filter(|(_, append)| !matches!(append.fate, Fate::Sent(_)));
+        let numbers: Vec<u64> = waiting.map(|(number, _)| *number).collect();
+        for number in numbers {
+            if let Some(append) = self.appends.appends.get_mut(&number) {
+                append.refused_by = None;
+            }
+            self.send_append(number);
+        }
+    }
+
+    /// A store answered.
+    pub(super) fn appended(&mut self, number: u64, outcome: AppendOutcome) {
+        match outcome {
+            AppendOutcome::Accepted { lease } => self.kept(number, lease),
+            AppendOutcome::Unknown => {
+                if let Some(append) = self.appends.appends.get_mut(&number) {
+                    append.fate = Fate::Unknown;
+                }
+                self.send_after(number);
+            }
+            AppendOutcome::Refused { retry_after_ms } => self.refused(number, retry_after_ms),
+        }
+    }
+
+    fn kept(&mut self, number: u64, lease: Option<LeaseId>) {
+        let Some(append) = self.appends.remove(number) else {
+            // Its client has been told that nobody knows. A lease that comes with it is told in the next inventory as not
+            // held, or runs out.
+            return;
+        };
+        let Some(group) = append.group else { return };
+        let name = message_name(group, &append.message.id);
+        let response = FrontResponse::new(StatusCode::ACCEPTED).with_header(FrontHeader::MessageId(name));
+        self.respond(append.client, response);
+        if let Some(lease) = lease {
+            self.deliver(group, lease, append.message);
+        }
+    }
+
+    fn refused(&mut self, number: u64, retry_after_ms: u64) {
+        let Some(append) = self.appends.appends.get_mut(&number) else { return };
+        append.refused_by = append.group;
+        let unknown = append.fate == Fate::Unknown;
+        if !unknown {
+            append.fate = Fate::Unsent;
+        }
+        if retry_after_ms > 0 && append.is_bound && !unknown {
+            let Some(append) = self.appends.remove(number) else { return };
+            self.respond(append.client, come_back("the queue has no room: come back later", retry_after_ms));
+            return;
+        }
+        self.send_after(number);
+    }
+
+    /// Tries a message again: at another shard at once, at the same one when its leader changes or a little later.
+    fn send_after(&mut self, number: u64) {
+        let Some(append) = self.appends.appends.get(&number) else { return };
+        if !append.is_bound && append.fate == Fate::Unsent {
+            return self.send_append(number);
+        }
+        let at = self.now.saturating_add((append.target_ms / TARGETS_SILENT).max(1)).min(append.ends_at());
+        self.appends.check_at(number, at.max(self.now + 1));
+    }
+
+    /// Tries again or gives up what is due.
+    pub(super) fn expire_appends(&mut self) {
+        while let Some((at, number)) = self.appends.checks.first().copied().filter(|(at, _)| *at <= self.now) {
+            self.appends.checks.remove(&(at, number));
+            let Some(append) = self.appends.appends.get_mut(&number) else { continue };
+            if append.ends_at() <= self.now {
+                self.give_up(number);
+                continue;
+            }
+            if matches!(append.fate, Fate::Sent(_)) {
+                append.fate = Fate::Unknown;
+            }
+            self.send_append(number);
+        }
+    }
+
+    fn give_up(&mut self, number: u64) {
+        let Some(append) = self.appends.remove(number) else { return };
+        let response = match append.fate {
+            Fate::Unsent => come_back("the message's shard has no leader: come back later", append.target_ms),
+            Fate::Sent(_) | Fate::Unknown => {
+                refusal(StatusCode::GATEWAY_TIMEOUT, "it is not known whether the message was kept").closing()
+            }
+        };
+        self.respond(append.client, response);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/core/shards.rs
@@ -0,0 +1,133 @@
+//! Which shard a message belongs to, and who leads it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::Hasher as _;
+
+use fnv::FnvHasher;
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use ruddervalve_protocol::{Directory, GroupId, ReplicaId};
+
+/// Who leads a shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Leadership {
+    store: ReplicaId,
+    term: u64,
+}
+
+/// All shards and stores, as the directory and the stores tell.
+#[derive(Debug)]
+pub struct Shards {
+    zone: String,
+    random: ChaCha8Rng,
+    version: u64,
+    /// In the order of the directory, which never changes: keys are spread over it.
+    groups: Vec<GroupId>,
+    zones: BTreeMap<ReplicaId, String>,
+    connected: BTreeSet<ReplicaId>,
+    leaders: BTreeMap<GroupId, Leadership>,
+}
+
+impl Shards {
+    pub fn new(zone: String, seed: u64) -> Self {
+        Self {
+            zone,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            version: 0,
+            groups: Vec::new(),
+            zones: BTreeMap::new(),
+            connected: BTreeSet::new(),
+            leaders: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the directory; false if it is not newer.
+    pub fn set_directory(&mut self, directory: &Directory) -> bool {
+        if directory.version <= self.version {
+            return false;
+        }
+        self.version = directory.version;
+        self.groups = directory.shards.iter().map(|shard| shard.group).collect();
+        self.groups.sort_unstable();
+        let zone = |store: &ruddervalve_protocol::StoreMember| (store.replica, store.zone.clone());
+        self.zones = directory.stores.iter().map(zone).collect();
+        true
+    }
+
+    pub fn store_up(&mut self, store: ReplicaId) {
+        self.connected.insert(store);
+        self.forget(store);
+    }
+
+    pub fn store_down(&mut self, store: ReplicaId) {
+        self.connected.remove(&store);
+        self.forget(store);
+    }
+
+    fn forget(&mut self, store: ReplicaId) {
+        self.leaders.retain(|_, leadership| leadership.store != store);
+    }
+
+    pub fn connected(&self) -> Vec<ReplicaId> {
+        self.connected.iter().copied().collect()
+    }
+
+    /// A store says which shards it leads. Returns those that it did not lead before, as far as known here.
+    pub fn leading(&mut self, store: ReplicaId, groups: &[(GroupId, u64)]) -> Vec<GroupId> {
+        let still = |group: &GroupId| groups.iter().any(|(led, _)| led == group);
+        self.leaders.retain(|group, leadership| leadership.store != store || still(group));
+        let mut new = Vec::new();
+        for (group, term) in groups {
+            let leadership = Leadership { store, term: *term };
+            let known = self.leaders.get(group);
+            if known.is_none_or(|known| known.term < *term) {
+                self.leaders.insert(*group, leadership);
+                new.push(*group);
+            }
+        }
+        new
+    }
+
+    /// The store that leads a shard.
+    pub fn leader(&self, group: GroupId) -> Option<ReplicaId> {
+        self.leaders.get(&group).map(|leadership| leadership.store)
+    }
+
+    pub fn has_leader(&self) -> bool {
+        !self.leaders.is_empty()
+    }
+
+    pub fn groups(&self) -> &[GroupId] {
+        &self.groups
+    }
+
+    /// The shard of all messages of a service, or of those with a key.
+    pub fn for_key(&self, service: &str, key: Option<&str>) -> Option<GroupId> {
+        let mut hasher = FnvHasher::default();
+        hasher.write(service.as_bytes());
+        hasher.write_u8(0);
+        hasher.write(key.unwrap_or_default().as_bytes());
+        let count = u64::try_from(self.groups.len()).ok()?;
+        let place = hasher.finish().checked_rem(count)?;
+        self.groups.get(usize::try_from(place).ok()?).copied()
+    }
+
+    /// A shard for a message that may go to any: one that has a leader, in this zone if possible, and is not `not`.
+    pub fn for_any(&mut self, not: Option<GroupId>) -> Option<GroupId> {
+        let led: Vec<(GroupId, bool)> = self
+            .leaders
+            .iter()
+            .filter(|(group, _)| Some(**group) != not)
+            .map(|(group, leadership)| (*group, self.is_near(leadership.store)))
+            .collect();
+        let near = led.iter().any(|(_, near)| *near);
+        let candidates: Vec<GroupId> =
+            led.into_iter().filter(|(_, is_near)| !near || *is_near).map(|(group, _)| group).collect();
+        let place = self.random.random_range(0..candidates.len().max(1));
+        candidates.get(place).copied()
+    }
+
+    fn is_near(&self, store: ReplicaId) -> bool {
+        self.zones.get(&store).is_some_and(|zone| *zone == self.zone)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/role.rs
@@ -0,0 +1,465 @@
+//! The edge at run time: it joins the decisions with clients, runners, stores and coordinators.
+
+use std::cell::Cell;
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use displaydoc::Display;
+use ruddervalve_protocol::{
+    Channel, ConfigurationUpdate, CoordinatorReply, Directory, EdgeToStore, GroupId, Registration, ReplicaId, RunnerList, StoreToEdge,
+};
+use ruddervalve_rpc::{LinkEvent, Outbox, Peer};
+use ruddervalve_runtime::{
+    Boot, Clock, ControlEvent, ControlLinks, ProcessSignal, Signals, backoff, draw_seed, link_settings,
+    seed_addresses,
+};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep_until};
+
+use crate::core::{CallbackOrder, ClientNumber, DeliveryOrder, EdgeCore, EdgeOutput, EdgeSettings, JobNumber};
+use crate::front::{Front, FrontLimits, FrontRequest, FrontResponse, Handler, Readiness, StatusCode};
+use crate::runner::{CallbackResult, DeliveryResult, RunnerClient, RunnerSettings};
+
+/// Events that are taken before what they led to is carried out.
+const EVENTS_PER_ROUND: usize = 256;
+/// New connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Descriptors that are set aside for files, as the deployment has it, and for stores and coordinators.
+const DESCRIPTORS_SET_ASIDE: u64 = 264;
+/// How often the platform asks whether the process is ready, and how many misses take it out, in milliseconds: after
+/// that no new connections come.
+const READINESS_MISSES_MS: u64 = 2 * 1_000;
+/// The part of its process's memory that may wait for stores.
+const WAITING_PART_OF_MEMORY: u64 = 8;
+const BYTES_PER_MB: u64 = 1_024 * 1_024;
+/// What is left of `GracePeriodS` when the process ends whatever is under way, in parts of it.
+const LAST_PART_OF_GRACE: u64 = 10;
+/// How many other edges there may be that share the runners' connections, until it is told: a handful in each zone.
+const OTHER_EDGES: u32 = 7;
+/// Connections to runners and receivers open within this part of `LivenessMs`.
+const CONNECTS_PER_LIVENESS: u64 = 8;
+
+/// Why an edge cannot start.
+#[derive(Debug, Display)]
+pub enum EdgeError {
+    /// ListenAddrs/{0} is not set: set it to an address of this machine
+    NoAddress(&'static str),
+    /// the address {0} cannot be listened on ({1}): check that no other process has it
+    Listen(SocketAddr, std::io::Error),
+    /// signals cannot be had ({0}): check the limits of the process
+    Signals(std::io::Error),
+}
+
+impl std::error::Error for EdgeError {}
+
+#[derive(Debug)]
+enum Event {
+    Request(ClientNumber, Box<FrontRequest>, oneshot::Sender<FrontResponse>),
+    ClientLeft(ClientNumber),
+    Delivered(JobNumber, Box<DeliveryResult>),
+    CalledBack(GroupId, Box<CallbackOrder>, CallbackResult),
+    Store(ReplicaId, Box<LinkEvent<StoreToEdge>>),
+}
+
+/// Hands clients' requests to the role.
+struct Clients {
+    events: mpsc::UnboundedSender<Event>,
+    last: Cell<u64>,
+}
+
+/// Tells the role that a client left, unless it was answered.
+struct Waiting<'a> {
+    clients: &'a Clients,
+    client: ClientNumber,
+    answered: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            let _ = self.clients.events.send(Event::ClientLeft(self.client));
+        }
+    }
+}
+
+impl Handler for Clients {
+    async fn handle(&self, request: FrontRequest) -> FrontResponse {
+        self.last.set(self.last.get() + 1);
+        let client = ClientNumber(self.last.get());
+        let (reply, answer) = oneshot::channel();
+        let _ = self.events.send(Event::Request(client, Box::new(request), reply));
+        let mut waiting = Waiting { clients: self, client, answered: false };
+        let answer = answer.await;
+        waiting.answered = true;
+        // Without an answer nobody knows what became of the request.
+        answer.unwrap_or_else(|_| FrontResponse::new(StatusCode::GATEWAY_TIMEOUT).closing())
+    }
+}
+
+#[derive(Debug)]
+struct StoreLink {
+    peer: Peer,
+    outbox: Option<Outbox>,
+}
+
+/// How far the end of the process is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ending {
+    /// It is not ending.
+    No,
+    /// The platform may still send new connections until then.
+    Accepting { until: u64, last: u64 },
+    /// Connections and deliveries end.
+    Draining { last: u64 },
+}
+
+struct Edge {
+    boot: Boot,
+    clock: Clock,
+    core: EdgeCore,
+    front: Front,
+    runners: RunnerClient,
+    links: ControlLinks,
+    stores: BTreeMap<ReplicaId, StoreLink>,
+    clients: BTreeMap<ClientNumber, oneshot::Sender<FrontResponse>>,
+    events: mpsc::UnboundedSender<Event>,
+    limits: watch::Sender<FrontLimits>,
+    ready: watch::Sender<bool>,
+    ending: Ending,
+}
+
+/// Runs an edge until SIGTERM.
+///
+/// # Errors
+/// It cannot start.
+pub async fn run_edge(boot: Boot) -> Result<(), EdgeError> {
+    let clock = Clock::start();
+    let front = boot.settings.listen.front.ok_or(EdgeError::NoAddress("Front"))?;
+    let readiness = boot.settings.listen.readiness.ok_or(EdgeError::NoAddress("Readiness"))?;
+    let mut signals = Signals::listen().map_err(EdgeError::Signals)?;
+    let front = listen(front).map_err(|error| EdgeError::Listen(front, error))?;
+    let readiness = listen(readiness).map_err(|error| EdgeError::Listen(readiness, error))?;
+    let (mut edge, mut events) = Edge::start(boot, clock);
+    edge.serve(front, readiness);
+    let mut heartbeat = tokio::time::interval(edge.links.heartbeat_interval());
+    loop {
+        let wake = edge.next_wake();
+        tokio::select! {
+            Some(event) = events.recv() => edge.take(event),
+            event = edge.links.next() => edge.control(event),
+            signal = signals.next() => edge.signal(signal),
+            _ = heartbeat.tick() => edge.heartbeat(),
+            () = sleep_until(wake) => {}
+        }
+        for _ in 0..EVENTS_PER_ROUND {
+            let Ok(event) = events.try_recv() else { break };
+            edge.take(event);
+        }
+        edge.settle();
+        if edge.ended() {
+            return Ok(());
+        }
+    }
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+fn runner_settings(boot: &Boot) -> RunnerSettings {
+    let bounds = &boot.settings.bounds;
+    RunnerSettings {
+        connect_timeout_ms: (bounds.liveness_ms / CONNECTS_PER_LIVENESS).max(1),
+        user_timeout_ms: bounds.liveness_ms.max(1),
+        ..RunnerSettings::default()
+    }
+}
+
+impl Edge {
+    fn start(boot: Boot, clock: Clock) -> (Self, mpsc::UnboundedReceiver<Event>) {
+        let settings = EdgeSettings {
+            zone: boot.settings.zone.clone(),
+            seed: draw_seed(),
+            other_edges: OTHER_EDGES,
+            ack_timeout_ms: boot.settings.bounds.ack_timeout_ms,
+            callback_timeout_ms: boot.settings.bounds.callback_timeout_ms,
+            max_waiting_bytes: usize::try_from(boot.settings.limits.memory_mb * BYTES_PER_MB / WAITING_PART_OF_MEMORY)
+                .unwrap_or(usize::MAX),
+        };
+        tracing::info!(node = boot.settings.node, incarnation = boot.incarnation.0, "edge starts");
+        let registration = Registration::Edge { incarnation: boot.incarnation };
+        let mut links = ControlLinks::new(&boot, registration);
+        links.set_addresses(&boot, &seed_addresses(&boot.settings));
+        let limits = watch::Sender::new(front_limits(&boot, None));
+        let (events, received) = mpsc::unbounded_channel();
+        let edge = Self {
+            core: EdgeCore::new(settings),
+            front: Front::new(limits.subscribe()),
+            runners: RunnerClient::new(runner_settings(&boot)),
+            links,
+            stores: BTreeMap::new(),
+            clients: BTreeMap::new(),
+            events,
+            limits,
+            ready: watch::Sender::new(false),
+            ending: Ending::No,
+            boot,
+            clock,
+        };
+        (edge, received)
+    }
+
+    /// Serves clients and the platform's question in tasks of their own.
+    fn serve(&self, front: TcpListener, readiness: TcpListener) {
+        let clients = Clients { events: self.events.clone(), last: Cell::new(0) };
+        let server = self.front.clone();
+        tokio::task::spawn_local(async move { server.serve(front, clients).await });
+        let answer = Readiness::new(self.ready.subscribe());
+        let server = Front::new(self.limits.subscribe());
+        tokio::task::spawn_local(async move { server.serve(readiness, answer).await });
+    }
+
+    fn now(&self) -> u64 {
+        self.clock.now()
+    }
+
+    fn next_wake(&self) -> Instant {
+        let core = self.core.next_wake().unwrap_or(u64::MAX);
+        let ending = match self.ending {
+            Ending::No => u64::MAX,
+            Ending::Accepting { until, .. } => until,
+            Ending::Draining { last } => last,
+        };
+        let longest = self.now() + self.boot.settings.bounds.liveness_ms;
+        self.clock.instant(core.min(ending).min(longest))
+    }
+
+    fn heartbeat(&self) {
+        self.links.heartbeat();
+        for outbox in self.stores.values().filter_map(|link| link.outbox.as_ref()) {
+            outbox.send(&EdgeToStore::Heartbeat);
+        }
+    }
+
+    // Events.
+
+    fn take(&mut self, event: Event) {
+        let now = self.now();
+        match event {
+            Event::Request(client, request, reply) => {
+                self.clients.insert(client, reply);
+                self.core.request(now, client, *request);
+            }
+            Event::ClientLeft(client) => {
+                self.clients.remove(&client);
+                self.core.client_left(client);
+            }
+            Event::Delivered(job, result) => self.core.delivered(now, job, &result),
+            Event::CalledBack(group, order, result) => self.core.called_back(now, group, &order, result),
+            Event::Store(store, event) => self.store(now, store, *event),
+        }
+    }
+
+    fn store(&mut self, now: u64, store: ReplicaId, event: LinkEvent<StoreToEdge>) {
+        match event {
+            LinkEvent::Up(outbox) => {
+                let Some(link) = self.stores.get_mut(&store) else { return };
+                link.outbox = Some(outbox);
+                self.core.store_up(now, store);
+            }
+            LinkEvent::Message(message) => self.core.store_says(now, store, message),
+            LinkEvent::Down(error) => {
+                tracing::debug!(store = store.0, %error, "no connection to a store");
+                let link = self.stores.get_mut(&store);
+                if link.is_some_and(|link| link.outbox.take().is_some()) {
+                    self.core.store_down(now, store);
+                }
+            }
+        }
+    }
+
+    fn control(&mut self, event: ControlEvent) {
+        let now = self.now();
+        match event.reply {
+            Some(CoordinatorReply::Configuration(update)) => self.configure(now, &update),
+            Some(CoordinatorReply::Directory(directory)) => self.connect(now, &directory),
+            Some(CoordinatorReply::Runners(list)) => self.runners(now, &list),
+            _ => {}
+        }
+    }
+
+    fn configure(&mut self, now: u64, update: &ConfigurationUpdate) {
+        if self.core.set_configuration(now, update) {
+            let configuration = self.core.configuration().map(AsRef::as_ref);
+            self.limits.send_replace(front_limits(&self.boot, configuration));
+            tracing::info!(version = update.version, "configuration in force");
+        }
+    }
+
+    fn runners(&mut self, now: u64, list: &RunnerList) {
+        self.core.set_runners(now, list);
+        let listed = list.runners.iter().filter_map(|runner| runner.address.parse().ok());
+        let configuration = self.core.configuration();
+        let fixed = configuration.iter().flat_map(|configuration| configuration.services());
+        let fixed = fixed.filter_map(|service| service.static_endpoint);
+        let addresses: HashSet<SocketAddr> = listed.chain(fixed).collect();
+        self.runners.retain(&addresses);
+    }
+
+    /// Keeps links to all stores and all coordinators of the directory.
+    fn connect(&mut self, now: u64, directory: &Directory) {
+        if !self.core.set_directory(now, directory) {
+            return;
+        }
+        let addresses: BTreeMap<ReplicaId, SocketAddr> = directory
+            .stores
+            .iter()
+            .filter_map(|store| Some((store.replica, store.address.parse().ok()?)))
+            .collect();
+        let gone: Vec<ReplicaId> = self
+            .stores
+            .iter()
+            .filter(|(store, link)| addresses.get(store) != Some(&link.peer.address()))
+            .map(|(store, _)| *store)
+            .collect();
+        for store in gone {
+            self.stores.remove(&store);
+            self.core.store_down(now, store);
+        }
+        for (store, address) in addresses {
+            if !self.stores.contains_key(&store) {
+                let link = self.open(store, address);
+                self.stores.insert(store, link);
+            }
+        }
+        let mut coordinators = seed_addresses(&self.boot.settings);
+        let known = directory.coordinators.iter();
+        coordinators.extend(known.filter_map(|member| member.address.parse::<SocketAddr>().ok()));
+        coordinators.sort_unstable();
+        coordinators.dedup();
+        self.links.set_addresses(&self.boot, &coordinators);
+    }
+
+    fn open(&self, store: ReplicaId, address: SocketAddr) -> StoreLink {
+        let events = self.events.clone();
+        let sink = move |event| drop(events.send(Event::Store(store, Box::new(event))));
+        let greeting = self.boot.greeting(Channel::Delivery);
+        let settings = link_settings(&self.boot.settings);
+        let backoff = backoff(&self.boot.settings, draw_seed());
+        StoreLink { peer: Peer::keep(address, greeting, settings, backoff, sink), outbox: None }
+    }
+
+    // What the decisions want done.
+
+    fn settle(&mut self) {
+        let now = self.now();
+        self.core.tick(now);
+        for output in self.core.outputs() {
+            self.carry_out(output);
+        }
+        self.advance_end(now);
+        let ready = self.core.is_ready();
+        self.ready.send_if_modified(|known| std::mem::replace(known, ready) != ready);
+    }
+
+    fn carry_out(&mut self, output: EdgeOutput) {
+        match output {
+            EdgeOutput::Respond(client, response) => {
+                if let Some(reply) = self.clients.remove(&client) {
+                    let _ = reply.send(response);
+                }
+            }
+            EdgeOutput::Send(store, message) => {
+                if let Some(outbox) = self.stores.get(&store).and_then(|link| link.outbox.as_ref()) {
+                    outbox.send(&message);
+                }
+            }
+            EdgeOutput::Deliver(order) => self.deliver(*order),
+            EdgeOutput::CallBack(group, order) => self.call_back(group, order),
+        }
+    }
+
+    fn deliver(&self, order: DeliveryOrder) {
+        let (runners, events) = (self.runners.clone(), self.events.clone());
+        tokio::task::spawn_local(async move {
+            let result = runners.deliver(order.delivery).await;
+            let _ = events.send(Event::Delivered(order.job, Box::new(result)));
+        });
+    }
+
+    fn call_back(&self, group: GroupId, order: Box<CallbackOrder>) {
+        let (runners, events) = (self.runners.clone(), self.events.clone());
+        tokio::task::spawn_local(async move {
+            let result = match order.authority.parse() {
+                Ok(address) => {
+                    let body = Bytes::from(order.body.clone());
+                    runners.call_back(address, &order.authority, &order.path, body, order.timeout_ms).await
+                }
+                Err(_) => CallbackResult::Failed,
+            };
+            let _ = events.send(Event::CalledBack(group, order, result));
+        });
+    }
+
+    // The end.
+
+    fn signal(&mut self, signal: ProcessSignal) {
+        let now = self.now();
+        match signal {
+            ProcessSignal::Terminate if self.ending == Ending::No => {
+                tracing::info!("SIGTERM: leaving");
+                let grace = self.boot.settings.bounds.grace_period_ms;
+                let last = now + grace - grace / LAST_PART_OF_GRACE;
+                let until = now + READINESS_MISSES_MS.min(grace / 2);
+                self.ending = Ending::Accepting { until, last };
+                self.core.leave(now);
+            }
+            ProcessSignal::Terminate => {}
+            ProcessSignal::Reload => {
+                if self.boot.reload() {
+                    tracing::info!("settings reloaded");
+                }
+            }
+        }
+    }
+
+    fn advance_end(&mut self, now: u64) {
+        if let Ending::Accepting { until, last } = self.ending
+            && now >= until
+        {
+            self.front.stop_accepting();
+            self.front.drain(0);
+            self.ending = Ending::Draining { last };
+        }
+    }
+
+    fn ended(&self) -> bool {
+        let Ending::Draining { last } = self.ending else { return false };
+        let idle = self.core.is_idle() && self.front.counters().open_connections == 0;
+        idle || self.now() >= last
+    }
+}
+
+/// The front's limits: the operator's, and what follows from the process's own.
+fn front_limits(boot: &Boot, configuration: Option<&ruddervalve_configuration::Configuration>) -> FrontLimits {
+    let descriptors = boot.settings.limits.max_open_files.saturating_sub(DESCRIPTORS_SET_ASIDE);
+    let default = FrontLimits {
+        max_connections: usize::try_from(descriptors / 2).unwrap_or(usize::MAX).max(1),
+        ..FrontLimits::default()
+    };
+    let Some(limits) = configuration.map(ruddervalve_configuration::Configuration::limits) else { return default };
+    let size = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
+    FrontLimits {
+        max_header_bytes: size(limits.max_header_bytes),
+        max_body_bytes: size(limits.max_body_bytes),
+        header_timeout_ms: limits.header_timeout_ms,
+        idle_timeout_ms: limits.idle_timeout_ms,
+        ..default
+    }
+}
+
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -11,8 +11,8 @@
     Register(Registration),
     /// The sender is alive; each is answered by [`CoordinatorReply::Alive`].
     Heartbeat,
-    /// A store is done with its part of a retirement: it holds no replica any more.
-    Emptied,
+    /// The committed membership of a shard, told by its leader when it changes, and again from time to time.
+    ShardMembers(ShardMembers),
 }
 
 /// Who registers.
@@ -109,6 +109,17 @@
     pub wanted: Vec<String>,
 }
 
+/// Which disks hold a shard, voters and learners.
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub struct ShardMembers {
+    /// The shard's group.
+    pub group: GroupId,
+    /// The term of the leader that tells; older terms are passed over.
+    pub term: u64,
+    /// All disks that hold a copy.
+    pub members: Vec<ReplicaId>,
+}
+
 /// The platform's list of runners.
 #[derive(Debug, Clone, PartialEq, Default, SerBin, DeBin)]
 pub struct RunnerList {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -11,12 +11,12 @@
 
 pub use blob::Blob;
 pub use control::{
-    ConfigurationUpdate, CoordinatorMember, CoordinatorReply, CoordinatorRequest, Directory, Registration, Runner,
-    RunnerList, RunnerPhase, ShardPlacement, StoreMember,
+    ConfigurationUpdate, CoordinatorMember, CoordinatorReply, CoordinatorRequest, Directory, Registration,
+    Runner, RunnerList, RunnerPhase, ShardMembers, ShardPlacement, StoreMember,
 };
 pub use delivery::{
-    AppendOutcome, DeliveryOutcome, EdgeToStore, EndPhase, Grant, InventoryItem, LeaseId, MessagePhase, NewMessage,
-    StoreToEdge,
+    AppendOutcome, DeliveryOutcome, EdgeToStore, EndPhase, Grant, InventoryItem, LeaseId, MessagePhase,
+    NewMessage, StoreToEdge,
 };
 pub use greeting::{Channel, Greeting, PROTOCOL_VERSION};
 pub use identity::{GroupId, Incarnation, MessageId, ReplicaId};
--- /dev/null
+++ b/crates/queue/src/entry.rs
@@ -0,0 +1,115 @@
+//! What the leader knows of one pending message.
+
+use ruddervalve_protocol::{Incarnation, LeaseId, MessageId};
+
+use crate::SharedMessage;
+use crate::ready::ReadyKey;
+use crate::records::{PendingMessage, Sequence};
+use crate::services::ServiceIndex;
+use crate::settings::Waits;
+
+/// The route of a message in the policy in force.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RouteInForce {
+    pub(crate) service: ServiceIndex,
+    pub(crate) priority_class: u32,
+    pub(crate) max_retries: u32,
+    pub(crate) schedule_target_ms: u64,
+}
+
+/// A lease that is outstanding.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct HeldLease {
+    pub(crate) edge: Incarnation,
+    pub(crate) id: LeaseId,
+    /// The service that it counts at, if it had a route then.
+    pub(crate) service: Option<ServiceIndex>,
+}
+
+/// An edge that waits for a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Reporter {
+    pub(crate) edge: Incarnation,
+    pub(crate) lease: LeaseId,
+}
+
+/// Where a message stands.
+#[derive(Debug)]
+pub(crate) enum Phase {
+    /// From an earlier term: some edge may hold it.
+    Suspect,
+    /// The policy has no route for it.
+    Unrouted,
+    /// Until `not_before_ms`.
+    Waiting,
+    /// Behind another message of its key.
+    Blocked,
+    /// May run.
+    Ready,
+    /// An edge holds it.
+    Leased(HeldLease),
+    /// A failed attempt is proposed.
+    RecordingAttempt(Vec<Reporter>),
+    /// Its end is proposed.
+    RecordingEnd(Vec<Reporter>),
+}
+
+/// One pending message.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) message: SharedMessage,
+    pub(crate) due_ms: u64,
+    pub(crate) expires_ms: u64,
+    /// The delay or the backoff.
+    pub(crate) not_before_ms: u64,
+    pub(crate) route: Option<RouteInForce>,
+    /// Since when a known policy has no route for it.
+    pub(crate) missing_since_ms: Option<u64>,
+    pub(crate) failed_attempts: Vec<LeaseId>,
+    /// Leases in a row that came to nothing; for the backoff.
+    pub(crate) fruitless: u32,
+    pub(crate) phase: Phase,
+}
+
+impl Entry {
+    pub(crate) fn new(pending: &PendingMessage, phase: Phase) -> Self {
+        Self {
+            message: pending.message.clone(),
+            due_ms: pending.due_ms,
+            expires_ms: pending.expires_ms,
+            not_before_ms: pending.due_ms,
+            route: None,
+            missing_since_ms: None,
+            failed_attempts: pending.failed_attempts.clone(),
+            fruitless: 0,
+            phase,
+        }
+    }
+
+    pub(crate) fn id(&self) -> &MessageId {
+        &self.message.id
+    }
+
+    pub(crate) fn ready_key(&self, sequence: Sequence) -> ReadyKey {
+        let priority_class = self.route.map_or(u32::MAX, |route| route.priority_class);
+        ReadyKey { priority_class, due_ms: self.due_ms, sequence }
+    }
+
+    /// The lease that is outstanding.
+    pub(crate) fn held_lease(&self) -> Option<HeldLease> {
+        match self.phase {
+            Phase::Leased(lease) => Some(lease),
+            _ => None,
+        }
+    }
+
+    /// The attempt that a further answer of 500 makes.
+    pub(crate) fn next_attempt(&self) -> usize {
+        self.failed_attempts.len() + 1
+    }
+
+    /// The waits before further runs: the first few fit into the aim of its route.
+    pub(crate) fn retry_waits(&self, otherwise_ms: u64) -> Waits {
+        Waits::within(self.route.map_or(otherwise_ms, |route| route.schedule_target_ms))
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,19 @@
+//! What all roles of the system share when they run: start, clock, times, links to replicas and coordinators.
+
+mod boot;
+mod clock;
+mod control;
+mod listener;
+mod node;
+mod ports;
+mod signals;
+mod times;
+
+pub use boot::{Boot, BootError, SETTINGS_VARIABLE, draw_incarnation, draw_seed, log_to_stderr, run_role};
+pub use clock::Clock;
+pub use control::{ControlEvent, ControlLinks};
+pub use listener::{Accepted, InternalListener};
+pub use node::{NodeError, NodeEvent, ReplicaNode, StartedNode};
+pub use ports::{InternalPort, internal_address, seed_addresses};
+pub use signals::{ProcessSignal, Signals};
+pub use times::{backoff, consensus_timing, link_settings, replica_link_settings};
--- /dev/null
+++ b/crates/runtime/src/times.rs
@@ -0,0 +1,75 @@
+//! Times and limits that follow from the settings.
+
+use ruddervalve_configuration::Settings;
+use ruddervalve_consensus::Timing;
+use ruddervalve_rpc::{Backoff, LinkSettings};
+
+/// Elections, heartbeats and leases are parts of `LivenessMs`, after which a machine counts as in touch again: a leader
+/// that is lost has to be replaced, and its followers' clients told, well within it.
+const ELECTIONS_PER_LIVENESS: u64 = 12;
+/// Heartbeats that fit into the shortest election timeout: some may be lost or late.
+const HEARTBEATS_PER_ELECTION: u64 = 4;
+/// The lease in parts of the shortest election timeout; the rest is for clocks that drift and timers that fire late.
+const LEASE_PERCENT: u64 = 75;
+/// Entries in one message, in bytes: well below what a small link carries between two heartbeats.
+const MAX_ENTRIES_BYTES: usize = 256 * 1_024;
+/// A part of a snapshot, in bytes, for the same reason.
+const SNAPSHOT_CHUNK_BYTES: usize = 128 * 1_024;
+/// Append messages under way to a follower: enough to fill the way there and its disk's sync.
+const MAX_INFLIGHT: usize = 64;
+/// The longest frame, in bytes: a batch of entries with room to spare.
+const MAX_FRAME_BYTES: usize = 32 * 1_024 * 1_024;
+/// The part of a process's memory that may wait for one peer that does not read.
+const QUEUED_PART_OF_MEMORY: u64 = 16;
+/// A process that says nothing for this part of `LivenessMs` is given up; it says something twice as often.
+const SILENCES_PER_LIVENESS: u64 = 3;
+/// A replica's link is silent while its group has nothing to say, as only leaders send heartbeats.
+const REPLICA_SILENCE_LIVENESS: u64 = 15;
+/// Opening a connection may take this part of `LivenessMs`.
+const CONNECTS_PER_LIVENESS: u64 = 4;
+/// The first pause before a lost connection is opened again, in milliseconds: the way to the next zone and back.
+const FIRST_PAUSE_MS: u64 = 10;
+
+const BYTES_PER_MB: u64 = 1_024 * 1_024;
+
+/// Times and limits of consensus groups.
+pub fn consensus_timing(settings: &Settings) -> Timing {
+    let election_min_ms = (settings.bounds.liveness_ms / ELECTIONS_PER_LIVENESS).max(20);
+    let heartbeat_ms = (election_min_ms / HEARTBEATS_PER_ELECTION).max(1);
+    Timing {
+        election_min_ms,
+        election_max_ms: election_min_ms * 2,
+        heartbeat_ms,
+        lease_ms: election_min_ms * LEASE_PERCENT / 100,
+        max_entries_bytes: MAX_ENTRIES_BYTES,
+        max_inflight: MAX_INFLIGHT,
+        snapshot_chunk_bytes: SNAPSHOT_CHUNK_BYTES,
+    }
+}
+
+/// Limits of connections between roles.
+pub fn link_settings(settings: &Settings) -> LinkSettings {
+    let liveness = settings.bounds.liveness_ms;
+    let queued = settings.limits.memory_mb * BYTES_PER_MB / QUEUED_PART_OF_MEMORY;
+    LinkSettings {
+        max_frame_bytes: MAX_FRAME_BYTES,
+        max_queued_bytes: usize::try_from(queued).unwrap_or(usize::MAX).max(MAX_ENTRIES_BYTES),
+        silence_ms: (liveness / SILENCES_PER_LIVENESS).max(1),
+        connect_timeout_ms: (liveness / CONNECTS_PER_LIVENESS).max(1),
+    }
+}
+
+/// Limits of connections between replicas.
+pub fn replica_link_settings(settings: &Settings) -> LinkSettings {
+    let silence_ms = settings.bounds.liveness_ms.saturating_mul(REPLICA_SILENCE_LIVENESS).max(1);
+    LinkSettings { silence_ms, ..link_settings(settings) }
+}
+
+/// Pauses before lost connections are opened again.
+pub fn backoff(settings: &Settings, seed: u64) -> Backoff {
+    Backoff {
+        first_ms: FIRST_PAUSE_MS,
+        longest_ms: (settings.bounds.liveness_ms / ELECTIONS_PER_LIVENESS).max(FIRST_PAUSE_MS),
+        seed,
+    }
+}
--- /dev/null
+++ b/crates/store/src/shard.rs
@@ -0,0 +1,335 @@
+//! One shard of this store: the replicated state, its clock, and the leader's part while this replica leads.
+//!
+//! No I/O and no clock: time is passed in, proposals and messages to edges come out.
+
+use std::collections::BTreeMap;
+
+use ruddervalve_consensus::Entry;
+use ruddervalve_consensus::Payload;
+use ruddervalve_protocol::{
+    AppendOutcome, EdgeToStore, GroupId, Incarnation, LeaseId, MessageId, NewMessage, StoreToEdge,
+};
+use ruddervalve_queue::{
+    Action, ClockSettings, Command, EdgeSession, LeaderOutput, LeaderSettings, ShardClock, ShardLeader,
+    ShardState, SharedMessage, SharedPolicy, SnapshotError,
+};
+use ruddervalve_replication::GroupSnapshot;
+
+/// What a shard goes by.
+#[derive(Debug, Clone)]
+pub struct ShardSettings {
+    /// Of the leader.
+    pub leader: LeaderSettings,
+    /// Of the shard's clock.
+    pub clock: ClockSettings,
+}
+
+/// What a shard wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ShardOutput {
+    /// Send to an edge.
+    Send(Incarnation, StoreToEdge),
+}
+
+/// An edge's wish to keep a message.
+#[derive(Debug)]
+pub struct Append {
+    /// The edge.
+    pub edge: Incarnation,
+    /// Its number for the request.
+    pub request: u64,
+    /// Whether it wants to deliver the message itself.
+    pub lease_here: bool,
+    /// The message.
+    pub message: NewMessage,
+}
+
+/// An append whose entry is not committed yet.
+#[derive(Debug)]
+struct PendingAppend {
+    edge: Incarnation,
+    request: u64,
+    lease_here: bool,
+    id: MessageId,
+}
+
+/// The leader's part.
+struct Office {
+    term: u64,
+    leader: ShardLeader,
+    /// Entries of this term that edges wait for, by index.
+    appends: BTreeMap<u64, PendingAppend>,
+    /// Actions that could not be proposed while the office was being handed over.
+    unproposed: Vec<Action>,
+}
+
+/// Hands a command to consensus; the index of its entry, or none if it cannot be proposed now.
+pub type Propose<'a> = dyn FnMut(ruddervalve_protocol::Blob) -> Option<u64> + 'a;
+
+/// One shard.
+pub struct Shard {
+    group: GroupId,
+    settings: ShardSettings,
+    state: ShardState,
+    clock: ShardClock,
+    applied: u64,
+    office: Option<Office>,
+    outputs: Vec<ShardOutput>,
+}
+
+impl Shard {
+    /// A shard that begins empty; `now` and `wall` are this process's monotonic time and time of day.
+    pub fn new(group: GroupId, settings: ShardSettings, now: u64, wall: u64) -> Self {
+        let clock = ShardClock::new(now, wall, settings.clock);
+        Self {
+            group,
+            settings,
+            state: ShardState::new(),
+            clock,
+            applied: 0,
+            office: None,
+            outputs: Vec::new(),
+        }
+    }
+
+    /// Replaces the state by a snapshot's.
+    ///
+    /// # Errors
+    /// It cannot be read.
+    pub fn restore(
+        &mut self,
+        now: u64,
+        index: u64,
+        data: &ruddervalve_protocol::Blob,
+    ) -> Result<(), SnapshotError> {
+        self.state = ShardState::restore(data)?;
+        self.applied = index;
+        self.office = None;
+        self.clock.applied(now, self.state.shard_ms(), self.state.wall_ms());
+        Ok(())
+    }
+
+    /// The state machine as far as it was applied.
+    pub fn snapshot(&self) -> GroupSnapshot {
+        GroupSnapshot { applied: self.applied, data: self.state.snapshot() }
+    }
+
+    /// The replicated state.
+    pub fn state(&self) -> &ShardState {
+        &self.state
+    }
+
+    /// Whether this replica serves as leader, and in which term.
+    pub fn office(&self) -> Option<u64> {
+        self.office.as_ref().map(|office| office.term)
+    }
+
+    /// This replica leads from now on, all entries of earlier terms being applied.
+    pub fn take_office<'a>(
+        &mut self,
+        now: u64,
+        term: u64,
+        policy: Option<SharedPolicy>,
+        seed: u64,
+        edges: impl Iterator<Item = &'a EdgeSession>,
+    ) {
+        self.clock.lead();
+        let shard_now = self.clock.shard_ms(now);
+        let settings = LeaderSettings { seed, ..self.settings.leader.clone() };
+        let mut leader = ShardLeader::new(term, shard_now, &self.state, policy, settings);
+        edges.for_each(|edge| leader.edge_connected(shard_now, edge));
+        self.office = Some(Office { term, leader, appends: BTreeMap::new(), unproposed: Vec::new() });
+    }
+
+    /// This replica does not lead any more: what waits for its entries is not known to be kept.
+    pub fn leave_office(&mut self) {
+        let Some(office) = self.office.take() else { return };
+        for append in office.appends.into_values() {
+            self.outputs.push(appended(append.edge, append.request, AppendOutcome::Unknown));
+        }
+    }
+
+    // Edges.
+
+    /// An edge has connected.
+    pub fn edge_connected(&mut self, now: u64, edge: &EdgeSession) {
+        let now = self.clock.shard_ms(now);
+        if let Some(office) = &mut self.office {
+            office.leader.edge_connected(now, edge);
+        }
+    }
+
+    /// An edge has no connection any more.
+    pub fn edge_disconnected(&mut self, now: u64, edge: Incarnation) {
+        let now = self.clock.shard_ms(now);
+        if let Some(office) = &mut self.office {
+            office.leader.edge_disconnected(now, edge);
+        }
+    }
+
+    /// Another configuration is in force, or the one in force was confirmed.
+    pub fn set_policy(&mut self, now: u64, policy: Option<SharedPolicy>) {
+        let now = self.clock.shard_ms(now);
+        let Some(office) = &mut self.office else { return };
+        match policy {
+            Some(policy) => office.leader.set_policy(now, policy),
+            None => office.leader.policy_confirmed(now),
+        }
+    }
+
+    /// Keeps a message, once it is committed. Call it only while this replica may lead.
+    pub fn append(&mut self, now: u64, append: Append, propose: &mut Propose<'_>) {
+        let Append { edge, request, lease_here, message } = append;
+        let id = message.id.clone();
+        if self.state.status(&id).is_some() {
+            self.outputs.push(appended(edge, request, AppendOutcome::Accepted { lease: None }));
+            return;
+        }
+        let Some(office) = &mut self.office else {
+            self.outputs.push(appended(edge, request, AppendOutcome::Refused { retry_after_ms: 0 }));
+            return;
+        };
+        let shard_now = self.clock.shard_ms(now);
+        let action = Action::Accept {
+            due_ms: shard_now.saturating_add(message.delay_ms),
+            expires_ms: shard_now.saturating_add(message.retention_ms),
+            message: SharedMessage::from(message),
+            accepted_by: edge,
+        };
+        match propose(self.clock.stamp(now, action).encode()) {
+            Some(index) => {
+                office.appends.insert(index, PendingAppend { edge, request, lease_here, id });
+            }
+            None => self.outputs.push(appended(edge, request, AppendOutcome::Refused { retry_after_ms: 0 })),
+        }
+    }
+
+    /// Takes what an edge says about this shard, or about all. Call it only while this replica may lead.
+    pub fn take(&mut self, now: u64, edge: Incarnation, message: EdgeToStore) {
+        let now = self.clock.shard_ms(now);
+        let Some(office) = &mut self.office else { return };
+        let leader = &mut office.leader;
+        match message {
+            EdgeToStore::Credits { services } => leader.credits(now, edge, &services),
+            EdgeToStore::Outcome { id, lease, outcome, .. } => leader.outcome(now, edge, &id, lease, outcome),
+            EdgeToStore::CallbackTaken { id, .. } => leader.callback_taken(now, edge, &id),
+            EdgeToStore::CallbackFailed { id, .. } => leader.callback_failed(now, edge, &id),
+            EdgeToStore::Inventory { items, .. } => leader.inventory(now, edge, &items),
+            EdgeToStore::Heartbeat => leader.heartbeat(now, edge),
+            EdgeToStore::Leaving => leader.leaving(edge),
+            EdgeToStore::Append { .. } | EdgeToStore::Status { .. } => {}
+        }
+    }
+
+    // The log.
+
+    /// Applies committed entries in order.
+    pub fn apply(&mut self, now: u64, entries: Vec<Entry>) {
+        for entry in entries {
+            self.applied = entry.index;
+            let Payload::Command(bytes) = entry.payload else { continue };
+            match Command::decode(bytes.as_slice()) {
+                Ok(command) => self.apply_command(now, entry.index, entry.term, &command),
+                Err(error) => {
+                    tracing::error!(group = self.group.0, index = entry.index, %error, "an entry cannot be read");
+                }
+            }
+        }
+    }
+
+    fn apply_command(&mut self, now: u64, index: u64, term: u64, command: &Command) {
+        let applied = self.state.apply(command);
+        self.clock.applied(now, command.shard_ms, command.wall_ms);
+        let shard_now = self.clock.shard_ms(now);
+        let Some(office) = &mut self.office else { return };
+        office.leader.applied(shard_now, &command.action, &applied, &self.state);
+        let Some(append) = office.appends.remove(&index) else { return };
+        if office.term != term {
+            self.outputs.push(appended(append.edge, append.request, AppendOutcome::Unknown));
+            return;
+        }
+        let lease = office.leader.accepted(shard_now, &append.id, append.edge, append.lease_here);
+        self.outputs.push(appended(append.edge, append.request, AppendOutcome::Accepted { lease }));
+    }
+
+    /// What the leader wants done now. Call it only while this replica may lead.
+    pub fn poll(&mut self, now: u64, propose: &mut Propose<'_>) {
+        let shard_now = self.clock.shard_ms(now);
+        let Some(office) = &mut self.office else { return };
+        let mut actions = std::mem::take(&mut office.unproposed);
+        let outputs = office.leader.poll(shard_now);
+        for output in outputs {
+            let message = match output {
+                LeaderOutput::Propose(action) => {
+                    actions.push(action);
+                    continue;
+                }
+                other => message(self.group, &self.state, shard_now, other),
+            };
+            self.outputs.extend(message.map(|(edge, message)| ShardOutput::Send(edge, message)));
+        }
+        for action in actions {
+            if propose(self.clock.stamp(now, action.clone()).encode()).is_none() {
+                office.unproposed.push(action);
+            }
+        }
+    }
+
+    /// What is to be done.
+    pub fn outputs(&mut self) -> Vec<ShardOutput> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// When to poll next, on this process's clock.
+    pub fn next_wake(&self, now: u64) -> Option<u64> {
+        let office = self.office.as_ref()?;
+        let at = office.leader.next_wake(self.clock.shard_ms(now))?;
+        Some(self.clock.local_ms(at))
+    }
+}
+
+fn appended(edge: Incarnation, request: u64, outcome: AppendOutcome) -> ShardOutput {
+    ShardOutput::Send(edge, StoreToEdge::Appended { request, outcome })
+}
+
+/// What an edge is told; none if there is nothing to tell any more.
+fn message(
+    group: GroupId,
+    state: &ShardState,
+    shard_now: u64,
+    output: LeaderOutput,
+) -> Option<(Incarnation, StoreToEdge)> {
+    match output {
+        LeaderOutput::Grant { edge, id, lease } => {
+            let grant = grant(state, shard_now, &id, lease)?;
+            Some((edge, StoreToEdge::Deliver { group, grant }))
+        }
+        LeaderOutput::CallBack { edge, id } => {
+            let owed = state.callback(&id)?;
+            let call = StoreToEdge::CallBack {
+                group,
+                id,
+                url: owed.url,
+                phase: owed.phase,
+                signature: owed.signature,
+            };
+            Some((edge, call))
+        }
+        LeaderOutput::Recorded { edge, id, lease } => {
+            Some((edge, StoreToEdge::OutcomeRecorded { group, id, lease }))
+        }
+        LeaderOutput::CallbackRecorded { edge, id } => {
+            Some((edge, StoreToEdge::CallbackRecorded { group, id }))
+        }
+        LeaderOutput::Propose(_) => None,
+    }
+}
+
+fn grant(
+    state: &ShardState,
+    shard_now: u64,
+    id: &MessageId,
+    lease: LeaseId,
+) -> Option<ruddervalve_protocol::Grant> {
+    state.grant(id, lease, shard_now)
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -130,6 +130,18 @@
     Say(String),
 }
 
+/// What could be started now, as believed, and how far machines are trusted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Room {
+    /// Jobs of one slot that any machine runs which would find a place on the machines that tokens are kept for. One
+    /// whose idle token is held counts with all its slots, one whose doubt is over with one trial.
+    pub startable: usize,
+    /// Machines that take work.
+    pub ready: usize,
+    /// Those among them that have not failed since they last served.
+    pub sound: usize,
+}
+
 /// What one process of a dispatcher hands on to the next, by name and in milliseconds.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Learnt {
@@ -278,6 +290,48 @@
         self.dispatcher.out_of_rotation()
     }
 
+    /// Idle tokens of machines elsewhere are spent before slots of partly busy machines at home; otherwise after them.
+    /// In force from the next decision on.
+    pub fn spend_tokens_first(&mut self, first: bool) {
+        self.dispatcher.idle_first = first;
+    }
+
+    /// What could be started at this time. Decides nothing and gives nothing out; jobs that are held are not taken off.
+    pub fn room(&mut self, now_ms: f64) -> Room {
+        let known = &mut self.dispatcher;
+        known.now = known.now.max(micros(now_ms));
+        let startable = known.kept().map(|worker| known.startable(worker)).sum::<usize>();
+        let ready = known.workers.values().filter(|worker| worker.ready());
+        let sound = ready.clone().filter(|worker| worker.failures == 0).count();
+        Room { startable: startable.max(usize::from(known.pointer_open())), ready: ready.count(), sound }
+    }
+
+    /// Whether a machine has failed since it last served and is not due for a trial yet.
+    pub fn doubts(&self, now_ms: f64, machine: &str) -> bool {
+        let worker = self.dispatcher.workers.get(&WorkerId::named(machine));
+        worker.is_some_and(|worker| worker.failures > 0 && worker.doubted_until > micros(now_ms))
+    }
+
+    /// Ends the doubt of a machine ahead of its time: its next job is a trial. Nothing else is forgotten of it.
+    pub fn end_doubt(&mut self, now_ms: f64, machine: &str) {
+        let known = &mut self.dispatcher;
+        known.now = known.now.max(micros(now_ms));
+        known.end_doubt(WorkerId::named(machine));
+    }
+
+    /// Ends, ahead of its time, the doubt of that machine in doubt which was sent a job longest ago: the next job is a
+    /// trial there, if no machine is trusted. False if no machine is in doubt.
+    pub fn end_longest_doubt(&mut self, now_ms: f64) -> bool {
+        let known = &mut self.dispatcher;
+        known.now = known.now.max(micros(now_ms));
+        known.keep_set();
+        let doubted = known.kept().filter(|worker| worker.ready() && worker.failures > 0);
+        let longest = doubted.min_by_key(|worker| (worker.touched, worker.lot));
+        let longest = longest.map(|worker| worker.member.worker);
+        longest.into_iter().for_each(|worker| known.end_doubt(worker));
+        longest.is_some()
+    }
+
     /// What another process of this dispatcher can go on from.
     pub fn learnt(&self) -> Learnt {
         let known = &self.dispatcher;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -16,7 +16,7 @@
 /// gains that much by so long a silence before it: one late snapshot read ten times is not ten reports.
 const BELIEF_RUNS: f64 = 4.0;
 /// A slot is taken for free when two thirds of it are believed to be, and surely free when all of it is.
-const FREE: f64 = 2.0 / 3.0;
+pub(crate) const FREE: f64 = 2.0 / 3.0;
 /// Workers whose tokens are kept, at least: enough for a choice when some fail.
 const KEPT: usize = 10;
 /// And for each zone, so that there is a choice at home, too, where sets are drawn from all zones.
@@ -336,7 +336,7 @@
 
     /// Where own traffic is too thin to know all workers, tokens are kept for as many as are heard of while a
     /// belief lives, those without failures first; and for cold workers in their turn.
-    fn keep_set(&mut self) {
+    pub(crate) fn keep_set(&mut self) {
         let heard = BELIEF_RUNS * self.typical_run() / self.gap.unwrap_or(f64::MAX).max(1.0);
         let heard = (heard as usize).max(KEPT).max(KEPT_EACH * self.zones);
         self.learn_sizes();
@@ -434,7 +434,9 @@
         let cold = cold.filter(|worker| kind.is_some() || !self.needed(worker));
         // Then those to which a connection is kept: a new one costs.
         let connected = own.iter().filter(idle).filter(|worker| self.connected(worker));
-        let tokens = [&cold.copied().collect(), &connected.copied().collect(), &own, &sound]
+        // Where it is wished, tokens elsewhere go before slots of partly busy workers at home.
+        let held: Vec<_> = sound.iter().copied().filter(|worker| self.idle_first && idle(&worker)).collect();
+        let tokens = [&cold.copied().collect(), &connected.copied().collect(), &held, &own, &sound]
             .into_iter()
             .find_map(|pool| {
                 let near: Vec<&Worker> = pool.iter().filter(home).copied().collect();
@@ -482,7 +484,7 @@
     }
 
     /// Slots believed free. Where starts are told, a job not yet started shows that there are none.
-    fn room(&self, worker: &Worker) -> f64 {
+    pub(crate) fn room(&self, worker: &Worker) -> f64 {
         if self.settings.tells_start && worker.unstarted > 0 {
             return 0.0;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::interface::*;
-use crate::logic::NEWEST;
+use crate::logic::{FREE, NEWEST};
 
 /// Requests that a tenant may send ahead of its share.
 const SHARE_BURST: f64 = 8.0;
@@ -69,6 +69,8 @@
     pub(crate) succeeded: bool,
     /// When the program ends, where another one is there to take what cannot be done here until then.
     pub(crate) ends: Option<Micros>,
+    /// Tokens held elsewhere are spent before slots of partly busy workers at home.
+    pub(crate) idle_first: bool,
 }
 
 impl Dispatcher {
@@ -112,6 +114,7 @@
             noted: (0, 0),
             succeeded: false,
             ends: None,
+            idle_first: false,
             settings,
         })
     }
@@ -275,6 +278,34 @@
         self.workers.values().filter(avoided).count()
     }
 
+    /// Jobs of one slot that the worker could start now, as believed: an idle token stands for all its slots.
+    pub(crate) fn startable(&self, worker: &Worker) -> usize {
+        let room = self.room(worker);
+        match worker.failures {
+            _ if !worker.ready() || room < FREE => 0,
+            0 if worker.token => self.slots(worker) as usize,
+            // The last of them takes a slot that is believed free as far as that is asked for.
+            0 => (room - FREE) as usize + 1,
+            _ => usize::from(worker.trial_due(self.now)),
+        }
+    }
+
+    /// Whether the worker that was last known idle, among those with no failure, would take one more.
+    pub(crate) fn pointer_open(&self) -> bool {
+        let sound = self.kept().filter(|worker| worker.ready() && worker.failures == 0);
+        let order = self.last_idle.get(&None).map(Vec::as_slice).unwrap_or_default();
+        let place = |worker: &&Worker| (order.iter().position(|id| *id == worker.member.worker), worker.lot);
+        sound.max_by_key(place).is_some_and(|worker| self.room(worker) > 0.0)
+    }
+
+    /// The worker gets a trial as soon as a job comes, however long it was to be doubted.
+    pub(crate) fn end_doubt(&mut self, id: WorkerId) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&id).filter(|worker| worker.failures > 0) else { return };
+        worker.doubted_until = worker.doubted_until.min(now);
+        worker.touched = worker.touched.min(worker.doubted_until.saturating_sub(1));
+    }
+
     /// Forgets the workers that are gone, as soon as no own job is left there.
     pub(crate) fn forget_gone(&mut self) {
         let stays = |worker: &Worker| worker.listed && worker.member.availability != Availability::Gone;
@@ -572,6 +603,11 @@
         }
     }
 
+    /// Whether its doubt is over and it has had no trial since.
+    pub fn trial_due(&self, now: Micros) -> bool {
+        self.doubted_until <= now && self.touched < self.doubted_until
+    }
+
     pub fn ready(&self) -> bool {
         self.listed && self.member.availability == Availability::Ready
     }
