--- a/crates/consensus/tests/behaviour/elections.rs
+++ b/crates/consensus/tests/behaviour/elections.rs
@@ -1,4 +1,7 @@
-use ruddervalve_consensus::{HardState, MessageKind, Payload, ProposeError, Restored, Role};
+use nanoserde::DeBin;
+use ruddervalve_consensus::{
+    HardState, Message, MessageKind, Payload, ProposeError, Replica, Restored, Role, Write,
+};
 
 use crate::group::{A, B, C, Group, TIMING, command, founded, used};
 
@@ -147,6 +150,38 @@
     assert_eq!(group.replica(A).term(), 2, "the pre-vote kept the term");
 }
 
+#[test]
+fn a_vote_is_refused_to_a_shorter_log_also_if_no_pre_vote_came_before() {
+    for (last_index, last_term, granted) in [(9, 1, false), (4, 2, false), (5, 2, true), (1, 3, true)] {
+        let mut voter = Replica::new(B, TIMING, 1, used(&[A, B, C], 2, 5), 0);
+        voter.step(TIMING.election_min_ms, A, vote_request(9, last_index, last_term));
+        let vote = granted.then_some(A);
+        assert_eq!(voter.take_ready().writes, [Write::HardState(HardState { term: 9, vote })]);
+    }
+}
+
+#[test]
+fn one_vote_is_given_in_a_term() {
+    let mut voter = Replica::new(B, TIMING, 1, founded(&[A, B, C]), 0);
+    voter.step(0, A, vote_request(1, 0, 0));
+    voter.step(0, C, vote_request(1, 0, 0));
+    let vote = Some(A);
+    assert_eq!(voter.take_ready().writes, [Write::HardState(HardState { term: 1, vote })]);
+}
+
+/// A request for a vote, encoded by hand as no replica with such a log would ask.
+fn vote_request(term: u64, last_index: u64, last_term: u64) -> Message {
+    const VOTE: u16 = 2;
+    let mut bytes = term.to_le_bytes().to_vec();
+    bytes.extend(VOTE.to_le_bytes());
+    bytes.extend(last_index.to_le_bytes());
+    bytes.extend(last_term.to_le_bytes());
+    bytes.push(0);
+    let message = Message::deserialize_bin(&bytes).expect("the encoding of a request");
+    assert_eq!(message.kind(), MessageKind::Vote);
+    message
+}
+
 #[test]
 fn proposals_to_a_follower_name_the_leader() {
     let mut group = Group::led_by_a(&[A, B, C]);
--- a/crates/consensus/tests/behaviour/group.rs
+++ b/crates/consensus/tests/behaviour/group.rs
@@ -167,6 +167,14 @@
         self.settle();
     }
 
+    /// Lets the oldest message that was held through, but none that it leads to.
+    pub fn release_one(&mut self) {
+        let (from, to, message) = self.held.remove(0);
+        let now = self.now;
+        self.replica(to).step(now, from, message);
+        self.settle();
+    }
+
     pub fn isolate(&mut self, id: ReplicaId) {
         for other in self.members.iter().map(|member| member.replica.id()) {
             self.cuts.insert((id, other));
--- a/crates/consensus/tests/behaviour/replication.rs
+++ b/crates/consensus/tests/behaviour/replication.rs
@@ -1,6 +1,7 @@
-use ruddervalve_consensus::{MessageKind, Payload, Restored};
+use ruddervalve_consensus::{MessageKind, Payload, Restored, Role};
+use ruddervalve_protocol::ReplicaId;
 
-use crate::group::{A, B, C, Group, TIMING, command, founded, used, voters};
+use crate::group::{A, B, C, D, Group, TIMING, command, founded, used, voters};
 
 fn propose(group: &mut Group, count: usize) {
     let now = group.now;
@@ -19,6 +20,7 @@
     propose(&mut group, 3);
     group.settle();
     assert_eq!(group.count(MessageKind::Append), 2, "one to each follower");
+    group.run(200);
     let shares = |payload: &Payload| match payload {
         Payload::Command(command) => command.as_slice().as_ptr() == blob.as_slice().as_ptr(),
         _ => false,
@@ -122,13 +124,19 @@
 #[test]
 fn entries_of_earlier_terms_are_committed_only_with_one_of_the_own_term() {
     let ids = [A, B, C];
-    let mut group = Group::new(vec![(A, used(&ids, 2, 4)), (B, used(&ids, 2, 4)), (C, founded(&ids))]);
+    let mut group = Group::new(vec![(A, used(&ids, 2, 40)), (B, used(&ids, 2, 4)), (C, founded(&ids))]);
     group.run(1000);
-    group.hold = Some(MessageKind::Append);
+    group.isolate(C);
+    group.hold = Some(MessageKind::AppendReply);
     group.elect(A);
+    group.release_one();
+    group.release_one();
+    let matched = group.replica(A).match_index(B).unwrap_or(0);
+    assert!(matched > 4 && matched < 41, "a quorum has entries of the earlier term up to {matched}");
     assert_eq!(group.replica(A).commit_index(), 0);
     group.release();
-    assert_eq!(group.replica(A).commit_index(), 5);
+    group.run(200);
+    assert_eq!(group.replica(A).commit_index(), 41);
 }
 
 #[test]
@@ -146,6 +154,37 @@
     assert!(group.replica(A).lease_valid(now), "C answers");
 }
 
+#[test]
+fn a_write_that_was_replaced_does_not_count_for_what_replaced_it() {
+    let ids = [A, B, C, D, ReplicaId(5)];
+    let mut group = Group::led_by_a(&ids);
+    group.slow_disks.insert(B);
+    let others = [C, D, ReplicaId(5)];
+    group.cuts.extend(others.map(|other| (A, other)));
+    propose(&mut group, 5);
+    group.settle();
+    assert_eq!(group.replica(B).last_index(), 6);
+    group.isolate(A);
+    group.cuts.extend(others.map(|other| (B, other)));
+    group.run(5000);
+    let leader = others.into_iter().find(|id| group.replica(*id).role() == Role::Leader).expect("a leader");
+    group.cuts.retain(|(from, to)| *from == A || *to == A);
+    group.run(200);
+    let now = group.now;
+    assert_eq!(group.replica(B).last_index(), 2, "the entries of A were replaced");
+    group.slow_disks.clear();
+    group.replica(B).written(now, u64::MAX);
+    group.run(200);
+    group.slow_disks.insert(B);
+    let now = group.now;
+    for _ in 0..3 {
+        group.replica(leader).propose(now, command("x")).expect("it leads");
+    }
+    group.run(500);
+    assert_eq!(group.replica(B).last_index(), 5);
+    assert_eq!(group.replica(leader).match_index(B), Some(2), "the rest is not on its disk");
+}
+
 #[test]
 fn a_checkpoint_restores_the_same_replica() {
     let mut group = Group::led_by_a(&[A, B, C]);
--- a/crates/consensus/tests/behaviour/snapshots.rs
+++ b/crates/consensus/tests/behaviour/snapshots.rs
@@ -35,6 +35,35 @@
     assert!(group.replica(A).is_caught_up(C));
 }
 
+#[test]
+fn a_snapshot_brings_its_membership() {
+    let mut group = Group::led_by_a(&[A, B, C]);
+    group.isolate(C);
+    let now = group.now;
+    group.replica(A).change_membership(now, MembershipChange::AddLearner(D)).expect("D is new");
+    group.run(200);
+    group.replica(A).compact(u64::MAX);
+    group.cuts.clear();
+    group.run(500);
+    assert_eq!(group.member(C).restored.len(), 1);
+    assert!(group.replica(C).membership().is_learner(D));
+    assert!(group.replica(C).membership_committed());
+}
+
+#[test]
+fn a_snapshot_is_acknowledged_once_it_is_on_disk() {
+    let mut group = lagging_c();
+    group.slow_disks.insert(C);
+    group.run(500);
+    assert_eq!(group.member(C).restored.len(), 1);
+    assert!(group.replica(A).match_index(C) < Some(21));
+    group.slow_disks.clear();
+    let now = group.now;
+    group.replica(C).written(now, u64::MAX);
+    group.run(2000);
+    assert_eq!(group.replica(A).match_index(C), Some(21));
+}
+
 #[test]
 fn parts_are_bounded_in_flight() {
     let mut group = lagging_c();
--- a/crates/consensus/tests/simulation/cluster.rs
+++ b/crates/consensus/tests/simulation/cluster.rs
@@ -56,6 +56,8 @@
     pub nodes: Vec<Node>,
     pub network: Network,
     pub longest_write_ms: u64,
+    /// How often no commands come for a while; share of the pauses between them.
+    quiet_times: f64,
     checks: Checks,
     replacement: Option<Replacement>,
     next_id: u64,
@@ -82,9 +84,11 @@
             stragglers: random.random_range(0.0..0.03),
             longest_delay_ms: random.random_range(1..30),
         };
+        let quiet_times = if random.random_bool(0.5) { random.random_range(0.0..0.6) } else { 0.0 };
         Self {
             plan,
             random,
+            quiet_times,
             now: 0,
             nodes: voters.into_iter().map(|id| Node::new(id, disk.clone())).collect(),
             network: Network::new(if plan.losses { rough } else { CALM }),
@@ -103,7 +107,9 @@
             self.advance_to(due);
             if self.now >= next_command {
                 self.propose();
-                next_command = self.now + self.random.random_range(1..20);
+                let quiet = self.random.random_bool(self.quiet_times);
+                let longest = if quiet { 600 } else { 20 };
+                next_command = self.now + self.random.random_range(1..longest);
             }
             if self.now >= next_fault {
                 self.disturb();
--- a/crates/edge/src/dispatch/loads.rs
+++ b/crates/edge/src/dispatch/loads.rs
@@ -18,8 +18,9 @@
 }
 
 impl LoadReader {
-    /// What a load with the answer to a message tells; `own_left`: messages of this edge that are still there.
-    pub(crate) fn read(&mut self, load: RunnerLoad, own_left: u32) -> LoadReport {
+    /// What a load with the answer to a message tells; `own_left`: messages of this edge that are still there. No more
+    /// slots are believed free than the list gives the runner, whatever it says.
+    pub(crate) fn read(&mut self, load: RunnerLoad, own_left: u32, capacity: u32) -> LoadReport {
         if load.running == 0 && load.waiting == 0 {
             self.empty_seen = true;
         } else if own_left == 0 {
@@ -27,12 +28,12 @@
         }
         let counts_answered = !self.empty_seen && self.busy_answers >= ANSWERS_BEFORE_BELIEF;
         let running = load.running.saturating_sub(u32::from(counts_answered));
-        report(load.slots.saturating_sub(running), load.waiting)
+        report(load.slots.saturating_sub(running).min(capacity), load.waiting)
     }
 
     /// What a load by itself, with no message, tells.
-    pub(crate) fn read_probe(load: RunnerLoad) -> LoadReport {
-        report(load.slots.saturating_sub(load.running), load.waiting)
+    pub(crate) fn read_probe(load: RunnerLoad, capacity: u32) -> LoadReport {
+        report(load.slots.saturating_sub(load.running).min(capacity), load.waiting)
     }
 
     /// What is believed of a runner that tells no load: the slots that the list gives it, less what this edge has there.
--- a/crates/edge/src/dispatch/pool.rs
+++ b/crates/edge/src/dispatch/pool.rs
@@ -222,7 +222,7 @@
     fn learn(&mut self, now: u64, uid: &str, load: Option<RunnerLoad>, out: &mut Vec<DispatchStep>) {
         let Some(runner) = self.runners.get(uid) else { return };
         let report = match load {
-            Some(load) => self.loads.read(load, runner.out),
+            Some(load) => self.loads.read(load, runner.out, runner.capacity),
             None => LoadReader::own_traffic(runner.capacity, runner.out),
         };
         self.load(now, uid, report, out);
@@ -238,7 +238,8 @@
         out: &mut Vec<DispatchStep>,
     ) {
         let outcome = if healthy { Outcome::Served } else { Outcome::Error };
-        let report = load.map(LoadReader::read_probe);
+        let capacity = self.runners.get(uid).map_or(0, |runner| runner.capacity);
+        let report = load.map(|load| LoadReader::read_probe(load, capacity));
         let steps = self.facade.probed(now as f64, uid, outcome, report);
         self.take(now, steps, out);
         self.review(now);
--- a/crates/edge/tests/dispatch_failures.rs
+++ b/crates/edge/tests/dispatch_failures.rs
@@ -101,7 +101,7 @@
     }
 
     fn millisecond(&mut self, now: u64, slots: u32) {
-        if now % 10 == 0 {
+        if now.is_multiple_of(10) {
             self.due.push_back((now, now / 10));
         }
         while let Some((at, job)) =
--- a/crates/edge/tests/dispatch_policy.rs
+++ b/crates/edge/tests/dispatch_policy.rs
@@ -183,6 +183,14 @@
     assert_eq!(edge.startable(100_010, SERVICE), 1);
 }
 
+#[test]
+fn a_runner_that_claims_more_slots_than_the_list_gives_it_is_not_believed() {
+    let mut edge = edge_with(1, SERVICE, &runners(SERVICE, 1, 2));
+    start(&mut edge, 0, 0, SERVICE).unwrap();
+    edge.finished(10, 0, DispatchOutcome::Served, load(0, 0, u32::MAX));
+    assert_eq!(edge.startable(10, SERVICE), 2);
+}
+
 #[test]
 fn an_edge_that_believes_all_full_and_has_nothing_out_is_woken_and_believes_again() {
     let mut edge = edge_with(1, SERVICE, &runners(SERVICE, 2, 1));
