--- a/crates/queue/src/entry.rs
+++ b/crates/queue/src/entry.rs
@@ -4,7 +4,7 @@
 
 use crate::SharedMessage;
 use crate::ready::ReadyKey;
-use crate::records::{PendingMessage, Sequence};
+use crate::records::PendingMessage;
 use crate::services::ServiceIndex;
 use crate::settings::Waits;
 
@@ -44,8 +44,8 @@
     Waiting,
     /// Behind another message of its key.
     Blocked,
-    /// May run.
-    Ready,
+    /// May run; where it stands.
+    Ready(ReadyKey),
     /// An edge holds it.
     Leased(HeldLease),
     /// A failed attempt is proposed.
@@ -90,11 +90,6 @@
         &self.message.id
     }
 
-    pub(crate) fn ready_key(&self, sequence: Sequence) -> ReadyKey {
-        let priority_class = self.route.map_or(u32::MAX, |route| route.priority_class);
-        ReadyKey { priority_class, due_ms: self.due_ms, sequence }
-    }
-
     /// The lease that is outstanding.
     pub(crate) fn held_lease(&self) -> Option<HeldLease> {
         match self.phase {
--- a/crates/queue/src/leader/applying.rs
+++ b/crates/queue/src/leader/applying.rs
@@ -40,6 +40,7 @@
         self.entries.insert(sequence, entry);
         self.resolve(now_ms, sequence);
         self.place(now_ms, sequence);
+        self.replace_first_of_key(now_ms, sequence);
     }
 
     fn attempt_recorded(&mut self, now_ms: u64, id: &MessageId, lease: LeaseId) {
--- a/crates/queue/src/leader/dispatching.rs
+++ b/crates/queue/src/leader/dispatching.rs
@@ -4,7 +4,7 @@
 
 use super::ShardLeader;
 use crate::edges::rendezvous;
-use crate::entry::{HeldLease, Phase};
+use crate::entry::{Entry, HeldLease, Phase};
 use crate::output::LeaderOutput;
 use crate::records::Sequence;
 use crate::services::ServiceIndex;
@@ -29,12 +29,13 @@
         }
         let sequence = *self.index.get(id)?;
         let entry = self.entries.get(&sequence)?;
-        if !matches!(entry.phase, Phase::Ready) {
+        if !matches!(entry.phase, Phase::Ready(_)) {
             return None;
         }
         let service = entry.route?.service;
         self.dispatch(now_ms, service, Some(sequence));
-        let is_next = self.services.first_ready(service).is_some_and(|first| first.sequence == sequence);
+        let is_next =
+            self.services.first_ready(now_ms, service).is_some_and(|first| first.sequence == sequence);
         if !is_next || !self.services.admits(now_ms, service) {
             return None;
         }
@@ -50,7 +51,7 @@
 
     /// Grants the ready messages of a service up to the one given, while quotas and edges allow.
     fn dispatch(&mut self, now_ms: u64, service: ServiceIndex, up_to: Option<Sequence>) {
-        while let Some(first) = self.services.first_ready(service) {
+        while let Some(first) = self.services.first_ready(now_ms, service) {
             if up_to == Some(first.sequence) || !self.services.admits(now_ms, service) {
                 return;
             }
@@ -66,6 +67,11 @@
 
     /// Gives a ready message to an edge.
     fn grant(&mut self, sequence: Sequence, edge: Incarnation) -> Option<LeaseId> {
+        if let Some(Entry { phase: Phase::Ready(key), route: Some(route), .. }) = self.entries.get(&sequence)
+            && let Some(service) = self.services.get_mut(route.service)
+        {
+            service.ready.granted(key);
+        }
         self.unqueue(sequence);
         let entry = self.entries.get_mut(&sequence)?;
         let id = self.leases.grant(edge, sequence);
--- a/crates/queue/src/leader/placing.rs
+++ b/crates/queue/src/leader/placing.rs
@@ -6,6 +6,7 @@
 use crate::Action;
 use crate::entry::{Phase, Reporter, RouteInForce};
 use crate::policy::SharedPolicy;
+use crate::ready::ReadyKey;
 use crate::records::Sequence;
 
 impl ShardLeader {
@@ -81,8 +82,36 @@
             entry.phase = Phase::Blocked;
             return;
         }
-        entry.phase = Phase::Ready;
-        self.services.add_ready(route.service, entry.ready_key(sequence));
+        let ready = self.ready_key(sequence, route);
+        let Some(entry) = self.entries.get_mut(&sequence) else { return };
+        entry.phase = Phase::Ready(ready);
+        self.services.add_ready(route.service, ready);
+    }
+
+    /// Where a message that may run stands among the others of its service.
+    fn ready_key(&self, sequence: Sequence, route: RouteInForce) -> ReadyKey {
+        let entry = self.entries.get(&sequence);
+        let key = entry.and_then(|entry| entry.message.ordering_key.as_deref());
+        let (chain, last) =
+            key.and_then(|key| self.ordering.chain(route.service, key)).unwrap_or((1, sequence));
+        let due_ms = entry.map_or(0, |entry| entry.due_ms);
+        let last_due_ms = self.entries.get(&last).map_or(due_ms, |entry| entry.due_ms);
+        let hope_ms = last_due_ms.saturating_add(route.schedule_target_ms);
+        ReadyKey { priority_class: route.priority_class, chain, hope_ms, due_ms, sequence }
+    }
+
+    /// Another message has come behind the first of a key: that may be worth running sooner now.
+    pub(super) fn replace_first_of_key(&mut self, now_ms: u64, sequence: Sequence) {
+        let Some(entry) = self.entries.get(&sequence) else { return };
+        let (Some(route), Some(key)) = (entry.route, entry.message.ordering_key.as_deref()) else { return };
+        let Some(first) = self.ordering.first(route.service, key).filter(|first| *first != sequence) else {
+            return;
+        };
+        let is_ready = self.entries.get(&first).is_some_and(|entry| matches!(entry.phase, Phase::Ready(_)));
+        if is_ready {
+            self.unqueue(first);
+            self.place(now_ms, first);
+        }
     }
 
     /// Takes a message out of the queue that it stands in.
@@ -90,9 +119,7 @@
         let Some(entry) = self.entries.get(&sequence) else { return };
         match (&entry.phase, entry.route) {
             (Phase::Waiting, _) => self.schedule.waiting.remove(entry.not_before_ms, sequence),
-            (Phase::Ready, Some(route)) => {
-                self.services.remove_ready(route.service, &entry.ready_key(sequence));
-            }
+            (Phase::Ready(key), Some(route)) => self.services.remove_ready(route.service, key),
             (Phase::Unrouted, _) => {
                 if let Some(since_ms) = entry.missing_since_ms {
                     self.schedule.unrouted.remove(since_ms, sequence);
@@ -119,7 +146,7 @@
     /// Whether no edge holds the message and nothing about it is being recorded.
     pub(super) fn is_free(&self, sequence: Sequence) -> bool {
         let phase = self.entries.get(&sequence).map(|entry| &entry.phase);
-        matches!(phase, Some(Phase::Unrouted | Phase::Waiting | Phase::Blocked | Phase::Ready))
+        matches!(phase, Some(Phase::Unrouted | Phase::Waiting | Phase::Blocked | Phase::Ready(_)))
     }
 
     /// Ends messages whose retention is over. Those that an edge holds end when they come free.
--- a/crates/queue/src/ordering.rs
+++ b/crates/queue/src/ordering.rs
@@ -25,6 +25,12 @@
         }
     }
 
+    /// How many messages of the key wait, and the last of them.
+    pub(crate) fn chain(&self, service: ServiceIndex, key: &str) -> Option<(u32, Sequence)> {
+        let queue = self.services.get(&service)?.get(key)?;
+        Some((u32::try_from(queue.len()).unwrap_or(u32::MAX), *queue.last()?))
+    }
+
     /// Whether no earlier message of the key is unended.
     pub(crate) fn is_first(&self, service: ServiceIndex, key: &str, sequence: Sequence) -> bool {
         self.first(service, key).is_none_or(|first| sequence <= first)
@@ -53,7 +59,8 @@
         self.services.clear();
     }
 
-    fn first(&self, service: ServiceIndex, key: &str) -> Option<Sequence> {
+    /// The message of the key that may run.
+    pub(crate) fn first(&self, service: ServiceIndex, key: &str) -> Option<Sequence> {
         self.services.get(&service)?.get(key)?.first().copied()
     }
 }
--- a/crates/queue/src/services.rs
+++ b/crates/queue/src/services.rs
@@ -9,7 +9,7 @@
 use crate::credits::CreditBoard;
 use crate::policy::ServicePolicy;
 use crate::quota::{OriginWindow, TokenBucket};
-use crate::ready::ReadyKey;
+use crate::ready::{ReadyKey, ReadyQueue};
 use crate::settings::Waits;
 
 /// A service, by the order in which a leader came to know it.
@@ -30,7 +30,7 @@
 pub(crate) struct Service {
     pub(crate) name: String,
     pub(crate) name_hash: u64,
-    pub(crate) ready: BTreeSet<ReadyKey>,
+    pub(crate) ready: ReadyQueue,
     pub(crate) credits: CreditBoard,
     /// Set if it is a single endpoint.
     pub(crate) endpoint: Option<Breaker>,
@@ -45,7 +45,7 @@
         Self {
             name: name.to_owned(),
             name_hash: name_hash(name),
-            ready: BTreeSet::new(),
+            ready: ReadyQueue::default(),
             credits: CreditBoard::default(),
             endpoint: None,
             quota: None,
@@ -193,8 +193,8 @@
     }
 
     /// The message that runs next.
-    pub(crate) fn first_ready(&self, index: ServiceIndex) -> Option<ReadyKey> {
-        self.get(index)?.ready.first().copied()
+    pub(crate) fn first_ready(&mut self, now_ms: u64, index: ServiceIndex) -> Option<ReadyKey> {
+        self.get_mut(index)?.ready.first(now_ms)
     }
 
     /// Whether another delivery may go now; asks to be looked at again when that depends on time.
