--- a/crates/edge/src/core/appends.rs
+++ b/crates/edge/src/core/appends.rs
@@ -11,9 +11,11 @@
 use super::statuses::message_name;
 use crate::front::{FrontHeader, FrontResponse, StatusCode};
 
-/// A message that no leader has acknowledged is held for so many times its route's `TargetLatencyMs`: a shard's new leader
+/// A message that was never sent to a store is held for so many times its route's `TargetLatencyMs`: a shard's new leader
 /// may come within it, and the client can still use what is left of its time.
-const TARGETS_HELD: u64 = 4;
+const TARGETS_UNSENT: u64 = 4;
+/// One whose fate is not known is asked for longer: its client may not try again, as nothing can be promised.
+const TARGETS_UNKNOWN: u64 = 8;
 /// A leader that says nothing for so many times the target is asked again elsewhere.
 const TARGETS_SILENT: u64 = 2;
 
@@ -74,7 +76,8 @@
 
     /// When it is given up if nothing else happens.
     fn ends_at(&self) -> u64 {
-        self.since.saturating_add(self.target_ms.saturating_mul(TARGETS_HELD).min(self.limit_ms))
+        let targets = if self.fate == Fate::Unsent { TARGETS_UNSENT } else { TARGETS_UNKNOWN };
+        self.since.saturating_add(self.target_ms.saturating_mul(targets).min(self.limit_ms))
     }
 
     /// What its delay and retention have left, as of now.
