--- a/crates/runtime/src/times.rs
+++ b/crates/runtime/src/times.rs
@@ -6,7 +6,7 @@
 
 /// Elections, heartbeats and leases are parts of `LivenessMs`, after which a machine counts as in touch again: a leader
 /// that is lost has to be replaced, and its followers' clients told, well within it.
-const ELECTIONS_PER_LIVENESS: u64 = 12;
+const ELECTIONS_PER_LIVENESS: u64 = 20;
 /// Heartbeats that fit into the shortest election timeout: some may be lost or late.
 const HEARTBEATS_PER_ELECTION: u64 = 4;
 /// The lease in parts of the shortest election timeout; the rest is for clocks that drift and timers that fire late.
