--- a/crates/queue/src/edges.rs
+++ b/crates/queue/src/edges.rs
@@ -35,6 +35,8 @@
     /// `AttachEdge` or `DetachEdge` is proposed.
     pub(crate) proposing: bool,
     pub(crate) last_heard_ms: u64,
+    /// Since when it has no connection, as long as it has none.
+    pub(crate) disconnected_ms: u64,
     /// When to look after it again.
     check_ms: u64,
 }
@@ -84,6 +86,7 @@
             superseded: false,
             proposing: false,
             last_heard_ms: now_ms,
+            disconnected_ms: now_ms,
             check_ms: u64::MAX,
         })
     }
--- a/crates/queue/src/leader.rs
+++ b/crates/queue/src/leader.rs
@@ -95,8 +95,8 @@
 
     /// What is to be done now, in order. Call it after other calls, and when [`ShardLeader::next_wake`] says.
     pub fn poll(&mut self, now_ms: u64) -> Vec<LeaderOutput> {
-        self.open_gate(now_ms);
         self.check_edges(now_ms);
+        self.open_gate(now_ms);
         self.end_expired(now_ms);
         self.place_due(now_ms);
         self.dispatch_all(now_ms);
--- a/crates/queue/src/leader/connections.rs
+++ b/crates/queue/src/leader/connections.rs
@@ -37,15 +37,15 @@
         self.edges.check_at(now_ms.saturating_add(self.settings.visibility_timeout_ms), edge);
     }
 
-    /// The connection of an edge is gone, and there is no newer one. Its leases stay until it was silent for the
-    /// visibility timeout.
+    /// The connection of an edge is gone, and there is no newer one. Its leases stay for as long as a process that lives
+    /// may take to connect again.
     pub fn edge_disconnected(&mut self, now_ms: u64, edge: Incarnation) {
         self.services.withdraw(edge);
         let Some(known) = self.edges.get_mut(edge) else { return };
         known.connected = false;
         known.inventoried = false;
-        let silent_ms = known.last_heard_ms.saturating_add(self.settings.visibility_timeout_ms);
-        self.edges.check_at(silent_ms.max(now_ms), edge);
+        known.disconnected_ms = now_ms;
+        self.edges.check_at(now_ms.saturating_add(self.settings.disconnected_for_ms()), edge);
     }
 
     /// The edge is alive.
@@ -111,7 +111,7 @@
 
     /// Adds the edges that earlier leaders attached.
     pub(super) fn take_edges(&mut self, now_ms: u64, state: &ShardState) {
-        let silent_ms = now_ms.saturating_add(self.settings.visibility_timeout_ms);
+        let silent_ms = now_ms.saturating_add(self.settings.disconnected_for_ms());
         for attached in state.attached_edges() {
             self.edges.add_attached(now_ms, attached);
             self.edges.check_at(silent_ms, attached.edge);
@@ -219,12 +219,16 @@
         let Some(known) = self.edges.get(edge) else { return };
         let (connected, attached, proposing) = (known.connected, known.attached.is_some(), known.proposing);
         let heard_ms = known.last_heard_ms;
-        let silent_from_ms = heard_ms.saturating_add(self.settings.visibility_timeout_ms);
+        let silent_from_ms = match connected {
+            true => heard_ms.saturating_add(self.settings.visibility_timeout_ms),
+            false => known.disconnected_ms.saturating_add(self.settings.disconnected_for_ms()),
+        };
         let gone_from_ms = heard_ms.saturating_add(self.settings.detach_after_ms());
         if now_ms < silent_from_ms {
             return self.edges.check_at(silent_from_ms, edge);
         }
         self.free_all_but(now_ms, edge, &BTreeSet::new());
+        self.gate.settled(edge);
         if connected {
             let again_ms = now_ms.saturating_add(self.settings.visibility_timeout_ms.max(1));
             return self.edges.check_at(again_ms, edge);
--- a/crates/queue/src/settings.rs
+++ b/crates/queue/src/settings.rs
@@ -32,6 +32,9 @@
     pub seed: u64,
     /// `VisibilityTimeoutMs`: a lease is free again after its edge was silent for so long.
     pub visibility_timeout_ms: u64,
+    /// How long an edge whose connection has ended may take to open another one: a process that lives needs less. After
+    /// that it is taken for dead, and its leases are free.
+    pub reconnect_ms: u64,
     /// `LivenessMs`.
     pub liveness_ms: u64,
     /// `ConfigPropagationMs`: how long a route may be unknown here although an edge has accepted messages on it.
@@ -57,6 +60,11 @@
         self.visibility_timeout_ms / 2
     }
 
+    /// How long the leases of an edge stay that has no connection.
+    pub(crate) fn disconnected_for_ms(&self) -> u64 {
+        self.reconnect_ms.min(self.visibility_timeout_ms)
+    }
+
     /// An edge that is gone for so long, and holds nothing, is detached.
     pub(crate) fn detach_after_ms(&self) -> u64 {
         self.visibility_timeout_ms.saturating_add(self.liveness_ms)
--- a/crates/queue/tests/support/mod.rs
+++ b/crates/queue/tests/support/mod.rs
@@ -97,6 +97,7 @@
         zone: "near".to_owned(),
         seed: 7,
         visibility_timeout_ms: VISIBILITY_MS,
+        reconnect_ms: VISIBILITY_MS,
         liveness_ms: 4000,
         route_grace_ms: 0,
         origin_window_ms: 5000,
--- a/crates/queue/tests/takeover.rs
+++ b/crates/queue/tests/takeover.rs
@@ -304,3 +304,63 @@
     shard.advance(1);
     assert_eq!(callbacks_in(&shard.poll()), [("a".to_owned(), 2)]);
 }
+
+const RECONNECT_MS: u64 = 500;
+
+fn shard_that_expects_reconnections() -> (Shard, ruddervalve_protocol::LeaseId) {
+    let settings = ruddervalve_queue::LeaderSettings { reconnect_ms: RECONNECT_MS, ..support::settings() };
+    let mut shard = Shard::with_settings(plain_policy(), settings);
+    shard.join_with_credits(1, "near", "s", 1);
+    shard.accept(message("a", "/s/"));
+    let (_, lease) = shard.granted("a");
+    shard.join_with_credits(2, "far", "s", 9);
+    (shard, lease)
+}
+
+#[test]
+fn an_edge_that_does_not_connect_again_loses_its_leases_soon() {
+    let (mut shard, _) = shard_that_expects_reconnections();
+    shard.leader.edge_disconnected(shard.now_ms, edge(1));
+    shard.advance(RECONNECT_MS - 1);
+    assert!(shard.grants().is_empty());
+    shard.advance(1);
+    assert_eq!(shard.granted("a").0, 2);
+}
+
+#[test]
+fn an_edge_that_connects_again_keeps_its_leases() {
+    let (mut shard, lease) = shard_that_expects_reconnections();
+    shard.leader.edge_disconnected(shard.now_ms, edge(1));
+    shard.advance(RECONNECT_MS - 1);
+    shard.connect(1, "node-1", "near");
+    shard.inventory(1, &[("a", lease)]);
+    shard.advance(RECONNECT_MS);
+    assert!(shard.grants().is_empty());
+    assert_eq!(shard.leader.lease_of(&id("a")), Some((edge(1), lease)));
+}
+
+#[test]
+fn a_new_leader_does_not_wait_for_an_edge_that_does_not_connect() {
+    let (mut shard, _) = shard_that_expects_reconnections();
+    shard.change_leader();
+    shard.connect(2, "node-2", "far");
+    shard.inventory(2, &[]);
+    shard.credits(2, "s", 9);
+    assert!(shard.grants().is_empty());
+    shard.advance(RECONNECT_MS);
+    assert_eq!(shard.granted("a").0, 2);
+}
+
+#[test]
+fn a_new_leader_waits_for_an_edge_that_is_connected_and_slow() {
+    let (mut shard, lease) = shard_that_expects_reconnections();
+    shard.change_leader();
+    shard.connect(2, "node-2", "far");
+    shard.inventory(2, &[]);
+    shard.credits(2, "s", 9);
+    shard.connect(1, "node-1", "near");
+    shard.advance(RECONNECT_MS + 1);
+    assert!(shard.grants().is_empty());
+    shard.inventory(1, &[("a", lease)]);
+    assert!(shard.grants().is_empty());
+}
