--- a/crates/edge/src/core/appends.rs
+++ b/crates/edge/src/core/appends.rs
@@ -164,11 +164,19 @@
         if self.shards.groups().is_empty() {
             return Some(come_back("no store is known yet: come back later", append.target_ms));
         }
+        if !self.quorum_answers() {
+            return Some(come_back("the stores do not answer: come back later", append.target_ms));
+        }
         let number = self.appends.insert(append);
         self.send_append(number);
         None
     }
 
+    /// Whether enough stores answer for a shard to have, or soon to get, a leader.
+    fn quorum_answers(&self) -> bool {
+        self.health.count_well(self.now) * 2 > self.shards.store_count()
+    }
+
     /// Sends a message, if it is not on its way and somebody leads a shard that it may go to.
     fn send_append(&mut self, number: u64) {
         let now = self.now;
@@ -177,9 +185,12 @@
             return;
         }
         if !append.is_bound && append.fate == Fate::Unsent {
-            append.group = self.shards.for_any(append.refused_by);
+            let health = &self.health;
+            append.group = self.shards.for_any(append.refused_by, |store| health.is_well(store, now));
         }
         let leader = append.group.and_then(|group| Some((group, self.shards.leader(group)?)));
+        let is_unknown = append.fate == Fate::Unknown;
+        let leader = leader.filter(|(_, store)| is_unknown || self.health.is_well(*store, now));
         let (at, send) = match leader {
             Some((group, store)) => {
                 append.fate = Fate::Sent(store);
@@ -193,6 +204,7 @@
         };
         self.appends.check_at(number, at.max(now + 1));
         if let Some((store, message)) = send {
+            self.health.sent(store, now);
             self.send(store, message);
         }
     }
@@ -211,6 +223,9 @@
 
     /// A store answered.
     pub(super) fn appended(&mut self, number: u64, outcome: AppendOutcome) {
+        if let Some(Append { fate: Fate::Sent(store), .. }) = self.appends.appends.get(&number) {
+            self.health.answered(*store);
+        }
         match outcome {
             AppendOutcome::Accepted { lease } => self.kept(number, lease),
             AppendOutcome::Unknown => {
@@ -273,8 +288,9 @@
                 self.give_up(number);
                 continue;
             }
-            if matches!(append.fate, Fate::Sent(_)) {
+            if let Fate::Sent(store) = append.fate {
                 append.fate = Fate::Unknown;
+                self.health.answered(store);
             }
             self.send_append(number);
         }
@@ -282,6 +298,9 @@
 
     fn give_up(&mut self, number: u64) {
         let Some(append) = self.appends.remove(number) else { return };
+        if let Fate::Sent(store) = append.fate {
+            self.health.answered(store);
+        }
         let response = match append.fate {
             Fate::Unsent => come_back("the message's shard has no leader: come back later", append.target_ms),
             Fate::Sent(_) | Fate::Unknown => {
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod callbacks;
 mod credits;
 mod deliveries;
+mod health;
 mod held;
 mod ingress;
 mod output;
@@ -30,6 +31,7 @@
 use callbacks::Callbacks;
 use credits::Credits;
 use deliveries::Deliveries;
+use health::Health;
 use held::HeldRequests;
 use shards::Shards;
 use statuses::Statuses;
@@ -49,6 +51,8 @@
     pub ack_timeout_ms: u64,
     /// `CallbackTimeoutS`.
     pub callback_timeout_ms: u64,
+    /// A store that owes an answer and says nothing for so long gets nothing new.
+    pub suspect_after_ms: u64,
     /// How long a request is held that comes before this edge knows configuration and stores.
     pub start_hold_ms: u64,
     /// Bytes of bodies that may wait for stores; beyond it new messages are refused.
@@ -62,6 +66,7 @@
     routes: Option<Arc<RouteTable>>,
     configuration: Option<Arc<Configuration>>,
     shards: Shards,
+    health: Health,
     dispatch: Dispatch,
     held: HeldRequests,
     appends: Appends,
@@ -87,6 +92,7 @@
             routes: None,
             configuration: None,
             shards: Shards::new(settings.zone.clone(), settings.seed),
+            health: Health::new(settings.suspect_after_ms),
             dispatch: Dispatch::new(dispatch),
             held: HeldRequests::default(),
             appends: Appends::default(),
@@ -191,6 +197,7 @@
     pub fn store_up(&mut self, now: u64, store: ReplicaId) {
         self.now = now;
         self.shards.store_up(store);
+        self.health.store_up(store);
         self.credits.store_up(store);
         if self.leaving {
             self.send(store, EdgeToStore::Leaving);
@@ -202,6 +209,7 @@
     pub fn store_down(&mut self, now: u64, store: ReplicaId) {
         self.now = now;
         self.shards.store_down(store);
+        self.health.store_down(store);
         self.credits.store_down(store);
         self.appends.store_down(store);
         self.statuses.store_down(store);
@@ -211,6 +219,7 @@
     /// A store says something.
     pub fn store_says(&mut self, now: u64, store: ReplicaId, message: StoreToEdge) {
         self.now = now;
+        self.health.heard(store, now);
         match message {
             StoreToEdge::Leading { groups } => self.leading(store, &groups),
             StoreToEdge::Appended { request, outcome } => self.appended(request, outcome),
--- a/crates/edge/src/core/shards.rs
+++ b/crates/edge/src/core/shards.rs
@@ -93,6 +93,11 @@
         self.leaders.get(&group).map(|leadership| leadership.store)
     }
 
+    /// How many stores there are, connected or not.
+    pub fn store_count(&self) -> usize {
+        self.zones.len()
+    }
+
     pub fn has_leader(&self) -> bool {
         !self.leaders.is_empty()
     }
@@ -112,12 +117,13 @@
         self.groups.get(usize::try_from(place).ok()?).copied()
     }
 
-    /// A shard for a message that may go to any: one that has a leader, in this zone if possible, and is not `not`.
-    pub fn for_any(&mut self, not: Option<GroupId>) -> Option<GroupId> {
+    /// A shard for a message that may go to any: one that has a leader that is well, in this zone if possible, and is not
+    /// `not`.
+    pub fn for_any(&mut self, not: Option<GroupId>, is_well: impl Fn(ReplicaId) -> bool) -> Option<GroupId> {
         let led: Vec<(GroupId, bool)> = self
             .leaders
             .iter()
-            .filter(|(group, _)| Some(**group) != not)
+            .filter(|(group, leadership)| Some(**group) != not && is_well(leadership.store))
             .map(|(group, leadership)| (*group, self.is_near(leadership.store)))
             .collect();
         let near = led.iter().any(|(_, near)| *near);
--- a/crates/edge/src/front/tests.rs
+++ b/crates/edge/src/front/tests.rs
@@ -1,8 +1,14 @@
 //! Tests of what other parts cannot see.
 
+use std::rc::Rc;
+
+use tokio::sync::watch;
+
 use super::FrontLimits;
 use super::framing::{Framing, Phase};
 use super::refusal::Refusal;
+use super::registry::{Admission, Place, admit};
+use super::state::{Order, Shared};
 
 /// What became of bytes that came in pieces.
 #[derive(Debug, PartialEq)]
@@ -110,3 +116,36 @@
     assert!(answer.contains("\r\nRetry-After: 2\r\n"), "{answer}");
     assert!(answer.contains("\r\nConnection: close\r\n"), "{answer}");
 }
+
+fn served(shared: &Rc<Shared>) -> Option<Place> {
+    match admit(shared) {
+        Admission::Served(place) => Some(place),
+        Admission::Crowded(_) | Admission::Dropped => None,
+    }
+}
+
+#[test]
+fn connection_that_could_not_give_way_counts_again() {
+    let bounded = FrontLimits { max_connections: 2, ..FrontLimits::default() };
+    let (_limits, watched) = watch::channel(bounded);
+    let shared = Rc::new(Shared::new(watched));
+    let first = served(&shared).expect("room");
+    let second = served(&shared).expect("room");
+    let third = served(&shared).expect("the first gives way");
+    assert_eq!(first.state.take_order(), Some(Order::CloseIdle));
+    assert!(!second.state.has_order());
+    assert_eq!(shared.registry.borrow().open(), 2);
+    shared.registry.borrow_mut().keep(&first.state);
+    assert_eq!(shared.registry.borrow().open(), 3);
+    for busy in [&first, &second, &third] {
+        busy.state.phase.set(Phase::Serving);
+    }
+    assert!(served(&shared).is_none());
+    drop(first);
+    assert_eq!(shared.registry.borrow().open(), 2);
+    assert!(served(&shared).is_none());
+    drop(second);
+    assert!(served(&shared).is_some());
+    drop(third);
+    assert!(shared.registry.borrow().is_empty());
+}
--- a/crates/edge/src/role.rs
+++ b/crates/edge/src/role.rs
@@ -41,6 +41,9 @@
 const LAST_PART_OF_GRACE: u64 = 10;
 /// How many other edges there may be that share the runners' connections, until it is told: a handful in each zone.
 const OTHER_EDGES: u32 = 7;
+/// A store that owes an answer and says nothing for this part of `LivenessMs` is suspected: many times the way there, its
+/// disk's sync and the way back.
+const SUSPECTS_PER_LIVENESS: u64 = 40;
 /// A request that comes right after the start is held for this part of `LivenessMs`: a coordinator that leads answers well
 /// within it.
 const START_HOLDS_PER_LIVENESS: u64 = 8;
@@ -194,6 +197,7 @@
             other_edges: OTHER_EDGES,
             ack_timeout_ms: boot.settings.bounds.ack_timeout_ms,
             callback_timeout_ms: boot.settings.bounds.callback_timeout_ms,
+            suspect_after_ms: (boot.settings.bounds.liveness_ms / SUSPECTS_PER_LIVENESS).max(1),
             start_hold_ms: boot.settings.bounds.liveness_ms / START_HOLDS_PER_LIVENESS,
             max_waiting_bytes: usize::try_from(
                 boot.settings.limits.memory_mb * BYTES_PER_MB / WAITING_PART_OF_MEMORY,
--- a/crates/edge/tests/http_front.rs
+++ b/crates/edge/tests/http_front.rs
@@ -3,10 +3,9 @@
 mod http_support;
 
 use std::collections::HashMap;
-use std::future::Future;
 use std::net::SocketAddr;
 
-use http_support::ManualClock;
+use http_support::{ManualClock, local};
 use ruddervalve_edge::front::{
     Front, FrontHeader, FrontLimits, FrontRequest, FrontResponse, Handler, Method, READINESS_PATH, Readiness,
     StatusCode,
@@ -14,7 +13,7 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::{JoinHandle, LocalSet, spawn_local, yield_now};
+use tokio::task::{JoinHandle, spawn_local, yield_now};
 
 /// A request that the handler has got, and how it is to be answered.
 struct Call {
@@ -158,10 +157,6 @@
     }
 }
 
-async fn local(test: impl Future<Output = ()>) {
-    LocalSet::new().run_until(test).await;
-}
-
 async fn turns() {
     for _ in 0..16 {
         yield_now().await;
@@ -788,6 +783,25 @@
     .await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn idle_connection_with_a_request_under_way_does_not_give_way() {
+    local(async {
+        let mut rig = Rig::new(FrontLimits { max_connections: 1, ..limits() }).await;
+        let mut kept = rig.client().await;
+        kept.assert_serves(&mut rig).await;
+        // Nothing runs in between: the front hears of the new connection first, while the kept one still seems idle.
+        let stream = std::net::TcpStream::connect(rig.address).expect("accepted by the system");
+        kept.stream.try_write(SIMPLE.as_bytes()).expect("room");
+        stream.set_nonblocking(true).expect("an option");
+        let mut new = Client { stream: TcpStream::from_std(stream).expect("a socket"), unread: Vec::new() };
+        rig.accept().await;
+        assert_eq!(kept.answer().await.status, 202);
+        new.assert_serves(&mut rig).await;
+        assert_eq!(rig.front.counters().open_connections, 2);
+    })
+    .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn too_many_busy_connections_are_told_when_to_come_back() {
     local(async {
--- a/crates/edge/tests/http_runner.rs
+++ b/crates/edge/tests/http_runner.rs
@@ -3,12 +3,11 @@
 mod http_support;
 
 use std::collections::HashSet;
-use std::future::Future;
 use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr};
 
 use bytes::Bytes;
-use http_support::ManualClock;
+use http_support::{ManualClock, local};
 use ruddervalve_edge::runner::{
     CallbackResult, Delivery, DeliveryResult, HealthResult, InstanceLoad, NotRunReason, RunnerAnswer,
     RunnerClient, RunnerSettings, UnclearReason,
@@ -16,7 +15,7 @@
 use socket2::{Domain, SockAddr, Socket, Type};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{JoinHandle, LocalSet, spawn_local, yield_now};
+use tokio::task::{JoinHandle, spawn_local, yield_now};
 
 /// A runner's side of one connection.
 struct Peer {
@@ -177,10 +176,6 @@
     RunnerAnswer::NotRun { reason, retry_after_ms: None }
 }
 
-async fn local(test: impl Future<Output = ()>) {
-    LocalSet::new().run_until(test).await;
-}
-
 async fn turns() {
     for _ in 0..16 {
         yield_now().await;
--- a/crates/simulation/src/checks.rs
+++ b/crates/simulation/src/checks.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::places::{
-    DRAIN_TIMEOUT_MS, ENDPOINT_RATE_PER_S, Kind, LIVENESS_MS, MAX_LAG_MS, MAX_RETRIES, ORIGIN_OVERSHOOT,
+    DRAIN_TIMEOUT_MS, EARLY_SLACK_MS, ENDPOINT_RATE_PER_S, Kind, LIVENESS_MS, MAX_LAG_MS, MAX_RETRIES, ORIGIN_OVERSHOOT,
     ORIGIN_WINDOW_MS,
 };
 
@@ -59,14 +59,28 @@
     }
 }
 
+/// A span of trouble.
+#[derive(Debug, Clone, Copy)]
+struct Trouble {
+    from: u64,
+    /// Until when, where it is over.
+    until: Option<u64>,
+    is_planned: bool,
+}
+
+impl Trouble {
+    fn touches(&self, from: u64, to: u64) -> bool {
+        self.from <= to && self.until.is_none_or(|until| until >= from)
+    }
+}
+
 /// All messages, and spans of trouble.
 #[derive(Debug, Default)]
 pub struct Checks {
     pub messages: BTreeMap<String, MessageRecord>,
     by_key: BTreeMap<String, Vec<String>>,
     arrivals: VecDeque<u64>,
-    /// Unplanned troubles: from, and until where it is over.
-    troubles: Vec<(u64, Option<u64>)>,
+    troubles: Vec<Trouble>,
     /// What consensus must keep to.
     leaders: BTreeMap<(u32, u64), u64>,
     votes: BTreeMap<(u64, u32, u64), u64>,
@@ -82,26 +96,32 @@
 
     // Troubles.
 
-    /// An unplanned trouble begins; its number.
-    pub fn trouble_begins(&mut self, now: u64) -> usize {
-        self.troubles.push((now, None));
+    /// A trouble begins; its number. Planned work is none for the rules that say so.
+    pub fn trouble_begins(&mut self, now: u64, is_planned: bool) -> usize {
+        self.troubles.push(Trouble { from: now, until: None, is_planned });
         self.troubles.len() - 1
     }
 
     pub fn trouble_ends(&mut self, number: usize, now: u64) {
         if let Some(trouble) = self.troubles.get_mut(number) {
-            trouble.1 = Some(now);
+            trouble.until = Some(now);
         }
     }
 
-    /// Whether there was no trouble at all in a span.
+    /// Whether there was no unplanned trouble at all in a span.
     pub fn is_calm(&self, from: u64, to: u64) -> bool {
-        self.troubles.iter().all(|(begin, end)| *begin > to || end.is_some_and(|end| end < from))
+        !self.troubles.iter().any(|trouble| !trouble.is_planned && trouble.touches(from, to))
     }
 
-    /// Whether all machines are in touch.
+    /// Whether all machines are in touch: nothing at all happened lately.
     pub fn in_touch(&self, now: u64) -> bool {
-        self.is_calm(now.saturating_sub(2 * LIVENESS_MS), now)
+        self.were_in_touch(now, now)
+    }
+
+    /// Whether all machines were in touch all the time.
+    pub fn were_in_touch(&self, from: u64, to: u64) -> bool {
+        let from = from.saturating_sub(2 * LIVENESS_MS);
+        !self.troubles.iter().any(|trouble| trouble.touches(from, to))
     }
 
     // Messages.
@@ -166,6 +186,9 @@
         if let Some(status) = message.refused {
             self.fail(now, "REFUSED", format!("{id} runs though it was answered {status}"));
         }
+        if now + EARLY_SLACK_MS < message.due_at {
+            self.fail(now, "EARLY-RUN", format!("{id} runs though it is due at {}", message.due_at));
+        }
         self.check_twice(now, id, &earlier);
         self.check_order(now, id, &message);
     }
--- a/crates/simulation/src/edge_process.rs
+++ b/crates/simulation/src/edge_process.rs
@@ -19,7 +19,9 @@
 const START_HOLDS_PER_LIVENESS: u64 = 2;
 const MAX_WAITING_BYTES: usize = 16 * 1_024 * 1_024;
 /// The last part of the grace period is kept for the end itself.
-const LAST_PART_OF_GRACE: u64 = 12;
+const LAST_PART_OF_GRACE: u64 = 10;
+/// A store that owes an answer is suspected after this part of `LivenessMs`.
+const SUSPECTS_PER_LIVENESS: u64 = 40;
 
 /// An edge.
 pub struct EdgeProcess {
@@ -42,6 +44,7 @@
             other_edges: 2,
             ack_timeout_ms: settings.bounds.ack_timeout_ms,
             callback_timeout_ms: settings.bounds.callback_timeout_ms,
+            suspect_after_ms: (settings.bounds.liveness_ms / SUSPECTS_PER_LIVENESS).max(1),
             start_hold_ms: settings.bounds.liveness_ms / START_HOLDS_PER_LIVENESS,
             max_waiting_bytes: MAX_WAITING_BYTES,
         };
--- a/crates/simulation/src/effects.rs
+++ b/crates/simulation/src/effects.rs
@@ -9,7 +9,7 @@
 use crate::event::Event;
 use crate::network::Life;
 use crate::process::{Effect, Input, Payload};
-use crate::world::World;
+use crate::world::{World, incarnation};
 
 /// A slot takes so many syncs longer than a log.
 const SLOT_SYNCS: u64 = 3;
@@ -132,7 +132,7 @@
 
     fn look_at_lease(&mut self, id: crate::process::ConnectionId, group: u32, lease: (u64, u64), message: &str) {
         let Some(connection) = self.network.connections.get(&id) else { return };
-        let edge = self.incarnation(connection.opener.process);
+        let edge = incarnation(connection.opener.process);
         if group != u32::MAX {
             self.checks.leased(self.now, group, lease, edge, message);
         }
--- a/crates/simulation/src/event.rs
+++ b/crates/simulation/src/event.rs
@@ -29,6 +29,8 @@
     Silence(ConnectionId, Side),
     // Disks.
     Synced(Life),
+    #[cfg(feature = "mutants")]
+    WrittenEarly(Life, u64),
     WriteCheckpoint(Life),
     // Clients.
     NextMessage(crate::places::Kind),
@@ -79,6 +81,8 @@
             Event::Packet(connection, side) => self.packet(connection, side),
             Event::Silence(connection, side) => self.silence(connection, side),
             Event::Synced(process) => self.synced(process),
+            #[cfg(feature = "mutants")]
+            Event::WrittenEarly(process, ticket) => self.hand(process, Input::Written(ticket)),
             Event::WriteCheckpoint(process) => self.write_checkpoint(process),
             Event::NextMessage(kind) => self.next_message(kind),
             Event::Try(attempt) => self.try_message(*attempt),
--- /dev/null
+++ b/crates/simulation/src/faults.rs
@@ -0,0 +1,420 @@
+//! What goes wrong, and when it is over. Never more machines with disks are lost at once than the tolerance of one allows.
+
+use rand::Rng as _;
+
+use crate::clients::TRAFFIC_BEGINS_MS;
+use crate::event::Event;
+use crate::network::Machine;
+use crate::places::{GRACE_MS, RECOVERY_MS, Role, SYNC_MS};
+use crate::process::Input;
+use crate::scenario::LastFault;
+use crate::world::World;
+
+/// The last fault comes so long before the traffic ends, in milliseconds, so that recovery shows.
+const LAST_FAULT_BEFORE_END_MS: u64 = RECOVERY_MS + 6_000;
+/// Other faults end before that, in milliseconds.
+const QUIET_BEFORE_LAST_MS: u64 = 3_000;
+/// How long something lasts, in milliseconds.
+const SHORTEST_MS: u64 = 100;
+const LONGEST_DOWN_MS: u64 = 4_000;
+const LONGEST_FREEZE_MS: u64 = 5_000;
+const LONGEST_CUT_MS: u64 = 5_000;
+const LONGEST_HERD_MS: u64 = 1_000;
+const PLATFORM_DOWN_MS: u64 = 4_000;
+/// A write has about so many operations at which the power may go.
+const OPERATIONS_OF_A_WRITE: u64 = 2;
+
+/// A kind of fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultKind {
+    Kill,
+    Power,
+    LoseDisk,
+    Freeze,
+    Cut,
+    EdgeKill,
+    EdgeFreeze,
+    EdgeCut,
+    Reset,
+    Term,
+    HerdKill,
+    AllPower,
+    RunnerCrash,
+    RunnerDrain,
+    Platform,
+}
+
+impl FaultKind {
+    const ALL: [Self; 15] = [
+        Self::Kill,
+        Self::Power,
+        Self::LoseDisk,
+        Self::Freeze,
+        Self::Cut,
+        Self::EdgeKill,
+        Self::EdgeFreeze,
+        Self::EdgeCut,
+        Self::Reset,
+        Self::Term,
+        Self::HerdKill,
+        Self::AllPower,
+        Self::RunnerCrash,
+        Self::RunnerDrain,
+        Self::Platform,
+    ];
+}
+
+/// Something that is over, or goes on.
+#[derive(Debug)]
+pub enum Fault {
+    /// A machine has power again and starts.
+    PowerOn(Machine, Option<usize>),
+    Thaw(Machine, u64, usize),
+    Heal(Vec<(Machine, Machine)>, usize),
+    TroubleOver(usize),
+    /// The grace period of a process that was told to end is over.
+    GraceOver(Machine, u64),
+    /// A machine that was stopped as planned starts again, once its process has ended.
+    StartAfterEnd(Machine, usize),
+}
+
+impl World {
+    fn every(&self, kind: FaultKind) -> u64 {
+        let faults = &self.scenario.faults;
+        match kind {
+            FaultKind::Kill => faults.kill_every_ms,
+            FaultKind::Power => faults.power_every_ms,
+            FaultKind::LoseDisk => faults.lose_disk_every_ms,
+            FaultKind::Freeze => faults.freeze_every_ms,
+            FaultKind::Cut => faults.cut_every_ms,
+            FaultKind::EdgeKill => faults.edge_kill_every_ms,
+            FaultKind::EdgeFreeze => faults.edge_freeze_every_ms,
+            FaultKind::EdgeCut => faults.edge_cut_every_ms,
+            FaultKind::Reset => faults.reset_every_ms,
+            FaultKind::Term => faults.term_every_ms,
+            FaultKind::HerdKill => faults.herd_kill_every_ms,
+            FaultKind::AllPower => faults.all_power_every_ms,
+            FaultKind::RunnerCrash => faults.runner_crash_every_ms,
+            FaultKind::RunnerDrain => faults.runner_drain_every_ms,
+            FaultKind::Platform => faults.platform_every_ms,
+        }
+    }
+
+    pub fn begin_faults(&mut self) {
+        for host in &mut self.hosts {
+            host.wall_offset = self.fault_random.random_range(-40..=40);
+        }
+        for kind in FaultKind::ALL {
+            self.plan_fault(kind, TRAFFIC_BEGINS_MS);
+        }
+        self.at(self.last_fault_at(), Event::LastFault);
+        let questions = self.traffic_ends() + crate::places::COMPLETION_MS;
+        self.at(questions, Event::LastQuestions);
+    }
+
+    fn last_fault_at(&self) -> u64 {
+        self.traffic_ends().saturating_sub(LAST_FAULT_BEFORE_END_MS)
+    }
+
+    fn plan_fault(&mut self, kind: FaultKind, from: u64) {
+        let mean = self.every(kind);
+        if mean == 0 {
+            return;
+        }
+        let wait = self.fault_random.random_range(0..mean * 2).max(1);
+        if from + wait + QUIET_BEFORE_LAST_MS < self.last_fault_at() {
+            self.at(from + wait, Event::NextFault(kind));
+        }
+    }
+
+    pub fn next_fault(&mut self, kind: FaultKind) {
+        self.plan_fault(kind, self.now);
+        match kind {
+            FaultKind::Kill => self.on_spare_machine(World::kill),
+            FaultKind::Power => self.on_spare_machine(|world, machine| world.power_off(machine, false)),
+            FaultKind::LoseDisk => self.on_spare_machine(|world, machine| world.power_off(machine, true)),
+            FaultKind::Freeze => self.on_spare_machine(World::freeze),
+            FaultKind::Cut => self.on_spare_machine(World::cut),
+            FaultKind::EdgeKill => self.on_edge(World::kill),
+            FaultKind::EdgeFreeze => self.on_edge(World::freeze),
+            FaultKind::EdgeCut => self.on_edge(World::cut),
+            FaultKind::Reset => {
+                let machine = self.fault_random.random_range(0..self.hosts.len());
+                self.resets(machine);
+            }
+            FaultKind::Term => {
+                let machine = self.fault_random.random_range(0..self.hosts.len());
+                if self.is_edge(machine) || self.may_lose(machine) {
+                    self.term(machine);
+                }
+            }
+            FaultKind::HerdKill => self.herd_kill(Role::Coordinator),
+            FaultKind::AllPower => self.all_power(),
+            FaultKind::RunnerCrash => {
+                if let Some(uid) = self.drawn_runner() {
+                    self.line(|| format!("FAULT runner {uid} crashes"));
+                    self.runner_crashes(&uid);
+                }
+            }
+            FaultKind::RunnerDrain => {
+                if let Some(uid) = self.drawn_runner() {
+                    self.line(|| format!("runner {uid} drains"));
+                    self.runner_drains(&uid);
+                }
+            }
+            FaultKind::Platform => {
+                let lasts = self.fault_random.random_range(SHORTEST_MS..PLATFORM_DOWN_MS);
+                self.runners.down_until = self.now + lasts;
+                let trouble = self.trouble(false);
+                self.after(lasts, Event::Fault(Fault::TroubleOver(trouble)));
+            }
+        }
+    }
+
+    pub fn trouble(&mut self, is_planned: bool) -> usize {
+        self.checks.trouble_begins(self.now, is_planned)
+    }
+
+    fn is_edge(&self, machine: Machine) -> bool {
+        self.hosts.get(machine).is_some_and(|host| host.place.role == Role::Edge)
+    }
+
+    /// Whether a machine with a disk may be lost now: no other one is.
+    fn may_lose(&self, machine: Machine) -> bool {
+        let others = self.lost_until.iter().filter(|(other, until)| **other != machine && **until > self.now);
+        self.running(machine).is_some() && others.count() == 0 && self.lost_until.get(&machine).is_none_or(|until| *until <= self.now)
+    }
+
+    fn on_spare_machine(&mut self, act: impl FnOnce(&mut World, Machine)) {
+        let disks: Vec<Machine> = (0..self.hosts.len()).filter(|machine| !self.is_edge(*machine)).collect();
+        let place = self.fault_random.random_range(0..disks.len());
+        if let Some(machine) = disks.get(place).copied().filter(|machine| self.may_lose(*machine)) {
+            act(self, machine);
+        }
+    }
+
+    fn on_edge(&mut self, act: impl FnOnce(&mut World, Machine)) {
+        let edges = self.machines(Role::Edge);
+        let place = self.fault_random.random_range(0..edges.len());
+        if let Some(machine) = edges.get(place).copied().filter(|machine| self.running(*machine).is_some()) {
+            act(self, machine);
+        }
+    }
+
+    fn lose_until(&mut self, machine: Machine, back: u64) {
+        if !self.is_edge(machine) {
+            self.lost_until.insert(machine, back + SYNC_MS);
+        }
+    }
+
+    fn kill(&mut self, machine: Machine) {
+        let down = self.fault_random.random_range(SHORTEST_MS..LONGEST_DOWN_MS);
+        self.kill_for(machine, down);
+    }
+
+    fn kill_for(&mut self, machine: Machine, down: u64) {
+        self.line(|| format!("FAULT machine {machine} is killed, back in {down}"));
+        let trouble = self.trouble(false);
+        self.lose_until(machine, self.now + down);
+        self.end_process(machine, false);
+        if let Some(host) = self.hosts.get_mut(machine) {
+            host.disk.kill();
+        }
+        self.after(down, Event::Fault(Fault::PowerOn(machine, Some(trouble))));
+    }
+
+    fn power_off(&mut self, machine: Machine, loses_disk: bool) {
+        let down = self.fault_random.random_range(SHORTEST_MS..LONGEST_DOWN_MS);
+        self.power_off_for(machine, down, loses_disk);
+    }
+
+    fn power_off_for(&mut self, machine: Machine, down: u64, loses_disk: bool) {
+        self.line(|| format!("FAULT machine {machine} loses power, and its disk {loses_disk}, back in {down}"));
+        let trouble = self.trouble(false);
+        self.lose_until(machine, self.now + down);
+        self.end_process(machine, true);
+        let during = self.fault_random.random_bool(0.5);
+        let step = during.then(|| self.fault_random.random_range(0..OPERATIONS_OF_A_WRITE));
+        let seed = self.fault_random.random();
+        let new_disk = loses_disk.then(|| self.new_disk());
+        if let Some(host) = self.hosts.get_mut(machine) {
+            host.has_power = false;
+            host.disk.lose_power(step, seed);
+            if let Some(disk) = new_disk {
+                host.disk = disk;
+            }
+        }
+        self.after(down, Event::Fault(Fault::PowerOn(machine, Some(trouble))));
+    }
+
+    fn freeze(&mut self, machine: Machine) {
+        let lasts = self.fault_random.random_range(SHORTEST_MS..LONGEST_FREEZE_MS);
+        let Some(host) = self.hosts.get_mut(machine) else { return };
+        if host.is_frozen {
+            return;
+        }
+        host.is_frozen = true;
+        let life = host.life;
+        self.line(|| format!("FAULT machine {machine} stands still for {lasts}"));
+        let trouble = self.trouble(false);
+        self.lose_until(machine, self.now + lasts);
+        self.after(lasts, Event::Fault(Fault::Thaw(machine, life, trouble)));
+    }
+
+    /// Cuts a machine off from some or all others, one way or both.
+    fn cut(&mut self, machine: Machine) {
+        let lasts = self.fault_random.random_range(SHORTEST_MS..LONGEST_CUT_MS);
+        let from_all = self.fault_random.random_bool(0.5);
+        let way = self.fault_random.random_range(0..4);
+        let mut ways = Vec::new();
+        for other in (0..self.hosts.len()).filter(|other| *other != machine) {
+            if from_all || self.fault_random.random_bool(0.5) {
+                if way != 1 {
+                    ways.push((machine, other));
+                }
+                if way != 2 {
+                    ways.push((other, machine));
+                }
+            }
+        }
+        self.line(|| format!("FAULT cut for {lasts}: {ways:?}"));
+        ways.iter().for_each(|(from, to)| self.network.cut(*from, *to));
+        let trouble = self.trouble(false);
+        self.lose_until(machine, self.now + lasts);
+        self.after(lasts, Event::Fault(Fault::Heal(ways, trouble)));
+    }
+
+    fn resets(&mut self, machine: Machine) {
+        self.line(|| format!("FAULT connections of machine {machine} are reset"));
+        let trouble = self.trouble(false);
+        self.reset_connections(machine);
+        self.after(SHORTEST_MS, Event::Fault(Fault::TroubleOver(trouble)));
+    }
+
+    /// Planned work: a machine is stopped and started again.
+    fn term(&mut self, machine: Machine) {
+        let Some(process) = self.running(machine) else { return };
+        if self.hosts.get(machine).is_none_or(|host| host.is_frozen || host.is_ending) {
+            return;
+        }
+        self.line(|| format!("machine {machine} is told to end"));
+        let trouble = self.trouble(true);
+        self.lose_until(machine, self.now + GRACE_MS);
+        if let Some(host) = self.hosts.get_mut(machine) {
+            host.is_ending = true;
+        }
+        self.hand(process, Input::Terminate);
+        self.after(GRACE_MS, Event::Fault(Fault::GraceOver(machine, process.life)));
+        self.after(SHORTEST_MS, Event::Fault(Fault::StartAfterEnd(machine, trouble)));
+    }
+
+    fn herd_kill(&mut self, role: Role) {
+        for machine in self.machines(role) {
+            if self.running(machine).is_some() {
+                let down = self.fault_random.random_range(SHORTEST_MS..LONGEST_HERD_MS);
+                self.kill_for(machine, down);
+            }
+        }
+    }
+
+    fn all_power(&mut self) {
+        if self.lost_until.values().any(|until| *until > self.now) {
+            return;
+        }
+        self.power_all(false);
+    }
+
+    fn power_all(&mut self, with_edges: bool) {
+        for machine in 0..self.hosts.len() {
+            if with_edges || !self.is_edge(machine) {
+                let down = self.fault_random.random_range(SHORTEST_MS..LONGEST_HERD_MS * 2);
+                self.power_off_for(machine, down, false);
+            }
+        }
+    }
+
+    /// The last fault of the day.
+    pub fn last_fault(&mut self) {
+        let drawn = self.fault_random.random_range(0..3);
+        let last = match (self.scenario.faults.last, drawn) {
+            (LastFault::Any, 0) => LastFault::AllPower,
+            (LastFault::Any, 1) => LastFault::AllKill,
+            (LastFault::Any, _) => LastFault::LoseDisk,
+            (other, _) => other,
+        };
+        match last {
+            LastFault::AllPower => self.power_all(true),
+            LastFault::AllKill => {
+                for role in [Role::Edge, Role::Coordinator, Role::Store] {
+                    self.herd_kill(role);
+                }
+            }
+            LastFault::LoseDisk => self.on_spare_machine(|world, machine| world.power_off(machine, true)),
+            LastFault::None | LastFault::Any => {}
+        }
+    }
+
+    /// Something is over.
+    pub fn fault(&mut self, fault: Fault) {
+        let now = self.now;
+        match fault {
+            Fault::PowerOn(machine, trouble) => {
+                if let Some(host) = self.hosts.get_mut(machine) {
+                    host.has_power = true;
+                }
+                self.start(machine);
+                trouble.into_iter().for_each(|trouble| self.checks.trouble_ends(trouble, now));
+            }
+            Fault::Thaw(machine, life, trouble) => {
+                self.checks.trouble_ends(trouble, now);
+                self.thaw(machine, life);
+            }
+            Fault::Heal(ways, trouble) => {
+                self.line(|| format!("healed: {ways:?}"));
+                ways.iter().for_each(|(from, to)| self.network.heal(*from, *to));
+                self.checks.trouble_ends(trouble, now);
+            }
+            Fault::TroubleOver(trouble) => self.checks.trouble_ends(trouble, now),
+            Fault::GraceOver(machine, life) => {
+                let is_same = self.hosts.get(machine).is_some_and(|host| host.life == life && host.is_ending);
+                if is_same && self.running(machine).is_some() {
+                    self.line(|| format!("machine {machine} is killed at the end of its grace"));
+                    self.end_process(machine, false);
+                }
+            }
+            Fault::StartAfterEnd(machine, trouble) => {
+                if self.running(machine).is_some_and(|process| self.is_ending(process.machine)) {
+                    return self.after(SHORTEST_MS, Event::Fault(Fault::StartAfterEnd(machine, trouble)));
+                }
+                if let Some(host) = self.hosts.get_mut(machine)
+                    && host.process.is_none()
+                    && host.has_power
+                {
+                    host.disk.kill();
+                }
+                self.start(machine);
+                self.lose_until(machine, now);
+                self.checks.trouble_ends(trouble, now);
+            }
+        }
+    }
+
+    fn is_ending(&self, machine: Machine) -> bool {
+        self.hosts.get(machine).is_some_and(|host| host.is_ending)
+    }
+
+    fn thaw(&mut self, machine: Machine, life: u64) {
+        let Some(host) = self.hosts.get_mut(machine) else { return };
+        if host.life != life || !host.is_frozen {
+            return;
+        }
+        host.is_frozen = false;
+        let backlog = std::mem::take(&mut host.backlog);
+        self.line(|| format!("machine {machine} goes on"));
+        let process = crate::network::Life { machine, life };
+        for input in backlog {
+            self.hand(process, input);
+        }
+        self.hand(process, Input::Wake);
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/operator.rs
@@ -0,0 +1,403 @@
+//! The operator: it changes the configuration, races and repeats, and loses answers.
+
+use std::collections::BTreeMap;
+
+use rand::Rng as _;
+use ruddervalve_coordinator::operator::Endpoint;
+use ruddervalve_coordinator::{CallerNumber, OperatorReply};
+
+use crate::event::Event;
+use crate::network::{Life, Machine};
+use crate::places::{
+    ACK_TIMEOUT_MS, CONFIG_PROPAGATION_MS, EXTRA_ROUTES, Role, configuration,
+};
+use crate::process::Input;
+use crate::world::World;
+
+/// Silence after which another coordinator is asked.
+const SILENCE_MS: u64 = 1_000;
+/// From the operator to a coordinator, one way.
+const WAY_MS: u64 = 3;
+const MAX_BODY: usize = 1_000_000;
+/// The part of answers that are lost, of orders that race, and of orders that are invalid.
+const LOST_PART: f64 = 0.15;
+const RACE_PART: f64 = 0.3;
+const INVALID_PART: f64 = 0.1;
+const REPEAT_PART: f64 = 0.15;
+
+/// What a call came to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallAnswer {
+    Status(u16, Vec<u8>),
+    Redirect(String),
+    Closed,
+}
+
+/// What an order asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Wish {
+    Replace { base: u64, version: u64, extra: u32, body: Vec<u8>, is_valid: bool },
+    Get,
+}
+
+/// An order of the operator.
+#[derive(Debug, Clone)]
+pub struct Order {
+    pub wish: Wish,
+    /// The call that is under way.
+    call: CallerNumber,
+    /// Where to ask next, if somebody said so.
+    next: Option<Machine>,
+    redirects: u32,
+    tries: u32,
+    is_repeat: bool,
+    first_sent_at: u64,
+}
+
+/// A change that was acknowledged.
+#[derive(Debug, Clone)]
+pub struct Acknowledged {
+    pub version: u64,
+    pub base: u64,
+    pub extra: u32,
+    pub body: Vec<u8>,
+    /// When it was acknowledged.
+    pub at: u64,
+}
+
+/// The operator.
+#[derive(Debug, Default)]
+pub struct Operator {
+    orders: BTreeMap<u64, Order>,
+    last: u64,
+    last_call: u64,
+    calls: BTreeMap<CallerNumber, (u64, Life)>,
+    pub acknowledged: Vec<Acknowledged>,
+    /// All that were sent and may be in force: version, extra routes, when sent, when refused for certain.
+    sent: Vec<(u64, u32, u64, Option<u64>, Vec<u8>)>,
+    /// What coordinators have applied, by version.
+    pub committed: BTreeMap<u64, Vec<u8>>,
+    /// When the operator wishes the configuration back at the end, and what it got.
+    pub read_back: Option<Vec<u8>>,
+}
+
+impl Operator {
+    fn newest(&self) -> Option<&Acknowledged> {
+        self.acknowledged.iter().max_by_key(|change| change.version)
+    }
+
+    /// All configurations that may be in force at any time from so long before `sent_at`, by their extra routes.
+    fn possible(&self, sent_at: u64) -> Option<Vec<u32>> {
+        let settled = sent_at.checked_sub(CONFIG_PROPAGATION_MS)?;
+        let newest = self.acknowledged.iter().filter(|change| change.at <= settled).max_by_key(|change| change.version)?;
+        let later = self.sent.iter().filter(|(version, ..)| *version > newest.version).map(|(_, extra, ..)| *extra);
+        Some(later.chain([newest.extra]).collect())
+    }
+
+    /// Whether a route is in no configuration that may still be in force.
+    pub fn is_surely_without(&self, number: u32, sent_at: u64) -> bool {
+        self.possible(sent_at).is_some_and(|all| all.iter().all(|extra| extra & (1 << number) == 0))
+    }
+
+    /// Whether a route is in every configuration that may be in force.
+    pub fn is_surely_with(&self, number: u32, sent_at: u64) -> bool {
+        self.possible(sent_at).is_some_and(|all| all.iter().all(|extra| extra & (1 << number) != 0))
+    }
+}
+
+impl World {
+    pub fn begin_operator(&mut self) {
+        self.operator.last = 0;
+        let order = replace(0, 1, 0, true);
+        self.order(order, 2_000);
+        if self.scenario.traffic.change_every_ms > 0 {
+            let first = crate::clients::TRAFFIC_BEGINS_MS + self.scenario.traffic.change_every_ms;
+            self.at(first, Event::NextChange);
+        }
+    }
+
+    fn order(&mut self, wish: Wish, wait: u64) {
+        self.operator.last += 1;
+        let number = self.operator.last;
+        let at = self.now + wait;
+        if let Wish::Replace { version, extra, body, is_valid: true, .. } = &wish {
+            self.operator.sent.push((*version, *extra, at, None, body.clone()));
+        }
+        let order = Order {
+            wish,
+            call: CallerNumber(0),
+            next: None,
+            redirects: 0,
+            tries: 0,
+            is_repeat: false,
+            first_sent_at: at,
+        };
+        self.operator.orders.insert(number, order);
+        self.at(at, Event::OrderCalls(number));
+    }
+
+    pub fn next_change(&mut self) {
+        if self.now >= self.traffic_ends() {
+            return;
+        }
+        let mean = self.scenario.traffic.change_every_ms;
+        let wait = self.fault_random.random_range(mean / 2..=mean + mean / 2).max(1);
+        self.after(wait, Event::NextChange);
+        // One order at a time, but for races: the next builds on what is known to be in force.
+        if self.operator.orders.values().any(|order| !order.is_repeat) {
+            return;
+        }
+        let Some(newest) = self.operator.newest().cloned() else { return };
+        // What got no clear answer may be in force: its version is passed over.
+        let highest = self.operator.sent.iter().map(|(version, ..)| *version).max().unwrap_or(0);
+        let is_unclear = self.operator.committed.keys().max().is_some_and(|version| *version > newest.version);
+        if is_unclear {
+            return self.order(Wish::Get, 0);
+        }
+        let version = highest + self.fault_random.random_range(1..4);
+        let extra = self.fault_random.random_range(0..1 << EXTRA_ROUTES);
+        let is_valid = !self.fault_random.random_bool(INVALID_PART);
+        self.order(replace(newest.version, version, extra, is_valid), 0);
+        if self.fault_random.random_bool(RACE_PART) {
+            let version = version + self.fault_random.random_range(0..2);
+            let extra = self.fault_random.random_range(0..1 << EXTRA_ROUTES);
+            let wait = self.fault_random.random_range(0..10);
+            self.order(replace(newest.version, version, extra, true), wait);
+        }
+    }
+
+    pub fn order_calls(&mut self, number: u64) {
+        let coordinators = self.machines(Role::Coordinator);
+        let place = self.fault_random.random_range(0..coordinators.len().max(1));
+        self.operator.last_call += 1;
+        let call = CallerNumber(self.operator.last_call);
+        let Some(order) = self.operator.orders.get_mut(&number) else { return };
+        let machine = order.next.take().or(coordinators.get(place).copied());
+        order.call = call;
+        order.tries += 1;
+        self.after(SILENCE_MS, Event::OrderSilent { order: number, call });
+        let Some(machine) = machine else { return };
+        match self.running(machine) {
+            Some(process) => self.after(WAY_MS, Event::OrderArrives { order: number, call, process }),
+            None if self.hosts.get(machine).is_some_and(|host| host.has_power) => {
+                self.after(2 * WAY_MS, Event::OrderAnswered { order: number, call, answer: CallAnswer::Closed });
+            }
+            None => {}
+        }
+    }
+
+    pub fn order_arrives(&mut self, number: u64, call: CallerNumber, process: Life) {
+        let Some(order) = self.operator.orders.get(&number).filter(|order| order.call == call) else { return };
+        let read = match &order.wish {
+            Wish::Get => Endpoint::parse("GET", "/api/Config.Get").and_then(|end| end.read(None, &[], MAX_BODY)),
+            Wish::Replace { base, body, .. } => Endpoint::parse("POST", "/api/Config.Replace")
+                .and_then(|end| end.read(Some(base.to_string().as_bytes()), body, MAX_BODY)),
+        };
+        match read {
+            Ok(operator_call) => {
+                self.operator.calls.insert(call, (number, process));
+                self.hand(process, Input::Operator(call, Box::new(operator_call)));
+            }
+            Err(answer) => {
+                let answer = CallAnswer::Status(answer.status.code(), answer.body);
+                self.after(WAY_MS, Event::OrderAnswered { order: number, call, answer });
+            }
+        }
+    }
+
+    pub fn operator_replies(&mut self, call: CallerNumber, reply: Option<OperatorReply>) {
+        let Some((order, _)) = self.operator.calls.remove(&call) else { return };
+        let answer = match reply {
+            Some(OperatorReply::Answer(answer)) => CallAnswer::Status(answer.status.code(), answer.body),
+            Some(OperatorReply::Redirect(address)) => CallAnswer::Redirect(address),
+            None => CallAnswer::Status(503, Vec::new()),
+        };
+        #[cfg(feature = "mutants")]
+        let answer = crate::mutants::operator_hears(answer);
+        let is_lost = self.fault_random.random_bool(LOST_PART);
+        if !is_lost {
+            self.after(WAY_MS, Event::OrderAnswered { order, call, answer });
+        }
+    }
+
+    pub fn operator_loses(&mut self, process: Life) {
+        let lost: Vec<(CallerNumber, u64)> = self
+            .operator
+            .calls
+            .iter()
+            .filter(|(_, (_, of))| *of == process)
+            .map(|(call, (order, _))| (*call, *order))
+            .collect();
+        for (call, order) in lost {
+            self.operator.calls.remove(&call);
+            self.after(WAY_MS, Event::OrderAnswered { order, call, answer: CallAnswer::Closed });
+        }
+    }
+
+    pub fn order_silent(&mut self, number: u64, call: CallerNumber) {
+        if self.operator.orders.get(&number).is_some_and(|order| order.call == call) {
+            self.call_again(number);
+        }
+    }
+
+    fn call_again(&mut self, number: u64) {
+        let Some(order) = self.operator.orders.get_mut(&number) else { return };
+        order.call = CallerNumber(0);
+        order.redirects = 0;
+        let wait = 20 * u64::from(order.tries.min(20));
+        let is_late = self.now > order.first_sent_at + ACK_TIMEOUT_MS;
+        self.after(wait.max(10), Event::OrderCalls(number));
+        if is_late {
+            self.check_acknowledged(number);
+        }
+    }
+
+    /// A proper order has to be acknowledged within `AckTimeoutMs` of calm: a gate, not a rule.
+    fn check_acknowledged(&mut self, number: u64) {
+        let now = self.now;
+        let Some(order) = self.operator.orders.get(&number) else { return };
+        let from = order.first_sent_at.max(now.saturating_sub(ACK_TIMEOUT_MS));
+        let is_first = matches!(order.wish, Wish::Replace { base: 0, .. });
+        let calm = self.checks.were_in_touch(from, now);
+        if calm && !is_first && now >= order.first_sent_at + ACK_TIMEOUT_MS {
+            let text = format!("an order of {from} has no clear answer after {ACK_TIMEOUT_MS} ms of calm");
+            self.checks.fail(now, "ACK", text);
+        }
+    }
+
+    pub fn order_answered(&mut self, number: u64, call: CallerNumber, answer: CallAnswer) {
+        let Some(order) = self.operator.orders.get_mut(&number).filter(|order| order.call == call) else { return };
+        match answer {
+            CallAnswer::Redirect(address) if order.redirects < 2 => {
+                order.redirects += 1;
+                let ip = address.rsplit_once(':').map(|(ip, _)| ip.to_owned());
+                let by_ip = |machine: &Machine| {
+                    self.hosts.get(*machine).is_some_and(|host| Some(host.place.ip.to_string()) == ip)
+                };
+                let next = (0..self.hosts.len()).find(by_ip);
+                if let Some(order) = self.operator.orders.get_mut(&number) {
+                    order.next = next;
+                }
+                self.after(0, Event::OrderCalls(number));
+            }
+            CallAnswer::Status(status, body) if matches!(status, 200 | 400 | 404 | 412) => {
+                self.order_ends(number, status, body);
+            }
+            _ => self.call_again(number),
+        }
+    }
+
+    fn order_ends(&mut self, number: u64, status: u16, body: Vec<u8>) {
+        let now = self.now;
+        let Some(order) = self.operator.orders.remove(&number) else { return };
+        self.line(|| format!("order {number} {} is answered {status}", shown(&order.wish)));
+        match order.wish.clone() {
+            Wish::Get => self.read_back(status, body),
+            Wish::Replace { base, version, extra, body, is_valid } => {
+                if status == 200 && !is_valid {
+                    return self.checks.fail(now, "CONFIG", format!("invalid version {version} is acknowledged"));
+                }
+                if status == 200 {
+                    self.acknowledged(&order, base, version, extra, body);
+                } else {
+                    self.order_refused(status, version, &body, is_valid);
+                }
+            }
+        }
+    }
+
+    fn acknowledged(&mut self, order: &Order, base: u64, version: u64, extra: u32, body: Vec<u8>) {
+        let now = self.now;
+        let rival = self.operator.acknowledged.iter().find(|known| known.base == base && known.body != body);
+        if let Some(rival) = rival {
+            let text = format!("versions {} and {version} on top of {base} are both acknowledged", rival.version);
+            return self.checks.fail(now, "CONFIG", text);
+        }
+        let is_in_force = self.operator.committed.get(&version) == Some(&body);
+        if !is_in_force {
+            return self.checks.fail(now, "CONFIG", format!("version {version} is acknowledged and not in force"));
+        }
+        if order.is_repeat || self.operator.acknowledged.iter().any(|known| known.body == body) {
+            return;
+        }
+        self.operator.acknowledged.push(Acknowledged { version, base, extra, body, at: now });
+        if self.fault_random.random_bool(REPEAT_PART) {
+            let mut repeat = order.clone();
+            repeat.is_repeat = true;
+            repeat.tries = 0;
+            repeat.redirects = 0;
+            repeat.first_sent_at = now;
+            self.operator.last += 1;
+            let number = self.operator.last;
+            self.operator.orders.insert(number, repeat);
+            self.after(5, Event::OrderCalls(number));
+        }
+    }
+
+    fn order_refused(&mut self, status: u16, version: u64, body: &[u8], is_valid: bool) {
+        let now = self.now;
+        let newest = self.operator.committed.keys().max().copied();
+        let is_current = newest == Some(version) && self.operator.committed.get(&version).is_some_and(|known| known == body);
+        if is_current {
+            let text = format!("version {version} is in force and is answered {status}");
+            return self.checks.fail(now, "CONFIG", text);
+        }
+        let is_in_force = self.operator.committed.get(&version).is_some_and(|known| known == body);
+        let was_acknowledged = self.operator.acknowledged.iter().any(|known| known.body == body);
+        if is_in_force && !was_acknowledged {
+            let text = format!("version {version} was taken and is answered {status}");
+            return self.checks.fail(now, "CONFIG", text);
+        }
+        if is_valid && !is_in_force {
+            let refused = self.operator.sent.iter_mut().filter(|(known, .., sent)| *known == version && sent == body);
+            refused.for_each(|(_, _, _, refused_at, _)| *refused_at = Some(now));
+        }
+    }
+
+    /// The operator reads the configuration back.
+    fn read_back(&mut self, status: u16, body: Vec<u8>) {
+        let now = self.now;
+        if status != 200 {
+            return;
+        }
+        let newest = self.operator.newest().cloned();
+        let version = self.operator.committed.iter().find(|(_, known)| **known == body).map(|(version, _)| *version);
+        let is_old = newest.as_ref().is_some_and(|newest| version.is_none_or(|version| version < newest.version));
+        if is_old {
+            let text = format!("version {version:?} is read back, {:?} was acknowledged", newest.map(|newest| newest.version));
+            return self.checks.fail(now, "CONFIG", text);
+        }
+        let known = self.operator.sent.iter().find(|(_, _, _, _, sent)| *sent == body).cloned();
+        if let Some((version, extra, _, refused_at, body)) = known {
+            if refused_at.is_some() {
+                let text = format!("version {version} was refused and is in force");
+                return self.checks.fail(now, "CONFIG", text);
+            }
+            // What had no clear answer is known to be in force now: the next change builds on it.
+            if newest.is_none_or(|newest| newest.version < version) {
+                self.operator.acknowledged.push(Acknowledged { version, base: u64::MAX - version, extra, body: body.clone(), at: now });
+            }
+        }
+        self.operator.read_back = Some(body);
+    }
+
+    /// Asks for the configuration in force.
+    pub fn order_read_back(&mut self) {
+        self.order(Wish::Get, 0);
+    }
+}
+
+fn replace(base: u64, version: u64, extra: u32, is_valid: bool) -> Wish {
+    let timeout = 600 + (version % 7) * 100;
+    let body = configuration(version, timeout, extra, is_valid).into_bytes();
+    Wish::Replace { base, version, extra, body, is_valid }
+}
+
+fn shown(wish: &Wish) -> String {
+    match wish {
+        Wish::Get => "get".to_owned(),
+        Wish::Replace { base, version, extra, is_valid, .. } => {
+            format!("{version} on {base} with {extra:b} valid {is_valid}")
+        }
+    }
+}
--- a/crates/simulation/src/process.rs
+++ b/crates/simulation/src/process.rs
@@ -65,7 +65,6 @@
     Ended(ConnectionId),
     Message(ConnectionId, Payload),
     Written(u64),
-    DiskFailed(String),
     CheckpointDone(Vec<(GroupId, u64)>),
     Client(ClientNumber, Box<FrontRequest>),
     ClientLeft(ClientNumber),
--- a/crates/simulation/src/wires.rs
+++ b/crates/simulation/src/wires.rs
@@ -7,7 +7,7 @@
 use crate::event::Event;
 use crate::network::{Life, Machine, Packet, Side};
 use crate::process::{ConnectionId, Input, Link, Payload};
-use crate::world::World;
+use crate::world::{World, incarnation};
 
 /// A packet that a cut holds up is looked at again after this, in milliseconds.
 const LOOK_AGAIN_MS: u64 = 25;
@@ -28,7 +28,7 @@
         let known: Vec<Link> = host.links.keys().copied().collect();
         host.links.retain(|link, _| wanted.contains(link));
         let new: Vec<Link> = wanted.iter().copied().filter(|link| !known.contains(link)).collect();
-        new.iter().for_each(|link| drop(host.links.insert(*link, 0)));
+        host.links.extend(new.iter().map(|link| (*link, 0)));
         for link in known.into_iter().filter(|link| !wanted.contains(link)) {
             if let Some(connection) = self.network.links.remove(&(process, link)) {
                 self.close_end(connection, Side::Opener);
@@ -120,18 +120,12 @@
             channel: link.channel(),
             node: host.place.name.clone(),
             zone: host.settings.zone.clone(),
-            // Unique among all lives of all machines.
-            incarnation: ruddervalve_protocol::Incarnation(self.incarnation(process)),
+            incarnation: ruddervalve_protocol::Incarnation(incarnation(process)),
         };
         self.push(id, Side::Acceptor, Packet::Greeting(greeting));
         self.hand(process, Input::LinkUp(link, id));
     }
 
-    /// A number for a life of a process.
-    pub fn incarnation(&self, process: Life) -> u64 {
-        process.life * 1_000 + process.machine as u64 + 1
-    }
-
     /// A process sends on one of its connections.
     pub fn send(&mut self, process: Life, id: ConnectionId, payload: Payload) {
         let Some(connection) = self.network.connections.get(&id) else { return };
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -7,7 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 use ruddervalve_configuration::Settings;
 use ruddervalve_coordinator::founding::{founder_identity, founders};
-use ruddervalve_protocol::{GroupId, Incarnation, ReplicaId};
+use ruddervalve_protocol::{Incarnation, ReplicaId};
 use ruddervalve_runtime::{InternalPort, internal_address};
 
 use crate::checks::Checks;
@@ -198,7 +198,7 @@
             self.take(event);
         }
         if self.checks.broken.is_empty() {
-            self.close();
+            self.close_day();
         }
         self.report()
     }
@@ -268,7 +268,8 @@
         host.wake_at = u64::MAX;
         let wall = (WALL + now).saturating_add_signed(host.wall_offset);
         let mut effects = Vec::new();
-        let started = begin_process(host, identity, seed, wall, &mut effects);
+        let incarnation = Incarnation(incarnation(Life { machine, life: host.life }));
+        let started = begin_process(host, incarnation, identity, seed, wall, &mut effects);
         match started {
             Ok((process, identity)) => {
                 host.process = Some(process);
@@ -396,14 +397,12 @@
         }
         if let Some(replicas) = running.host() {
             let identity = replicas.identity().0;
-            let scope = if host.place.role == Role::Coordinator { GroupId::CONTROL } else { GroupId(u32::MAX) };
             for group in replicas.groups() {
                 let Some(replica) = replicas.replica(group) else { continue };
                 if replica.role() == ruddervalve_consensus::Role::Leader {
                     self.checks.leads(now, group.0, replica.term(), identity);
                 }
             }
-            let _ = scope;
         }
         if let Some(coordinator) = running.coordinator()
             && let Some(update) = coordinator.state().configuration()
@@ -446,6 +445,7 @@
 
 fn begin_process(
     host: &mut Host,
+    incarnation: Incarnation,
     identity: ReplicaId,
     seed: u64,
     wall: u64,
@@ -454,7 +454,6 @@
     let settings = &host.settings;
     match host.place.role {
         Role::Edge => {
-            let incarnation = Incarnation(identity.0);
             Ok((Box::new(EdgeProcess::start(settings, seed, incarnation, effects)), None))
         }
         Role::Coordinator => {
@@ -473,3 +472,8 @@
         }
     }
 }
+
+/// A number for a life of a process, unique among all lives of all machines.
+pub fn incarnation(process: Life) -> u64 {
+    process.life * 1_000 + process.machine as u64 + 1
+}
