--- a/crates/disk/tests/full_disk.rs
+++ b/crates/disk/tests/full_disk.rs
@@ -87,6 +87,29 @@
     assert_eq!(open_folder(&folder).unwrap().state.as_ref(), Some(driver.history.newest()));
 }
 
+/// Were the log that could not begin to come back, the end of the one that goes on would look like damage.
+#[test]
+fn a_log_that_could_not_begin_does_not_come_back() {
+    for (room, seed) in (0..45).flat_map(|room| (0..64).map(move |seed| (room, seed))) {
+        let folder = FaultyFolder::new();
+        let mut driver = Driver::start(&folder).unwrap();
+        folder.set_capacity(Some(folder.used_bytes() + room));
+        match driver.begin() {
+            Ok(()) => assert!(room >= 40),
+            Err(DiskError::Full { .. }) => assert!(room < 40),
+            Err(error) => panic!("{error}"),
+        }
+        folder.set_capacity(None);
+        driver.append(&[entries(1, 1..4, 1, 900)]);
+        folder.lose_power_at(folder.operations() + 2);
+        assert!(driver.sync().is_err());
+        folder.lose_power(seed);
+        let place = format!("room {room}, seed {seed}");
+        let state = open_folder(&folder).unwrap_or_else(|error| panic!("{place}: {error}")).state.unwrap();
+        assert!(driver.history.allows(&state), "{place}");
+    }
+}
+
 #[test]
 fn a_checkpoint_without_room_gives_back_what_it_took_and_may_run_again() {
     let folder = FaultyFolder::new();
--- a/crates/disk/tests/power_loss.rs
+++ b/crates/disk/tests/power_loss.rs
@@ -140,6 +140,28 @@
     }
 }
 
+/// What a recovery removes does not come back to make the end of a log that goes on look like damage.
+#[test]
+fn power_loss_during_the_first_batch_after_a_recovery_loses_nothing_durable() {
+    for operation in 1..=operations_of_script() {
+        let (folder, _) = play_until_power_goes(operation);
+        for seed in SEEDS {
+            let crashed = folder.copy();
+            crashed.lose_power(seed);
+            let mut driver = Driver::start(&crashed).unwrap();
+            driver.append(&[entries(77, 1..4, 9, 900)]);
+            crashed.lose_power_at(crashed.operations() + 2);
+            assert!(driver.sync().is_err());
+            for second_seed in SEEDS {
+                let place = format!("operation {operation}, seeds {seed} {second_seed}");
+                let copy = crashed.copy();
+                copy.lose_power(second_seed);
+                check(opened_state(&copy, &place).as_ref(), Some(&driver.history), &place);
+            }
+        }
+    }
+}
+
 /// Many lives in one folder, with an end of some kind at some operation of each.
 #[test]
 fn many_lives_in_one_folder_keep_all_that_is_durable() {
--- a/crates/disk/tests/round_trip.rs
+++ b/crates/disk/tests/round_trip.rs
@@ -110,7 +110,7 @@
     driver.finish();
     assert!(driver.journal.log_bytes() <= empty);
     assert!(driver.journal.checkpoint_bytes() > 8000);
-    assert_eq!(folder.used_bytes() > 8000, true);
+    assert!(folder.used_bytes() > 8000);
 }
 
 #[test]
@@ -145,6 +145,39 @@
     assert_eq!(open_folder(&folder).unwrap().report.slot_generation, 4);
 }
 
+#[test]
+fn a_late_job_does_not_put_the_newest_slot_at_risk() {
+    let mut operation = 1;
+    loop {
+        let folder = FaultyFolder::new();
+        let mut driver = Driver::start(&folder).unwrap();
+        let mut jobs = Vec::new();
+        for index in 1..3 {
+            driver.append(&[entries(1, index..index + 1, 1, 400)]);
+            jobs.push(driver.journal.begin_checkpoint(driver.history.newest()).unwrap());
+        }
+        for mut job in jobs.into_iter().rev() {
+            let done = job.run().unwrap();
+            driver.journal.finish_checkpoint(done);
+        }
+        driver.begin().unwrap();
+        folder.lose_power_at(folder.operations() + operation);
+        let run = driver.run_job();
+        if !folder.power_is_gone() {
+            run.unwrap();
+            break;
+        }
+        for seed in 0..12 {
+            let copy = folder.copy();
+            copy.lose_power(seed);
+            let state = open_folder(&copy).unwrap().state;
+            assert_eq!(state.as_ref(), Some(driver.history.newest()), "operation {operation}, seed {seed}");
+        }
+        operation += 1;
+    }
+    assert!(operation > 3);
+}
+
 #[test]
 fn files_of_other_names_stay_and_are_told() {
     let (folder, _) = played();
--- a/crates/disk/tests/worker.rs
+++ b/crates/disk/tests/worker.rs
@@ -124,6 +124,26 @@
     assert_eq!(opened.report.slot.as_deref(), Some("slot-1"));
 }
 
+#[test]
+fn a_full_disk_is_tried_again_until_there_is_room() {
+    let folder = FaultyFolder::new();
+    let (worker, completions) = start(Arc::new(folder.clone()));
+    folder.set_capacity(Some(folder.used_bytes() + 50));
+    let first = entries(1, 1..2, 1, 100);
+    worker.submit(vec![first.clone()], 1);
+    assert!(matches!(completions.recv().unwrap(), Completion::Full { ticket: 1 }));
+    // Told at the next try, without another call.
+    let second = entries(1, 2..3, 1, 100);
+    worker.submit(vec![second.clone()], 2);
+    assert!(matches!(completions.recv().unwrap(), Completion::Full { ticket: 2 }));
+    folder.set_capacity(None);
+    assert!(matches!(completions.recv().unwrap(), Completion::Written { ticket: 1 }));
+    assert!(matches!(completions.recv().unwrap(), Completion::Written { ticket: 2 }));
+    worker.shutdown();
+    folder.lose_power(0);
+    assert_eq!(open_folder(&folder).unwrap().state, Some(state_of(&[first, second])));
+}
+
 #[test]
 fn a_worker_that_is_dropped_still_writes_what_is_queued() {
     let folder = FaultyFolder::new();
