--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -30,8 +30,10 @@
     pub max_queued_bytes: usize,
     /// A peer is given up when nothing came from it for so long.
     pub silence_ms: u64,
-    /// How long opening a connection may take, and how long the peer's machine may leave bytes unacknowledged.
+    /// How long opening a connection may take: a machine without power says nothing, and is asked anew when it is back.
     pub connect_timeout_ms: u64,
+    /// How long the peer's machine may leave bytes unacknowledged.
+    pub user_timeout_ms: u64,
 }
 
 /// Opens a connection and greets.
@@ -85,7 +87,7 @@
 /// without it.
 fn tune(stream: &TcpStream, settings: &LinkSettings) {
     let socket = SockRef::from(stream);
-    let limit = Duration::from_millis(settings.connect_timeout_ms);
+    let limit = Duration::from_millis(settings.user_timeout_ms);
     let _ = socket.set_tcp_nodelay(true);
     let _ = socket.set_tcp_user_timeout(Some(limit));
 }
--- a/crates/rpc/tests/links.rs
+++ b/crates/rpc/tests/links.rs
@@ -16,6 +16,7 @@
     max_queued_bytes: 1 << 20,
     silence_ms: 60_000,
     connect_timeout_ms: 5_000,
+    user_timeout_ms: 5_000,
 };
 
 fn greeting(version: u32) -> Greeting {
--- a/crates/runtime/src/times.rs
+++ b/crates/runtime/src/times.rs
@@ -27,8 +27,11 @@
 const SILENCES_PER_LIVENESS: u64 = 3;
 /// A replica's link is silent while its group has nothing to say, as only leaders send heartbeats.
 const REPLICA_SILENCE_LIVENESS: u64 = 15;
-/// Opening a connection may take this part of `LivenessMs`.
-const CONNECTS_PER_LIVENESS: u64 = 4;
+/// Opening a connection may take this part of `LivenessMs`: many times the way to the farthest region and back, and short
+/// beside what a machine needs to start, as a try that began before it was up hangs.
+const CONNECTS_PER_LIVENESS: u64 = 20;
+/// The peer's machine may leave bytes unacknowledged for this part of `LivenessMs`.
+const UNACKNOWLEDGED_PER_LIVENESS: u64 = 4;
 /// The first pause before a lost connection is opened again, in milliseconds: the way to the next zone and back.
 const FIRST_PAUSE_MS: u64 = 10;
 
@@ -58,6 +61,7 @@
         max_queued_bytes: usize::try_from(queued).unwrap_or(usize::MAX).max(MAX_ENTRIES_BYTES),
         silence_ms: (liveness / SILENCES_PER_LIVENESS).max(1),
         connect_timeout_ms: (liveness / CONNECTS_PER_LIVENESS).max(1),
+        user_timeout_ms: (liveness / UNACKNOWLEDGED_PER_LIVENESS).max(1),
     }
 }
 
