Refill shards without pauses, answer only while the lease holds, tell edges how many they are

Cause: a membership took a step each half of LivenessMs, so a store whose disk was lost counted again only after SyncS (process test and simulation: shards without a quorum after the next loss); a store answered outcomes and granted leases without a valid lease; a heartbeat's answer could overtake a newer configuration.

--- a/crates/coordinator/src/core/agreement.rs
+++ b/crates/coordinator/src/core/agreement.rs
@@ -17,6 +17,7 @@
     /// A snapshot cannot be read: the process has to end.
     pub fn settle(&mut self, now: u64) -> Result<(), CoordinatorError> {
         self.replicas.host.tick(now);
+        self.hand_over(now);
         loop {
             let changes = self.replicas.flush();
             if changes.is_empty() {
@@ -33,6 +34,7 @@
         if self.leads(now) {
             self.tell();
         }
+        self.answer_heartbeats(now);
         Ok(())
     }
 
--- a/crates/coordinator/src/core/links.rs
+++ b/crates/coordinator/src/core/links.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use ruddervalve_protocol::ReplicaId;
-use ruddervalve_runtime::seed_addresses;
+use ruddervalve_protocol::{CoordinatorMember, ReplicaId};
+use ruddervalve_runtime::{link_settings, seed_addresses};
 
 use super::CoordinatorCore;
 use crate::founding::founder_identity;
@@ -34,17 +34,45 @@
     }
 
     pub(super) fn leader_address(&self) -> Option<String> {
-        let leader = self.leader()?;
-        let known = self.coordinators();
-        known.iter().find(|(id, _)| *id == leader).map(|(_, address)| address.to_string())
-    }
-
-    /// The `ControlPlane` address of the leader: the seeds' are known from the settings.
-    pub(super) fn leader_control_address(&self) -> Option<String> {
-        let leader = self.leader().filter(|leader| *leader != self.member.replica)?;
-        let member = self.state.coordinators().iter().find(|member| member.replica == leader);
-        let seeds = self.settings.seeds.iter().zip(seed_addresses(&self.settings));
-        let seed = || seeds.into_iter().find(|(_, internal)| founder_identity(*internal) == leader);
-        member.map(|member| member.control_address.clone()).or_else(|| Some(seed()?.0.to_string()))
+        self.address_of(self.leader()?).map(|address| address.to_string())
+    }
+
+    /// The `ControlPlane` address of the leader, if that is another: as consensus knows it, or, where this coordinator is no
+    /// member of the group, as the leader told lately.
+    pub(super) fn leader_control_address(&self, now: u64) -> Option<String> {
+        let own = self.member.address.parse().ok();
+        let address = match self.leader() {
+            Some(leader) => self.address_of(leader)?,
+            None => self.told_leader(now)?,
+        };
+        if Some(address) == own {
+            return None;
+        }
+        let members = self.known_members();
+        let told = members.filter(|member| member.address.parse() == Ok(address)).last();
+        told.map(|member| member.control_address.clone()).or_else(|| self.seed_at(address))
+    }
+
+    fn told_leader(&self, now: u64) -> Option<SocketAddr> {
+        let (address, at) = self.told_leader?;
+        let is_fresh = now < at.saturating_add(link_settings(&self.settings).silence_ms);
+        is_fresh.then_some(address)
+    }
+
+    fn address_of(&self, id: ReplicaId) -> Option<SocketAddr> {
+        self.coordinators().iter().find(|(known, _)| *known == id).map(|(_, address)| *address)
+    }
+
+    /// The `ControlPlane` address of the seed at an internal address: the seeds' are known from the settings.
+    fn seed_at(&self, address: SocketAddr) -> Option<String> {
+        let mut seeds = self.settings.seeds.iter().zip(seed_addresses(&self.settings));
+        let (control, _) = seeds.find(|(_, internal)| *internal == address)?;
+        Some(control.to_string())
+    }
+
+    /// The coordinators that the leader told of, and then those of the agreed state.
+    fn known_members(&self) -> impl Iterator<Item = &CoordinatorMember> {
+        let told = self.told.iter().flat_map(|directory| &directory.coordinators);
+        told.chain(self.state.coordinators())
     }
 }
--- a/crates/coordinator/src/core/mod.rs
+++ b/crates/coordinator/src/core/mod.rs
@@ -72,11 +72,16 @@
     state: ControlState,
     applied: u64,
     sessions: Sessions,
+    /// Sessions whose heartbeats are to be answered.
+    heartbeats: Vec<u64>,
     duties: Duties,
     pending: BTreeMap<u64, Pending>,
     /// The directory as the leader told it, for one that joins and has none of its own yet.
     told: Option<Directory>,
-    ending: bool,
+    /// The leader's internal address as its answers to heartbeats show it, and when the last came.
+    told_leader: Option<(SocketAddr, u64)>,
+    /// Since when the process is ending.
+    ending_since: Option<u64>,
     outputs: Vec<CoordinatorOutput>,
 }
 
@@ -124,11 +129,13 @@
             state,
             applied,
             sessions: Sessions::default(),
+            heartbeats: Vec::new(),
             // Another seed than that of the elections.
             duties: Duties::new(settings, !seed),
             pending: BTreeMap::new(),
             told: None,
-            ending: false,
+            told_leader: None,
+            ending_since: None,
             outputs: vec![CoordinatorOutput::Connect],
         })
     }
@@ -193,9 +200,11 @@
         self.replicas.host.replica(GroupId::CONTROL)?.leader()
     }
 
-    /// Ended: nothing is left to hand over, or somebody else leads.
-    pub fn ended(&self) -> bool {
-        self.ending && self.leader() != Some(self.member.replica)
+    /// Ended: nothing is left to hand over, somebody else leads, or there was no time left for it.
+    pub fn ended(&self, now: u64) -> bool {
+        let Some(since) = self.ending_since else { return false };
+        let out_of_time = now >= since + self.settings.bounds.grace_period_ms / 2;
+        out_of_time || self.leader() != Some(self.member.replica)
     }
 
     /// When to call [`CoordinatorCore::settle`] at the latest.
@@ -203,12 +212,21 @@
         let replicas = self.replicas.host.next_wake().unwrap_or(u64::MAX);
         let duties = if self.leads(now) { self.duties.next_wake() } else { u64::MAX };
         let longest = now + self.settings.bounds.liveness_ms;
-        replicas.min(duties).min(longest)
+        let end = self.ending_since.map_or(u64::MAX, |since| since + self.settings.bounds.grace_period_ms / 2);
+        replicas.min(duties).min(longest).min(end)
     }
 
     /// The process is to end: it hands its office over.
     pub fn terminate(&mut self, now: u64) {
-        self.ending = true;
+        self.ending_since = Some(now);
+        self.hand_over(now);
+    }
+
+    /// Hands the office over while the process is ending, again and again until somebody takes it.
+    fn hand_over(&mut self, now: u64) {
+        if self.ending_since.is_none() || self.leader() != Some(self.member.replica) {
+            return;
+        }
         if let Some(replica) = self.replicas.host.replica_mut(GroupId::CONTROL) {
             replica.transfer_leadership(now, None);
         }
@@ -219,6 +237,11 @@
         self.replicas.handle(now, input);
     }
 
+    /// The coordinator at this internal address has answered a heartbeat as leader.
+    pub fn coordinator_leads(&mut self, now: u64, address: SocketAddr) {
+        self.told_leader = Some((address, now));
+    }
+
     /// Another coordinator says something.
     pub fn coordinator_says(&mut self, reply: CoordinatorReply) {
         if let CoordinatorReply::Directory(directory) = reply
--- a/crates/coordinator/src/core/operator.rs
+++ b/crates/coordinator/src/core/operator.rs
@@ -10,7 +10,7 @@
     /// An operator calls; `caller` names the call in [`CoordinatorOutput::Reply`].
     pub fn operator(&mut self, now: u64, caller: CallerNumber, call: OperatorCall) {
         if !self.leads(now) {
-            let reply = match self.leader_control_address() {
+            let reply = match self.leader_control_address(now) {
                 Some(address) => OperatorReply::Redirect(address),
                 None => {
                     OperatorReply::Answer(Answer::unavailable("no coordinator leads at present: ask again"))
--- a/crates/coordinator/src/core/sessions.rs
+++ b/crates/coordinator/src/core/sessions.rs
@@ -14,7 +14,7 @@
     /// A process says something.
     pub fn session_says(&mut self, now: u64, number: u64, request: CoordinatorRequest) {
         self.sessions.heard(number, now);
-        self.request(now, number, request);
+        self.request(number, request);
     }
 
     /// A process's connection ended.
@@ -31,16 +31,29 @@
         }
     }
 
-    fn request(&mut self, now: u64, number: u64, request: CoordinatorRequest) {
+    /// Answers heartbeats, when all that is committed was applied and told: who gets this has had the configuration.
+    pub(super) fn answer_heartbeats(&mut self, now: u64) {
+        let heartbeats = std::mem::take(&mut self.heartbeats);
+        if heartbeats.is_empty() {
+            return;
+        }
+        let reply = match self.leads(now) {
+            true => CoordinatorReply::Alive {
+                term: self.term(),
+                configuration: self.state.configuration_version(),
+                edges: self.sessions.edges(),
+            },
+            false => CoordinatorReply::NotLeader { leader: self.leader_address() },
+        };
+        for number in heartbeats {
+            self.sessions.send(number, reply.clone());
+        }
+    }
+
+    fn request(&mut self, number: u64, request: CoordinatorRequest) {
         match request {
             CoordinatorRequest::Register(registration) => self.sessions.register(number, registration),
-            CoordinatorRequest::Heartbeat => {
-                let reply = match self.leads(now) {
-                    true => CoordinatorReply::Alive { term: self.term() },
-                    false => CoordinatorReply::NotLeader { leader: self.leader_address() },
-                };
-                self.sessions.send(number, reply);
-            }
+            CoordinatorRequest::Heartbeat => self.heartbeats.push(number),
             CoordinatorRequest::ShardMembers(members) => self.duties.shard_members(members),
         }
     }
--- a/crates/coordinator/src/duties.rs
+++ b/crates/coordinator/src/duties.rs
@@ -10,12 +10,13 @@
 };
 use ruddervalve_replication::{LeaderView, next_change};
 
+use crate::absence::Absences;
 use crate::listing::{ListAnswer, ListCall, ListProgress, ListReader};
 use crate::listing_pace::ListPace;
 use crate::placement::{PlacementRules, RetireFault, StoreView, check_retire, found};
 use crate::placement_improve::improve;
 use crate::sessions::Sessions;
-use crate::state::ControlState;
+use crate::state::{ControlState, RetirementPhase};
 use crate::state_command::ControlCommand;
 
 /// Shards for each store at the founding.
@@ -27,7 +28,7 @@
 const SETTLING_PER_LIVENESS: u64 = 8;
 /// A command that was proposed is proposed again after this part of `LivenessMs`, should it have been lost.
 const AGAIN_PER_LIVENESS: u64 = 8;
-/// A store is taken for gone for good after so many times what it may take to start, fill and count again.
+/// A store or coordinator is taken for gone for good after so many times what it may take to start, fill and count again.
 const GONE_PER_SYNC: u64 = 4;
 
 /// The leader's duties.
@@ -41,6 +42,10 @@
     reader: Option<ListReader>,
     /// Stores without a session, by node, and since when.
     lost: BTreeMap<String, u64>,
+    /// Coordinators that neither have a session nor answer as voters.
+    away: Absences,
+    /// The members of the control group, as they were last looked at.
+    group_members: BTreeSet<ReplicaId>,
     /// Who holds each shard, as its leader told.
     members: BTreeMap<GroupId, ShardMembers>,
     /// When the set of stores last changed.
@@ -49,6 +54,8 @@
     /// When the commands that were proposed may be proposed again.
     again_at: u64,
     proposed_version: Option<u64>,
+    /// Registrations among these commands: others need not wait for them.
+    registering: Vec<ControlCommand>,
 }
 
 impl Duties {
@@ -70,11 +77,14 @@
             term: None,
             reader: None,
             lost: BTreeMap::new(),
+            away: Absences::default(),
+            group_members: BTreeSet::new(),
             members: BTreeMap::new(),
             stores_changed_at: 0,
             stores_seen: 0,
             again_at: 0,
             proposed_version: None,
+            registering: Vec::new(),
         }
     }
 
@@ -90,6 +100,7 @@
         }
         self.term = term;
         self.lost.clear();
+        self.away.clear();
         self.members.clear();
         self.stores_changed_at = now;
         self.again_at = 0;
@@ -151,13 +162,19 @@
     ) -> Vec<ControlCommand> {
         self.watch_stores(state, sessions, now);
         let waits = now < self.again_at && self.proposed_version == Some(state.directory_version());
-        if waits {
-            return Vec::new();
+        if !waits {
+            self.registering.clear();
         }
         let mut commands = registrations(state, own, sessions);
+        commands.retain(|command| !self.registering.contains(command));
+        self.registering.extend(commands.iter().cloned());
+        if waits && commands.is_empty() {
+            return Vec::new();
+        }
         if commands.is_empty() {
             commands.extend(self.placement(state, now));
             commands.extend(self.finished_retirement(state));
+            commands.extend(self.forgotten(state, own, now));
         }
         let again = (self.settings.bounds.liveness_ms / AGAIN_PER_LIVENESS).max(1);
         self.again_at = now + again;
@@ -183,7 +200,7 @@
             replica: store.replica,
             zone: store.zone.clone(),
             region: self.settings.region(&store.zone).unwrap_or_default().to_owned(),
-            is_retiring: state.retiring().any(|retirement| retirement.node == store.node),
+            is_retiring: is_retiring(state, &store.node),
             dead_for_ms: self.lost.get(&store.node).map_or(0, |since| now.saturating_sub(*since).max(1)),
         };
         state.stores().iter().map(view).collect()
@@ -220,60 +237,119 @@
 
     /// The end of a retirement whose store holds nothing any more.
     fn finished_retirement(&self, state: &ControlState) -> Option<ControlCommand> {
-        let is_empty = |replica: ReplicaId| {
-            let holds = |shard: &ShardPlacement| {
-                self.members.get(&shard.group).is_none_or(|members| members.members.contains(&replica))
-            };
-            !state.shards().iter().any(holds)
-        };
-        let is_wanted = |node: &String| state.shards().iter().any(|shard| shard.wanted.contains(node));
-        let is_finished = |store: &&StoreMember| {
-            let retires = state.retiring().any(|retirement| retirement.node == store.node);
-            retires && !is_wanted(&store.node) && is_empty(store.replica)
-        };
+        let is_finished =
+            |store: &&StoreMember| is_retiring(state, &store.node) && self.holds_nothing(state, store);
         let store = state.stores().iter().find(is_finished)?;
         Some(ControlCommand::FinishRetire { node: store.node.clone() })
     }
 
-    /// Whether a store may be emptied.
+    /// Whether no shard wants a store, and none has it as a member as far as is known.
+    fn holds_nothing(&self, state: &ControlState, store: &StoreMember) -> bool {
+        let holds = |shard: &ShardPlacement| {
+            let members = self.members.get(&shard.group);
+            members.is_none_or(|members| members.members.contains(&store.replica))
+        };
+        !state.shards().iter().any(|shard| shard.wanted.contains(&store.node) || holds(shard))
+    }
+
+    /// A member that is gone for good and holds nothing any more.
+    fn forgotten(&self, state: &ControlState, own: &CoordinatorMember, now: u64) -> Option<ControlCommand> {
+        let gone_after = self.rules.gone_after_ms;
+        let is_gone = |store: &&StoreMember| {
+            let away = self.lost.get(&store.node).map_or(0, |since| now.saturating_sub(*since));
+            away >= gone_after && !is_retiring(state, &store.node) && self.holds_nothing(state, store)
+        };
+        if !state.shards().is_empty()
+            && let Some(store) = state.stores().iter().find(is_gone)
+        {
+            return Some(ControlCommand::ForgetStore { node: store.node.clone() });
+        }
+        let is_gone = |member: &&CoordinatorMember| {
+            let is_member = self.group_members.contains(&member.replica) || member.replica == own.replica;
+            !is_member && self.away.is_gone(member.replica, gone_after, now)
+        };
+        let coordinator = state.coordinators().iter().find(is_gone)?;
+        Some(ControlCommand::ForgetCoordinator { node: coordinator.node.clone() })
+    }
+
+    /// Whether a store may be emptied. An order for one that is being emptied, or was, is a repeat and may go on.
     ///
     /// # Errors
     /// Too few others would remain, or it is not known.
     pub fn check_retire(&self, state: &ControlState, node: &str, now: u64) -> Result<(), RetireFault> {
+        let is_listed = state.stores().iter().any(|store| store.node == node);
+        let is_repeated = match state.retirement(node).map(|retirement| retirement.phase) {
+            Some(RetirementPhase::Running) => true,
+            Some(RetirementPhase::Succeeded) => !is_listed,
+            None => false,
+        };
+        if is_repeated {
+            return Ok(());
+        }
         check_retire(&self.views(state, now), &self.rules, node)
     }
 
     /// The next step of the control group's own membership towards the coordinators that are there.
     pub fn membership_change(
-        &self,
+        &mut self,
         state: &ControlState,
         replica: &Replica,
         sessions: &Sessions,
         now: u64,
     ) -> Option<MembershipChange> {
+        self.watch_coordinators(state, replica, sessions, now);
         if !replica.membership_committed() || state.coordinators().is_empty() {
             return None;
         }
-        let wanted = self.wanted_voters(state, replica, sessions);
+        let wanted = self.wanted_voters(state, replica, sessions, now);
         next_change(replica.membership(), &wanted, &LeaderView { replica, now })
     }
 
-    /// The voters as they are, without those whose disk was replaced, filled up with coordinators that are connected.
-    fn wanted_voters(&self, state: &ControlState, replica: &Replica, sessions: &Sessions) -> Vec<ReplicaId> {
+    fn watch_coordinators(&mut self, state: &ControlState, replica: &Replica, sessions: &Sessions, now: u64) {
+        self.group_members = replica.membership().members().collect();
+        let connected: BTreeSet<ReplicaId> =
+            connected_coordinators(sessions).map(|member| member.replica).collect();
+        let known = state.coordinators().iter().map(|member| member.replica);
+        let known: BTreeSet<ReplicaId> = known.chain(self.group_members.iter().copied()).collect();
+        let is_there = |id: ReplicaId| {
+            id == replica.id() || connected.contains(&id) || replica.recently_active(id, now)
+        };
+        self.away.watch(&known, is_there, now);
+    }
+
+    /// The voters as they are, without those whose disk was replaced, filled up with coordinators that are connected. One
+    /// that is gone for good makes room for another that is connected, and stays as long as there is none.
+    fn wanted_voters(
+        &self,
+        state: &ControlState,
+        replica: &Replica,
+        sessions: &Sessions,
+        now: u64,
+    ) -> Vec<ReplicaId> {
         let known: Vec<ReplicaId> = state.coordinators().iter().map(|member| member.replica).collect();
         let mut wanted = replica.membership().voters.clone();
         wanted.retain(|voter| !state.is_fenced(*voter));
         let most = usize::try_from(self.replicas()).unwrap_or(usize::MAX);
         let connected = connected_coordinators(sessions).map(|member| member.replica);
         for candidate in connected.filter(|candidate| known.contains(candidate)) {
-            if wanted.len() < most && !wanted.contains(&candidate) {
+            if wanted.contains(&candidate) {
+                continue;
+            }
+            let is_gone = |voter: &ReplicaId| self.away.is_gone(*voter, self.rules.gone_after_ms, now);
+            if wanted.len() < most {
                 wanted.push(candidate);
+            } else if let Some(gone) = wanted.iter_mut().find(|voter| is_gone(voter)) {
+                *gone = candidate;
             }
         }
         wanted
     }
 }
 
+fn is_retiring(state: &ControlState, node: &str) -> bool {
+    state.retiring().any(|retirement| retirement.node == node)
+}
+
 /// Members that are connected and not known as they say they are.
 fn registrations(state: &ControlState, own: &CoordinatorMember, sessions: &Sessions) -> Vec<ControlCommand> {
     let coordinators = connected_coordinators(sessions).chain([own]);
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -1,5 +1,6 @@
 //! The coordinator: configuration, members, placement of shards and the list of runners, agreed upon.
 
+mod absence;
 mod core;
 pub mod duties;
 mod error;
--- a/crates/coordinator/src/role.rs
+++ b/crates/coordinator/src/role.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ruddervalve_protocol::{Channel, CoordinatorRequest, Registration};
+use ruddervalve_protocol::{Channel, CoordinatorReply, CoordinatorRequest, Registration};
 use ruddervalve_rpc::{Outbox, run};
 use ruddervalve_runtime::{
     Accepted, Boot, Clock, ControlEvent, ControlLinks, InternalListener, InternalPort, NodeEvent,
@@ -69,7 +69,7 @@
     let server = tokio::task::spawn_local(operator_server::serve(operator, requests, body));
     let mut heartbeat = tokio::time::interval(coordinator.links.heartbeat_interval());
     coordinator.settle()?;
-    while !coordinator.core.ended() {
+    while !coordinator.core.ended(coordinator.clock.now()) {
         let wake = coordinator.next_wake();
         tokio::select! {
             event = coordinator.node.next() => coordinator.node_event(event)?,
@@ -166,9 +166,11 @@
     }
 
     fn control(&mut self, event: ControlEvent) {
-        if let Some(reply) = event.reply {
-            self.core.coordinator_says(reply);
+        let Some(reply) = event.reply else { return };
+        if matches!(reply, CoordinatorReply::Alive { .. }) {
+            self.core.coordinator_leads(self.clock.now(), event.from);
         }
+        self.core.coordinator_says(reply);
     }
 
     fn signal(&mut self, signal: ProcessSignal) {
--- a/crates/coordinator/src/sessions.rs
+++ b/crates/coordinator/src/sessions.rs
@@ -1,6 +1,6 @@
 //! The processes that are connected to this coordinator, and what each was told.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ruddervalve_protocol::{ConfigurationUpdate, CoordinatorReply, Directory, Registration, RunnerList};
 
@@ -85,6 +85,18 @@
         self.sessions.values().filter_map(|session| Some((session.registration.as_ref()?, session.heard_at)))
     }
 
+    /// How many edges are registered; an edge with an old connection beside its newest counts once.
+    pub fn edges(&self) -> u32 {
+        let edges: BTreeSet<u64> = self
+            .registered()
+            .filter_map(|(registration, _)| match registration {
+                Registration::Edge { incarnation } => Some(incarnation.0),
+                _ => None,
+            })
+            .collect();
+        u32::try_from(edges.len()).unwrap_or(u32::MAX)
+    }
+
     /// Tells each session what it does not know yet.
     pub fn tell(&mut self, now: &InForce<'_>) {
         let registered = self.sessions.iter_mut().filter(|(_, session)| session.registration.is_some());
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -45,7 +45,7 @@
     pub zone: String,
     /// For draws; different at each edge and start.
     pub seed: u64,
-    /// How many other edges there may be.
+    /// How many other edges there may be, until [`EdgeCore::set_edges`].
     pub other_edges: u32,
     /// `AckTimeoutMs`: nothing is held for a client beyond it, whatever its route says.
     pub ack_timeout_ms: u64,
@@ -75,6 +75,8 @@
     callbacks: Callbacks,
     credits: Credits,
     has_runners: bool,
+    /// How many edges there are, as it was told last.
+    edges_told: u32,
     leaving: bool,
     outputs: Vec<EdgeOutput>,
 }
@@ -101,6 +103,7 @@
             callbacks: Callbacks::default(),
             credits: Credits::default(),
             has_runners: false,
+            edges_told: settings.other_edges.saturating_add(1),
             leaving: false,
             outputs: Vec::new(),
             settings,
@@ -182,6 +185,21 @@
         is_newer
     }
 
+    /// A coordinator that leads tells how many edges are registered there, this one among them. Fewer than before count
+    /// only when they are told twice in a row: after its start a coordinator does not know all of them yet.
+    pub fn set_edges(&mut self, now: u64, edges: u32) {
+        self.now = now;
+        let counted = edges.max(std::mem::replace(&mut self.edges_told, edges));
+        if !self.dispatch.set_other_edges(counted.saturating_sub(1)) {
+            return;
+        }
+        if let Some(configuration) = self.configuration.clone() {
+            let steps = self.dispatch.set_configuration(now, &configuration);
+            self.take_steps(steps);
+            self.update_credits();
+        }
+    }
+
     /// Takes the list of runners.
     pub fn set_runners(&mut self, now: u64, list: &RunnerList) {
         self.now = now;
--- a/crates/edge/src/dispatch/engine.rs
+++ b/crates/edge/src/dispatch/engine.rs
@@ -49,6 +49,12 @@
         self.conclude(now, out)
     }
 
+    /// How many other edges share the runners' connections; true if that is news. It counts from the next
+    /// [`Dispatch::set_configuration`] on: what is open beyond the new share ends as it falls idle.
+    pub fn set_other_edges(&mut self, other_edges: u32) -> bool {
+        std::mem::replace(&mut self.settings.other_edges, other_edges) != other_edges
+    }
+
     fn retire_unlisted(&mut self, now: u64, out: &mut Vec<DispatchStep>) {
         for (name, pool) in &mut self.pools {
             if !self.plan.listed().any(|(listed, ..)| listed == name) {
--- a/crates/edge/src/dispatch/settings.rs
+++ b/crates/edge/src/dispatch/settings.rs
@@ -22,8 +22,8 @@
     pub zone: String,
     /// Seeds the draws. Edges must have different ones, or they all draw the same runners.
     pub seed: u64,
-    /// How many other edges deliver to the same runners: connections are shared with them. A guess does; too low a one
-    /// can make runners reset connections.
+    /// How many other edges deliver to the same runners, until [`super::Dispatch::set_other_edges`]: connections are
+    /// shared with them. Too low a guess can make runners reset connections.
     pub other_edges: u32,
 }
 
--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -202,6 +202,27 @@
     assert_eq!(answers[0].1.headers, [FrontHeader::MessageId("s1_m1".to_owned())]);
 }
 
+#[test]
+fn connections_are_shared_among_as_many_edges_as_were_told_twice() {
+    let mut play = Play::serving();
+    let mut connections = |told: u32| {
+        play.core.set_edges(play.now, told);
+        let client = play.post("/p/1", &format!("m{}", play.last_client), None);
+        let (to, request, _) = play.append();
+        let lease = LeaseId { term: 1, number: client.0 };
+        play.says(to, StoreToEdge::Appended { request, outcome: accepted(Some(lease)) });
+        let orders = play.outputs().into_iter().filter_map(|output| match output {
+            EdgeOutput::Deliver(order) => Some(order.delivery.max_connections_here),
+            _ => None,
+        });
+        orders.last().expect("a delivery")
+    };
+    // 50 for all of them; the guess at the start is two.
+    assert_eq!(connections(5), 10);
+    assert_eq!(connections(1), 10, "a coordinator that has just started does not know all edges");
+    assert_eq!(connections(1), 50);
+}
+
 #[test]
 fn a_lease_with_the_promise_is_delivered_and_its_outcome_repeated_until_it_is_recorded() {
     let mut play = Play::serving();
--- a/crates/edge/tests/dispatch_configuration.rs
+++ b/crates/edge/tests/dispatch_configuration.rs
@@ -115,6 +115,20 @@
     }
 }
 
+#[test]
+fn the_share_of_connections_follows_the_number_of_edges_that_is_told() {
+    let mut edge = edge(1, 7);
+    let line = || configuration(1, &[ServiceLine { max_connections: 96, ..ServiceLine::listed("a") }]);
+    edge.set_configuration(0, &line());
+    edge.set_runners(0, &list(1, &runners("a", 1, 4)));
+    assert!(!edge.set_other_edges(7), "no news");
+    assert!(edge.set_other_edges(2));
+    edge.set_configuration(1, &line());
+    let steps = edge.start(1, 1, "a", "a");
+    let DispatchStep::Deliver { max_connections, .. } = &steps[0] else { panic!("{steps:?}") };
+    assert_eq!(*max_connections, 32);
+}
+
 #[test]
 fn a_number_that_is_taken_changes_nothing() {
     let mut edge = edge_with(1, "a", &runners("a", 1, 1));
--- a/crates/loopback/src/bin/demonstration.rs
+++ b/crates/loopback/src/bin/demonstration.rs
@@ -1,6 +1,7 @@
 //! A demonstration for newcomers: a whole system on loopback with toy runners, the loss of a store, and what became of
 //! each message. With the name of a role as its argument it is that role: that is how it starts the processes.
 
+use std::ffi::OsString;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -9,8 +10,11 @@
     Accepted, CallbackReceiver, Client, ConfigurationPlan, Message, MessageState, Misbehaviour, Outcome,
     ReceiverPlan, RigError, Route, RunLog, Runner, RunnerPlan, Service, System, SystemPlan, eventually,
 };
+use rustix::process::{Signal, set_parent_process_death_signal};
 use tokio::time::Instant;
 
+/// The exit code for arguments that are not known.
+const FAULTY: u8 = 2;
 /// How long any one step may take before the demonstration is given up.
 const STEP: Duration = Duration::from_secs(15);
 const HOST: &str = "workshop.example";
@@ -42,8 +46,23 @@
 }
 
 fn main() -> ExitCode {
-    let arguments = std::env::args_os().skip(1).collect();
-    ruddervalve_system::run(arguments).unwrap_or_else(demonstrate)
+    let arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
+    if arguments.is_empty() {
+        return demonstrate();
+    }
+    end_with_parent();
+    ruddervalve_system::run(arguments).unwrap_or_else(usage)
+}
+
+/// A role that a rig started ends when the rig's thread does, even where the rig was killed and could not see to it.
+fn end_with_parent() {
+    // Where the kernel does not offer it, the rig still ends its processes when it is dropped.
+    let _ = set_parent_process_death_signal(Some(Signal::KILL));
+}
+
+fn usage() -> ExitCode {
+    eprintln!("demonstration: unknown arguments: give none for the demonstration, or the name of a role");
+    ExitCode::from(FAULTY)
 }
 
 fn demonstrate() -> ExitCode {
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -63,10 +63,14 @@
         /// `ip:port`.
         leader: Option<String>,
     },
-    /// Answers a heartbeat: the sender still leads in this term.
+    /// Answers a heartbeat, after all that was due on this connection: the sender still leads in this term.
     Alive {
         /// The leader's term.
         term: u64,
+        /// The version of the configuration in force; 0 before the first. Whoever has another one has not had the newest.
+        configuration: u64,
+        /// Edges that are registered with the sender.
+        edges: u32,
     },
     /// The configuration in force.
     Configuration(ConfigurationUpdate),
--- a/crates/simulation/src/coordinator_process.rs
+++ b/crates/simulation/src/coordinator_process.rs
@@ -113,8 +113,8 @@
         self.core.next_wake(now)
     }
 
-    fn ended(&self, _now: u64) -> bool {
-        self.core.ended()
+    fn ended(&self, now: u64) -> bool {
+        self.core.ended(now)
     }
 
     fn host(&self) -> Option<&ReplicaHost> {
--- a/crates/simulation/src/edge_process.rs
+++ b/crates/simulation/src/edge_process.rs
@@ -144,6 +144,7 @@
             }
             CoordinatorReply::Directory(directory) => self.connect(now, &directory, effects),
             CoordinatorReply::Runners(list) => self.core.set_runners(now, &list),
+            CoordinatorReply::Alive { edges, .. } => self.core.set_edges(now, edges),
             _ => {}
         }
     }
--- a/crates/simulation/src/trace.rs
+++ b/crates/simulation/src/trace.rs
@@ -17,6 +17,10 @@
         Self { keeps, lines: Vec::new(), digest: FNV_BASIS }
     }
 
+    pub fn keeps(&self) -> bool {
+        self.keeps
+    }
+
     /// Adds a line.
     pub fn line(&mut self, now: u64, text: impl FnOnce() -> String) {
         if self.keeps {
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -7,7 +7,8 @@
 use rand_chacha::ChaCha8Rng;
 use ruddervalve_configuration::Settings;
 use ruddervalve_coordinator::founding::{founder_identity, founders};
-use ruddervalve_protocol::{Incarnation, ReplicaId};
+use ruddervalve_consensus::Membership;
+use ruddervalve_protocol::{GroupId, Incarnation, ReplicaId};
 use ruddervalve_runtime::{InternalPort, internal_address};
 
 use crate::checks::Checks;
@@ -55,6 +56,8 @@
     pub has_founded: bool,
     /// Whether the process was told to end.
     pub is_ending: bool,
+    /// The members of each group as last traced.
+    members: BTreeMap<GroupId, Membership>,
 }
 
 /// The world.
@@ -135,6 +138,7 @@
                 version: 0,
                 has_founded: false,
                 is_ending: false,
+                members: BTreeMap::new(),
             });
         }
         let instances = hosts.len() as u64;
@@ -399,6 +403,18 @@
             let identity = replicas.identity().0;
             for group in replicas.groups() {
                 let Some(replica) = replicas.replica(group) else { continue };
+                let members = replica.membership();
+                if self.trace.keeps() && host.members.get(&group) != Some(members) {
+                    let (name, term) = (&host.place.name, replica.term());
+                    let short = |ids: &[ReplicaId]| ids.iter().map(|id| id.0 % 10_000).collect::<Vec<_>>();
+                    let text = format!(
+                        "{name} {}: group {} has {:?} and learners {:?} at index {} term {term} {:?}",
+                        identity % 10_000, group.0, short(&members.voters), short(&members.learners),
+                        replica.last_index(), replica.role()
+                    );
+                    self.trace.line(now, || text);
+                    host.members.insert(group, members.clone());
+                }
                 if replica.role() == ruddervalve_consensus::Role::Leader {
                     self.checks.leads(now, group.0, replica.term(), identity);
                 }
--- a/crates/store/src/core/coordinators.rs
+++ b/crates/store/src/core/coordinators.rs
@@ -17,17 +17,23 @@
             CoordinatorReply::Directory(directory) if directory.version > self.directory.version => {
                 self.directory = directory;
                 self.found(now);
+                self.care_soon();
                 self.outputs.push(StoreOutput::Connect);
             }
-            CoordinatorReply::Alive { .. } => self.confirm_policy(now),
+            CoordinatorReply::Alive { configuration, .. } if configuration == self.policy_version => {
+                self.confirm_policy(now);
+            }
             _ => {}
         }
     }
 
     fn configure(&mut self, now: u64, update: &ConfigurationUpdate) {
-        if update.version <= self.policy_version {
+        if update.version == self.policy_version {
             return self.confirm_policy(now);
         }
+        if update.version < self.policy_version {
+            return;
+        }
         match Configuration::parse(update.body.as_slice()) {
             Ok(configuration) => {
                 let policy: SharedPolicy = Arc::new(RouteTable::new(&configuration));
--- a/crates/store/src/core/edges.rs
+++ b/crates/store/src/core/edges.rs
@@ -76,7 +76,8 @@
         let Some(shard) = self.shards.get_mut(&group).filter(|_| leads) else {
             return self.send(append.edge, refused(&append, 0));
         };
-        if !room {
+        // A message that is kept already takes no room.
+        if !room && shard.state().status(&append.message.id).is_none() {
             let later = self.settings.bounds.visibility_timeout_ms;
             return self.send(append.edge, refused(&append, later));
         }
@@ -101,6 +102,13 @@
         !self.replicas.disk_full() && (held as u64) < limit
     }
 
+    /// Whether a message may be leased without a further look at the lease: not once this store hands the shard over, as
+    /// the successor may be taking stock of what edges hold.
+    pub(super) fn may_lease(&self, group: GroupId, now: u64) -> bool {
+        let hands_over = self.handing_over.get(&group).is_some_and(|until| now < *until);
+        self.ending_since.is_none() && !hands_over && self.may_lead(group, now)
+    }
+
     pub(super) fn may_lead(&self, group: GroupId, now: u64) -> bool {
         let in_office = self.shards.get(&group).is_some_and(|shard| shard.office().is_some());
         in_office && self.replicas.host.replica(group).is_some_and(|replica| replica.lease_valid(now))
--- a/crates/store/src/core/mod.rs
+++ b/crates/store/src/core/mod.rs
@@ -14,7 +14,7 @@
 use ruddervalve_configuration::Settings;
 use ruddervalve_consensus::Role;
 use ruddervalve_disk::ProcessState;
-use ruddervalve_protocol::{Blob, CoordinatorRequest, Directory, GroupId, ReplicaId, StoreToEdge};
+use ruddervalve_protocol::{Blob, CoordinatorRequest, Directory, GroupId, ReplicaId, ShardMembers, StoreToEdge};
 use ruddervalve_queue::{ClockSettings, LeaderSettings, SharedPolicy, StateLimits};
 use ruddervalve_replication::{Checkpoint, GroupSnapshot, ReplicaHost};
 use ruddervalve_runtime::{
@@ -60,7 +60,14 @@
     policy_version: u64,
     /// What edges were told last.
     leading: Vec<(GroupId, u64)>,
+    /// When the members of all shards are told again.
     care_at: u64,
+    /// When the next step of a membership is to be tried.
+    step_at: u64,
+    /// Who holds each led shard, as the coordinators were told last.
+    members_told: BTreeMap<GroupId, ShardMembers>,
+    /// Shards that are being handed over, until when that may last.
+    handing_over: BTreeMap<GroupId, u64>,
     /// Since when the process is ending.
     ending_since: Option<u64>,
     outputs: Vec<StoreOutput>,
@@ -125,6 +132,9 @@
             policy_version: 0,
             leading: Vec::new(),
             care_at: 0,
+            step_at: u64::MAX,
+            members_told: BTreeMap::new(),
+            handing_over: BTreeMap::new(),
             ending_since: None,
             outputs: Vec::new(),
         })
@@ -171,7 +181,7 @@
     pub fn next_wake(&self, now: u64) -> u64 {
         let replicas = self.replicas.host.next_wake().unwrap_or(u64::MAX);
         let shards = self.shards.values().filter_map(|shard| shard.next_wake(now)).min().unwrap_or(u64::MAX);
-        replicas.min(shards).min(self.care_at)
+        replicas.min(shards).min(self.care_at).min(self.step_at)
     }
 
     /// Disk or peers have something for the replicas.
--- a/crates/store/src/core/shards.rs
+++ b/crates/store/src/core/shards.rs
@@ -1,6 +1,6 @@
 //! The shards between consensus and edges.
 
-use ruddervalve_consensus::Role;
+use ruddervalve_consensus::{Payload, Role};
 use ruddervalve_protocol::{GroupId, StoreToEdge};
 use ruddervalve_replication::GroupChange;
 
@@ -23,11 +23,11 @@
             }
             self.offices(now);
             let polled = self.poll(now);
-            if idle && !polled {
+            let cared = self.care(now);
+            if idle && !polled && !cared {
                 break;
             }
         }
-        self.care(now);
         Ok(())
     }
 
@@ -37,7 +37,13 @@
                 let restored = self.shard(group, now, wall).restore(now, snapshot.index, &snapshot.data);
                 restored.map_err(|_| StoreError::Damaged(group.0))?;
             }
-            GroupChange::Committed(group, entries) => self.shard(group, now, wall).apply(now, entries),
+            GroupChange::Committed(group, entries) => {
+                if entries.iter().any(|entry| matches!(entry.payload, Payload::Membership(_))) {
+                    self.care_soon();
+                }
+                let may_lease = self.may_lease(group, now);
+                self.shard(group, now, wall).apply(now, entries, may_lease);
+            }
             GroupChange::RoleChanged(group) => {
                 self.shard(group, now, wall);
             }
@@ -80,6 +86,7 @@
             }
         }
         if changed {
+            self.care_soon();
             let offices = self.shards.iter().filter_map(|(group, shard)| Some((*group, shard.office()?)));
             self.leading = offices.collect();
             self.send_all(&StoreToEdge::Leading { groups: self.leading.clone() });
--- a/crates/store/src/shard.rs
+++ b/crates/store/src/shard.rs
@@ -223,13 +223,19 @@
 
     // The log.
 
-    /// Applies committed entries in order.
-    pub fn apply(&mut self, now: u64, entries: Vec<Entry>) {
+    /// Applies committed entries in order. `may_lease`: this replica's lease is valid and it has not begun to hand its
+    /// office over, so a message may be leased with its acknowledgement.
+    pub fn apply(&mut self, now: u64, entries: Vec<Entry>, may_lease: bool) {
         for entry in entries {
             self.applied = entry.index;
             let Payload::Command(bytes) = entry.payload else { continue };
             match Command::decode(bytes.as_slice()) {
-                Ok(command) => self.apply_command(now, entry.index, entry.term, &command),
+                Ok(command) => {
+                    let append = self.apply_command(now, entry.index, &command);
+                    if let Some(append) = append {
+                        self.acknowledge(now, entry.term, &append, may_lease);
+                    }
+                }
                 Err(error) => {
                     tracing::error!(group = self.group.0, index = entry.index, %error, "an entry cannot be read");
                 }
@@ -237,18 +243,24 @@
         }
     }
 
-    fn apply_command(&mut self, now: u64, index: u64, term: u64, command: &Command) {
+    /// Applies a command; the append that waits for it.
+    fn apply_command(&mut self, now: u64, index: u64, command: &Command) -> Option<PendingAppend> {
         let applied = self.state.apply(command);
         self.clock.applied(now, command.shard_ms, command.wall_ms);
         let shard_now = self.clock.shard_ms(now);
-        let Some(office) = &mut self.office else { return };
+        let office = self.office.as_mut()?;
         office.leader.applied(shard_now, &command.action, &applied, &self.state);
-        let Some(append) = office.appends.remove(&index) else { return };
+        office.appends.remove(&index)
+    }
+
+    fn acknowledge(&mut self, now: u64, term: u64, append: &PendingAppend, may_lease: bool) {
+        let shard_now = self.clock.shard_ms(now);
+        let Some(office) = &mut self.office else { return };
         if office.term != term {
-            self.outputs.push(appended(append.edge, append.request, AppendOutcome::Unknown));
-            return;
+            return self.outputs.push(appended(append.edge, append.request, AppendOutcome::Unknown));
         }
-        let lease = office.leader.accepted(shard_now, &append.id, append.edge, append.lease_here);
+        let wants_lease = append.lease_here && may_lease;
+        let lease = office.leader.accepted(shard_now, &append.id, append.edge, wants_lease);
         self.outputs.push(appended(append.edge, append.request, AppendOutcome::Accepted { lease }));
     }
 
