--- a/crates/gearman-peers/src/lib.rs
+++ b/crates/gearman-peers/src/lib.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use ruddervalve_gearman::codec::{Decoder, Frame, Kind, Magic, Packet, put};
+use ruddervalve_gearman::codec::{Decoder, Frame, Kind, Magic, Packet, encode_packet};
 
 /// Far longer than any answer takes: whoever waits so long waits for ever.
-const FOR_EVER: Duration = Duration::from_secs(90);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(90);
 
 /// One connection to a server.
 #[derive(Debug)]
@@ -51,14 +51,14 @@
     pub fn connect(address: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(address)?;
         stream.set_nodelay(true)?;
-        stream.set_read_timeout(Some(FOR_EVER))?;
+        stream.set_read_timeout(Some(ANSWER_TIMEOUT))?;
         Ok(Self { stream, inbox: BytesMut::new() })
     }
 
     /// Sends a packet.
     pub fn send(&mut self, kind: Kind, args: &[&[u8]]) -> io::Result<()> {
         let mut out = BytesMut::new();
-        put(&mut out, Magic::Req, kind, args);
+        encode_packet(&mut out, Magic::Req, kind, args);
         self.raw(&out)
     }
 
--- a/crates/gearman/src/admin.rs
+++ b/crates/gearman/src/admin.rs
@@ -5,11 +5,11 @@
 use std::fmt::Write as _;
 
 use crate::server::Server;
-use crate::workers::ConnId;
+use crate::workers::ConnectionId;
 
 impl Server {
     /// A line came on a connection.
-    pub(crate) fn line(&mut self, conn: ConnId, line: &[u8]) {
+    pub(crate) fn line(&mut self, connection: ConnectionId, line: &[u8]) {
         let text = String::from_utf8_lossy(line).into_owned();
         let words: Vec<&str> = text.split_ascii_whitespace().collect();
         self.counters.count("gearman", "admin_lines");
@@ -20,7 +20,7 @@
             ["version"] => format!("OK {}\n", env!("CARGO_PKG_VERSION")),
             ["getpid"] => format!("OK {}\n", std::process::id()),
             ["maxqueue", function] => self.max_queue(function, None),
-            ["maxqueue", function, most, ..] => self.max_queue(function, Some(most)),
+            ["maxqueue", function, limit, ..] => self.max_queue(function, Some(limit)),
             ["show", "jobs"] => self.jobs_text(),
             ["show", "unique", "jobs"] => self.unique_text(),
             ["cancel", "job", handle] => match self.cancel(handle.as_bytes()) {
@@ -31,20 +31,20 @@
                 true => "OK\n".to_owned(),
                 false => "ERR UNKNOWN_WORKER no+such+worker\n".to_owned(),
             },
-            ["shutdown"] | ["shutdown", "graceful"] => match self.shut_down() {
+            ["shutdown"] | ["shutdown", "graceful"] => match self.ask_shutdown() {
                 true => "OK\n".to_owned(),
                 false => "ERR NOT_ALLOWED shutdown+is+off+in+the+operator+file\n".to_owned(),
             },
             _ => "ERR UNKNOWN_COMMAND Unknown+server+command\n".to_owned(),
         };
-        self.say(conn, &answer);
+        self.send_text(connection, &answer);
     }
 
     /// For each function: jobs open, jobs that run, connections that can do it.
     fn functions_text(&self) -> String {
         let mut text = String::new();
         for function in self.functions() {
-            let (open, running) = (function.tally.open.get(), function.tally.running.get());
+            let (open, running) = (function.counts.open.get(), function.counts.running.get());
             let able = self.workers.able(&function.name);
             let _ = writeln!(text, "{}\t{open}\t{running}\t{able}", function.text);
         }
@@ -56,12 +56,12 @@
         let mut lines: Vec<_> = self.connections().collect();
         lines.sort_unstable();
         let mut text = String::new();
-        for (conn, peer, name) in lines {
-            let hand = self.workers.look(conn);
+        for (connection, peer, name) in lines {
+            let slot = self.workers.slot(connection);
             // One that offers nothing has no name in this list, as the protocol has it.
-            let name = if hand.is_some() { name } else { "-" };
-            let _ = write!(text, "{conn} {peer} {name} :");
-            for function in hand.into_iter().flat_map(|hand| hand.abilities.keys()) {
+            let name = if slot.is_some() { name } else { "-" };
+            let _ = write!(text, "{connection} {peer} {name} :");
+            for function in slot.into_iter().flat_map(|slot| slot.abilities.keys()) {
                 let _ = write!(text, " {}", String::from_utf8_lossy(function));
             }
             text.push('\n');
@@ -69,17 +69,17 @@
         text + ".\n"
     }
 
-    fn max_queue(&mut self, function: &str, most: Option<&str>) -> String {
+    fn max_queue(&mut self, function: &str, limit: Option<&str>) -> String {
         let Some(function) = self.function(function.as_bytes()) else {
             return "ERR UNKNOWN_FUNCTION no+such+function\n".to_owned();
         };
-        let most = match most.map(str::parse::<i64>) {
+        let limit = match limit.map(str::parse::<i64>) {
             // None, or a negative number: no bound of its own.
             None | Some(Ok(..0)) => usize::MAX,
-            Some(Ok(most)) => most as usize,
+            Some(Ok(limit)) => limit as usize,
             Some(Err(_)) => return "ERR INVALID_ARGUMENTS a+number+was+expected\n".to_owned(),
         };
-        function.tally.most.set(most);
+        function.counts.limit.set(limit);
         "OK\n".to_owned()
     }
 
--- a/crates/http/src/control.rs
+++ b/crates/http/src/control.rs
@@ -14,17 +14,18 @@
 use tokio::task::AbortHandle;
 
 /// Callers at once; for a further one the oldest silent one goes.
-const CALLERS: usize = 15;
+const MAX_CALLERS: usize = 15;
 /// Descriptors that nothing else may use: the callers', and the one that listens.
-pub const SET_ASIDE: usize = CALLERS + 1;
-/// The longest line.
-const LONGEST_LINE: u64 = 256;
+pub const RESERVED_DESCRIPTORS: usize = MAX_CALLERS + 1;
+/// The longest line, in bytes.
+const MAX_LINE_BYTES: u64 = 256;
 /// How long a caller may take to send its line, and to read its answer.
-const PATIENCE: Duration = Duration::from_secs(2);
-/// What still comes after the line is read for so long and dropped: a close over unread bytes would reset the answer away.
-const LINGER: Duration = Duration::from_millis(250);
+const CALLER_TIMEOUT: Duration = Duration::from_secs(2);
+/// What still comes after the line is read for so long and dropped: a close over unread bytes would reset the answer
+/// away.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(250);
 /// What the names of the figures begin with.
-const PREFIX: &str = "edge_router";
+const METRIC_PREFIX: &str = "edge_router";
 /// After an error of accepting.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 
@@ -56,13 +57,13 @@
                 Ok((stream, _)) => stream,
                 Err(error) => {
                     self.counters.count("control", "accept_failed");
-                    self.counters.say(self.clock.now(), format_args!("operators' address: {error}"));
+                    self.counters.log(self.clock.now(), format_args!("operators' address: {error}"));
                     self.make_room();
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                     continue;
                 }
             };
-            if self.callers.borrow().len() >= CALLERS {
+            if self.callers.borrow().len() >= MAX_CALLERS {
                 self.make_room();
             }
             let caller = Rc::new(Caller { silent: Cell::new(true), task: RefCell::default() });
@@ -90,8 +91,8 @@
 
     async fn call(&self, stream: TcpStream, caller: &Caller) {
         let _ = stream.set_nodelay(true);
-        let mut stream = BufReader::with_capacity(LONGEST_LINE as usize, stream);
-        let line = match tokio::time::timeout(PATIENCE, read_line(&mut stream)).await {
+        let mut stream = BufReader::with_capacity(MAX_LINE_BYTES as usize, stream);
+        let line = match tokio::time::timeout(CALLER_TIMEOUT, read_line(&mut stream)).await {
             Ok(Ok(line)) => line,
             Ok(Err(_)) => return self.counters.count("control", "broke"),
             Err(_) => return self.counters.count("control", "silent"),
@@ -102,10 +103,10 @@
             stream.get_mut().write_all(answer.as_bytes()).await?;
             stream.get_mut().shutdown().await
         };
-        if matches!(tokio::time::timeout(PATIENCE, said).await, Ok(Ok(()))) {
-            let mut rest = [0; LONGEST_LINE as usize];
-            let drop_the_rest = async { while matches!(stream.get_mut().read(&mut rest).await, Ok(1..)) {} };
-            let _ = tokio::time::timeout(LINGER, drop_the_rest).await;
+        if matches!(tokio::time::timeout(CALLER_TIMEOUT, said).await, Ok(Ok(()))) {
+            let mut rest = [0; MAX_LINE_BYTES as usize];
+            let discard_input = async { while matches!(stream.get_mut().read(&mut rest).await, Ok(1..)) {} };
+            let _ = tokio::time::timeout(LINGER_TIMEOUT, discard_input).await;
         }
     }
 
@@ -119,7 +120,7 @@
                 self.broker.drain();
                 "OK\n".to_owned()
             }
-            "drain-off" if self.broker.drain_off() => "OK\n".to_owned(),
+            "drain-off" if self.broker.cancel_drain() => "OK\n".to_owned(),
             "drain-off" => self.error("the program is ending"),
             _ => self.error("unknown call"),
         }
@@ -128,19 +129,19 @@
     /// The figures, a line each, and the line that ends them.
     fn figures(&self) -> String {
         let mut text = String::new();
-        let mut say = |name: &str, value: u64| text += &format!("{PREFIX}.{name}={value}\n");
+        let mut say = |name: &str, value: u64| text += &format!("{METRIC_PREFIX}.{name}={value}\n");
         for (class, answered) in self.counters.classes() {
             say(&format!("fulfilled.{class}"), answered.served);
             say(&format!("throttled.{class}"), answered.refused);
             say(&format!("faulted.{class}"), answered.failed);
         }
-        self.counters.further().into_iter().for_each(|(name, value)| say(name, value));
-        say("relayed", self.counters.claims_written());
-        say("open_requests", self.broker.open() as u64);
-        say("registry_entries", self.broker.listed() as u64);
+        self.counters.extra_figures().into_iter().for_each(|(name, value)| say(name, value));
+        say("relayed", self.counters.attempts_written());
+        say("open_requests", self.broker.open_requests() as u64);
+        say("registry_entries", self.broker.runner_count() as u64);
         say("out_of_rotation", self.broker.out_of_rotation() as u64);
-        say("cfg_accepted", self.counters.so_far("reloads", "taken"));
-        say("cfg_invalid", self.counters.so_far("reloads", "faulty"));
+        say("cfg_accepted", self.counters.value_of("reloads", "taken"));
+        say("cfg_invalid", self.counters.value_of("reloads", "faulty"));
         text + "END\n"
     }
 
@@ -153,7 +154,7 @@
 /// One line, ended by LF or CRLF; none if it is too long, has no end or is no text.
 async fn read_line(stream: &mut BufReader<TcpStream>) -> io::Result<Option<String>> {
     let mut line = Vec::new();
-    stream.take(LONGEST_LINE).read_until(b'\n', &mut line).await?;
+    stream.take(MAX_LINE_BYTES).read_until(b'\n', &mut line).await?;
     let Some(line) = line.strip_suffix(b"\n") else { return Ok(None) };
     let line = line.strip_suffix(b"\r").unwrap_or(line);
     Ok(str::from_utf8(line).ok().map(str::to_owned))
--- a/crates/http/src/handover.rs
+++ b/crates/http/src/handover.rs
@@ -1,8 +1,8 @@
-//! Owns what the process of a dispatcher that serves tells a newer one that is to take its place: the machine list with
-//! its version and what was learnt, over a local socket in `$TMPDIR`, and newer lists both ways for as long as both run.
-//! It must never take what it does not understand or what is another dispatcher's, known by its name and by the socket
-//! that both accept from, take one discovery's version for another's, keep a process from starting, or decide what follows
-//! from the other's being there.
+//! Owns what the process of a dispatcher that serves tells a newer one that is to take its place: the list of runners
+//! with its version and what was learnt, over a local socket in `$TMPDIR`, and newer lists both ways for as long as
+//! both run. It must never take what it does not understand or what is another dispatcher's, known by its name and by
+//! the socket that both accept from, take one discovery's version for another's, keep a process from starting, or
+//! decide what follows from the other's being there.
 
 use std::io;
 use std::net::SocketAddr;
@@ -12,25 +12,25 @@
 
 use bytes::BytesMut;
 use ruddervalve::Learnt;
-use ruddervalve_broker::{Broker, Clock, Counters, ListNews};
+use ruddervalve_broker::{Broker, Clock, Counters, ListUpdate};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::watch;
 
-use crate::machine_list::{read_news, write_news};
+use crate::runner_list::format::{read_list, write_list};
 
 /// The form of what is said here; a process that speaks another one is not understood.
 const FORMAT: u32 = 2;
 /// What the socket's name in `$TMPDIR` begins with; the address that the dispatcher listens on comes behind.
-const NAME: &str = "ruddervalve.handover";
-/// How long a process waits for the other's first words: at a start nothing else goes on meanwhile.
+const SOCKET_NAME_PREFIX: &str = "ruddervalve.handover";
+/// How long a process waits for the other's greeting: at a start nothing else goes on meanwhile.
 const GREETING_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// What was said longer ago than this is no news.
-const STALE_MS: f64 = 10_000.0;
-/// The longest line: some thousand machines.
-const LONGEST_LINE: usize = 4 << 20;
+/// A greeting sent longer ago than so many milliseconds is not taken.
+const MAX_GREETING_AGE_MS: f64 = 10_000.0;
+/// The longest line, in bytes: some thousand runners.
+const MAX_LINE_BYTES: usize = 4 << 20;
 /// After an error of accepting.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -48,7 +48,7 @@
     listen: SocketAddr,
 }
 
-/// A machine list in hand.
+/// A list of runners in hand.
 #[derive(Debug, Serialize, Deserialize)]
 struct Listed {
     /// Whose list it is: versions are a service's own.
@@ -70,7 +70,7 @@
 /// One end of a link, and what was read of the next line.
 struct Link {
     stream: UnixStream,
-    inbox: BytesMut,
+    read_buffer: BytesMut,
 }
 
 /// The two processes of a dispatcher.
@@ -86,25 +86,25 @@
 
 impl Link {
     fn new(stream: UnixStream) -> Self {
-        Self { stream, inbox: BytesMut::new() }
+        Self { stream, read_buffer: BytesMut::new() }
     }
 
     /// The next line; an error at the end. Nothing is lost if the wait is given up.
     async fn line(&mut self) -> io::Result<BytesMut> {
         loop {
-            if let Some(end) = self.inbox.iter().position(|byte| *byte == b'\n') {
-                return Ok(self.inbox.split_to(end + 1));
+            if let Some(end) = self.read_buffer.iter().position(|byte| *byte == b'\n') {
+                return Ok(self.read_buffer.split_to(end + 1));
             }
-            if self.inbox.len() > LONGEST_LINE {
+            if self.read_buffer.len() > MAX_LINE_BYTES {
                 return Err(io::ErrorKind::InvalidData.into());
             }
-            if self.stream.read_buf(&mut self.inbox).await? == 0 {
+            if self.stream.read_buf(&mut self.read_buffer).await? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
         }
     }
 
-    async fn say(&mut self, line: &impl Serialize) -> io::Result<()> {
+    async fn send(&mut self, line: &impl Serialize) -> io::Result<()> {
         let mut line = serde_json::to_vec(line)?;
         line.push(b'\n');
         self.stream.write_all(&line).await
@@ -122,7 +122,8 @@
         counters: Rc<Counters>,
         discovery: watch::Receiver<SocketAddr>,
     ) -> Rc<Self> {
-        let (path, linked) = (folder.join(format!("{NAME}.{listen}")), watch::Sender::new(false));
+        let (path, linked) =
+            (folder.join(format!("{SOCKET_NAME_PREFIX}.{listen}")), watch::Sender::new(false));
         let dispatcher = Identity { name, listen };
         Rc::new(Self { dispatcher, path, broker, clock, counters, discovery, linked })
     }
@@ -135,13 +136,13 @@
     /// Takes over from the process that serves, if there is one, then waits for a newer one. Whatever goes wrong here,
     /// the process starts as though it were alone.
     pub async fn take_over(self: &Rc<Self>) {
-        match tokio::time::timeout(GREETING_TIMEOUT, self.ask()).await {
+        match tokio::time::timeout(GREETING_TIMEOUT, self.greet()).await {
             Ok(Ok(link)) => {
                 self.counters.count("handover", "taken");
                 self.linked.send_replace(true);
                 let this = self.clone();
                 actix_rt::spawn(async move {
-                    this.keep_up(link).await;
+                    this.exchange_lists(link).await;
                     this.linked.send_replace(false);
                 });
             }
@@ -157,25 +158,25 @@
 
     fn failed(&self, error: &io::Error) {
         self.counters.count("handover", "failed");
-        self.counters.say(self.clock.now(), format_args!("handover: {error}"));
+        self.counters.log(self.clock.now(), format_args!("handover: {error}"));
     }
 
-    /// The newer process's first words, and what it takes from the answer.
-    async fn ask(&self) -> io::Result<Link> {
+    /// The newer process's greeting, and what it takes from the answer.
+    async fn greet(&self) -> io::Result<Link> {
         let mut link = Link::new(UnixStream::connect(&self.path).await?);
-        link.say(&Greeting { format: FORMAT, dispatcher: self.dispatcher.clone() }).await?;
+        link.send(&Greeting { format: FORMAT, dispatcher: self.dispatcher.clone() }).await?;
         let line = link.line().await?;
         let hello: Hello = serde_json::from_slice(&line)?;
-        let unsound = |problem: &str| io::Error::new(io::ErrorKind::InvalidData, problem);
+        let invalid = |problem: &str| io::Error::new(io::ErrorKind::InvalidData, problem);
         if hello.format != FORMAT || hello.dispatcher != self.dispatcher {
-            return Err(unsound("another format or dispatcher"));
+            return Err(invalid("another format or dispatcher"));
         }
-        if (self.clock.now() - hello.at_ms).abs() > STALE_MS {
-            return Err(unsound("stale"));
+        if (self.clock.now() - hello.at_ms).abs() > MAX_GREETING_AGE_MS {
+            return Err(invalid("stale"));
         }
-        let news = self.read(&hello.listed).map_err(|problem| unsound(&problem))?;
-        if !self.broker.inherit(news, &hello.learnt) {
-            return Err(unsound("what was learnt makes no sense"));
+        let update = self.read(&hello.listed).map_err(|problem| invalid(&problem))?;
+        if !self.broker.inherit(update, &hello.learnt) {
+            return Err(invalid("what was learnt makes no sense"));
         }
         Ok(link)
     }
@@ -193,7 +194,7 @@
     async fn serve(self: Rc<Self>, listener: UnixListener) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => self.hand_on(Link::new(stream)).await,
+                Ok((stream, _)) => self.serve_successor(Link::new(stream)).await,
                 Err(error) => {
                     self.failed(&error);
                     tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -202,7 +203,7 @@
         }
     }
 
-    async fn hand_on(&self, mut link: Link) {
+    async fn serve_successor(&self, mut link: Link) {
         let greeting = tokio::time::timeout(GREETING_TIMEOUT, link.line()).await;
         let greeting = greeting.ok().and_then(Result::ok);
         let greeting = greeting.and_then(|line| serde_json::from_slice::<Greeting>(&line).ok());
@@ -210,58 +211,58 @@
             return self.counters.count("handover", "not_understood");
         }
         // From here on the other one spends the budgets, so what it is told of them is all that was spent.
-        self.broker.succeeded(true);
-        if self.tell(&mut link).await.is_ok() {
+        self.broker.set_successor(true);
+        if self.send_hello(&mut link).await.is_ok() {
             self.counters.count("handover", "handed_on");
             self.linked.send_replace(true);
-            self.keep_up(link).await;
+            self.exchange_lists(link).await;
             self.linked.send_replace(false);
         }
-        self.broker.succeeded(false);
+        self.broker.set_successor(false);
     }
 
-    async fn tell(&self, link: &mut Link) -> io::Result<()> {
+    async fn send_hello(&self, link: &mut Link) -> io::Result<()> {
         let hello = Hello {
             format: FORMAT,
             dispatcher: self.dispatcher.clone(),
             at_ms: self.clock.now(),
-            listed: self.listed()?,
+            listed: self.own_list()?,
             learnt: self.broker.learnt(),
         };
-        link.say(&hello).await
+        link.send(&hello).await
     }
 
-    fn listed(&self) -> io::Result<Listed> {
-        let list = RawValue::from_string(write_news(&self.broker.list_in_hand()))?;
+    fn own_list(&self) -> io::Result<Listed> {
+        let list = RawValue::from_string(write_list(&self.broker.list_in_hand()))?;
         Ok(Listed { discovery: *self.discovery.borrow(), list })
     }
 
     /// The other process's list. Where it is had elsewhere than here its version tells nothing: it is from before any.
-    fn read(&self, listed: &Listed) -> Result<ListNews, String> {
-        let mut news = read_news(listed.list.get().as_bytes())?;
-        if listed.discovery != *self.discovery.borrow() {
-            news.version = 0;
+    fn read(&self, own_list: &Listed) -> Result<ListUpdate, String> {
+        let mut update = read_list(own_list.list.get().as_bytes())?;
+        if own_list.discovery != *self.discovery.borrow() {
+            update.version = 0;
         }
-        Ok(news)
+        Ok(update)
     }
 
     /// Tells the other process of newer lists and takes those it tells of, until it has gone.
-    async fn keep_up(&self, mut link: Link) {
+    async fn exchange_lists(&self, mut link: Link) {
         let mut version = self.broker.list_version();
         version.mark_changed();
         loop {
             tokio::select! {
                 line = link.line() => {
                     let Ok(line) = line else { return };
-                    let listed = serde_json::from_slice::<Listed>(&line).map_err(|error| error.to_string());
-                    match listed.and_then(|listed| self.read(&listed)) {
-                        Ok(news) => self.broker.list_from_other_process(news),
+                    let own_list = serde_json::from_slice::<Listed>(&line).map_err(|error| error.to_string());
+                    match own_list.and_then(|own_list| self.read(&own_list)) {
+                        Ok(update) => self.broker.list_from_other_process(update),
                         Err(_) => return self.counters.count("handover", "not_understood"),
                     }
                 }
                 Ok(()) = version.changed() => {
-                    let Ok(listed) = self.listed() else { return };
-                    if link.say(&listed).await.is_err() {
+                    let Ok(own_list) = self.own_list() else { return };
+                    if link.send(&own_list).await.is_err() {
                         return;
                     }
                 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,17 +1,19 @@
-//! The platform's protocol, HTTP/1.1 over plain TCP: submitters ([`Front`]), execute nodes ([`Claims`], [`Probes`]),
-//! discovery ([`MachineList`]), the operators' calls ([`Control`]) and the link of an upgrade ([`Handover`]). It must never decide
-//! about a job, nor keep what the broker keeps.
+//! The platform's protocol, HTTP/1.1 over plain TCP: clients ([`Front`]), runners ([`Attempts`], [`Probes`]), discovery
+//! ([`RunnerList`]), the operators' calls ([`Control`]) and the link of an upgrade ([`Handover`]). It must never decide
+//! about a request, nor keep what the broker keeps.
 
-mod claims;
+mod attempts;
 mod control;
 mod front;
 mod handover;
-mod machine_list;
+mod load_report;
 mod probes;
+mod runner_list;
 
-pub use claims::Claims;
-pub use control::{Control, SET_ASIDE};
+pub use attempts::Attempts;
+pub use control::{Control, RESERVED_DESCRIPTORS};
 pub use front::Front;
 pub use handover::Handover;
-pub use machine_list::{MachineList, next_list, read_news};
 pub use probes::Probes;
+pub use runner_list::RunnerList;
+pub use runner_list::format::{next_list, read_list};
