--- a/crates/configuration/src/settings.rs
+++ b/crates/configuration/src/settings.rs
@@ -76,7 +76,7 @@
         /// What the system said.
         reason: String,
     },
-    /// the settings are faulty, mend each of these fields:\n{0}
+    #[doc = "the settings are faulty, mend each of these fields:\n{0}"]
     Faulty(SettingsFaults),
 }
 
--- a/crates/configuration/tests/settings.rs
+++ b/crates/configuration/tests/settings.rs
@@ -143,6 +143,15 @@
     std::fs::remove_dir_all(&folder).expect("the folder is removed");
 }
 
+#[test]
+fn faults_are_told_one_a_line() {
+    let faults = Settings::parse(b"{}").expect_err("all is missing");
+    let count = faults.faults.len();
+    let told = SettingsError::Faulty(faults).to_string();
+    assert!(!told.contains('\\'), "{told}");
+    assert_eq!(told.lines().count(), count + 1, "{told}");
+}
+
 proptest! {
     #[test]
     fn every_cut_is_a_fault(length in 0..EDGE_SETTINGS.len()) {
--- a/crates/coordinator/src/core/links.rs
+++ b/crates/coordinator/src/core/links.rs
@@ -2,19 +2,21 @@
 
 use std::net::SocketAddr;
 
-use ruddervalve_protocol::{CoordinatorMember, ReplicaId};
+use ruddervalve_disk::{ProcessState, StoredEntry};
+use ruddervalve_protocol::{CoordinatorMember, GroupId, ReplicaId};
 use ruddervalve_runtime::{link_settings, seed_addresses};
 
-use super::CoordinatorCore;
+use super::{CoordinatorCore, CoordinatorOutput};
 use crate::founding::founder_identity;
+use crate::state_command::ControlCommand;
 
 impl CoordinatorCore {
-    /// Coordinators that are known: the seeds, those of the agreed state, and those that a leader told of.
+    /// Coordinators that are known: the seeds, those that the log names or that have connected, those that a leader told
+    /// of, and those of the agreed state.
     pub fn coordinators(&self) -> Vec<(ReplicaId, SocketAddr)> {
         let seeds = seed_addresses(&self.settings);
         let mut known: Vec<_> = seeds.into_iter().map(|seed| (founder_identity(seed), seed)).collect();
-        let told = self.told.iter().flat_map(|directory| &directory.coordinators);
-        for member in self.state.coordinators().iter().chain(told) {
+        for member in self.heard_of.iter().chain(self.known_members()) {
             if let Ok(address) = member.address.parse() {
                 known.retain(|(id, _)| *id != member.replica);
                 known.push((member.replica, address));
@@ -33,6 +35,15 @@
         others
     }
 
+    /// Another coordinator has said who it is.
+    pub(super) fn hear_of(&mut self, member: &CoordinatorMember) {
+        if !self.heard_of.contains(member) {
+            self.heard_of.retain(|known| known.node != member.node);
+            self.heard_of.push(member.clone());
+            self.outputs.push(CoordinatorOutput::Connect);
+        }
+    }
+
     pub(super) fn leader_address(&self) -> Option<String> {
         self.address_of(self.leader()?).map(|address| address.to_string())
     }
@@ -76,3 +87,14 @@
         told.chain(self.state.coordinators())
     }
 }
+
+/// The coordinators that the entries on disk name, whether these are known to be committed or not. After a loss of all
+/// power nothing is applied before a leader is elected, and none can be elected among replicas that don't find each other.
+pub(super) fn logged_members(recovered: &ProcessState) -> Vec<CoordinatorMember> {
+    let entries = recovered.groups.get(&GroupId::CONTROL).into_iter().flat_map(|group| &group.entries);
+    let member = |entry: &StoredEntry| match ControlCommand::from_bytes(entry.payload.as_slice()) {
+        Ok(ControlCommand::RegisterCoordinator(member)) => Some(member),
+        _ => None,
+    };
+    entries.filter_map(member).collect()
+}
--- a/crates/coordinator/src/core/mod.rs
+++ b/crates/coordinator/src/core/mod.rs
@@ -75,6 +75,8 @@
     /// Sessions whose heartbeats are to be answered.
     heartbeats: Vec<u64>,
     duties: Duties,
+    /// Coordinators that the log on disk named at the start, and those that have connected since.
+    heard_of: Vec<CoordinatorMember>,
     pending: BTreeMap<u64, Pending>,
     /// The directory as the leader told it, for one that joins and has none of its own yet.
     told: Option<Directory>,
@@ -132,6 +134,7 @@
             heartbeats: Vec::new(),
             // Another seed than that of the elections.
             duties: Duties::new(settings, !seed),
+            heard_of: links::logged_members(recovered),
             pending: BTreeMap::new(),
             told: None,
             told_leader: None,
@@ -212,7 +215,8 @@
         let replicas = self.replicas.host.next_wake().unwrap_or(u64::MAX);
         let duties = if self.leads(now) { self.duties.next_wake() } else { u64::MAX };
         let longest = now + self.settings.bounds.liveness_ms;
-        let end = self.ending_since.map_or(u64::MAX, |since| since + self.settings.bounds.grace_period_ms / 2);
+        let end =
+            self.ending_since.map_or(u64::MAX, |since| since + self.settings.bounds.grace_period_ms / 2);
         replicas.min(duties).min(longest).min(end)
     }
 
--- a/crates/coordinator/src/core/sessions.rs
+++ b/crates/coordinator/src/core/sessions.rs
@@ -52,7 +52,12 @@
 
     fn request(&mut self, number: u64, request: CoordinatorRequest) {
         match request {
-            CoordinatorRequest::Register(registration) => self.sessions.register(number, registration),
+            CoordinatorRequest::Register(registration) => {
+                if let Registration::Coordinator(member) = &registration {
+                    self.hear_of(member);
+                }
+                self.sessions.register(number, registration);
+            }
             CoordinatorRequest::Heartbeat => self.heartbeats.push(number),
             CoordinatorRequest::ShardMembers(members) => self.duties.shard_members(members),
         }
--- a/crates/coordinator/src/duties.rs
+++ b/crates/coordinator/src/duties.rs
@@ -1,22 +1,24 @@
 //! What the leading coordinator does beside answering calls: it makes members known, places shards, moves the group's own
 //! membership towards the coordinators that are there, and reads the platform's list. Pure: time is passed in.
 
+mod leaving;
+mod voters;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use ruddervalve_configuration::Settings;
-use ruddervalve_consensus::{MembershipChange, Replica};
 use ruddervalve_protocol::{
-    CoordinatorMember, GroupId, Registration, ReplicaId, RunnerList, ShardMembers, ShardPlacement, StoreMember,
+    CoordinatorMember, GroupId, Registration, ReplicaId, RunnerList, ShardMembers, ShardPlacement,
+    StoreMember,
 };
-use ruddervalve_replication::{LeaderView, next_change};
 
 use crate::absence::Absences;
 use crate::listing::{ListAnswer, ListCall, ListProgress, ListReader};
 use crate::listing_pace::ListPace;
-use crate::placement::{PlacementRules, RetireFault, StoreView, check_retire, found};
+use crate::placement::{PlacementRules, StoreView, found};
 use crate::placement_improve::improve;
 use crate::sessions::Sessions;
-use crate::state::{ControlState, RetirementPhase};
+use crate::state::ControlState;
 use crate::state_command::ControlCommand;
 
 /// Shards for each store at the founding.
@@ -234,116 +236,6 @@
         };
         state.shards().iter().filter(is_moving).map(|shard| shard.group).collect()
     }
-
-    /// The end of a retirement whose store holds nothing any more.
-    fn finished_retirement(&self, state: &ControlState) -> Option<ControlCommand> {
-        let is_finished =
-            |store: &&StoreMember| is_retiring(state, &store.node) && self.holds_nothing(state, store);
-        let store = state.stores().iter().find(is_finished)?;
-        Some(ControlCommand::FinishRetire { node: store.node.clone() })
-    }
-
-    /// Whether no shard wants a store, and none has it as a member as far as is known.
-    fn holds_nothing(&self, state: &ControlState, store: &StoreMember) -> bool {
-        let holds = |shard: &ShardPlacement| {
-            let members = self.members.get(&shard.group);
-            members.is_none_or(|members| members.members.contains(&store.replica))
-        };
-        !state.shards().iter().any(|shard| shard.wanted.contains(&store.node) || holds(shard))
-    }
-
-    /// A member that is gone for good and holds nothing any more.
-    fn forgotten(&self, state: &ControlState, own: &CoordinatorMember, now: u64) -> Option<ControlCommand> {
-        let gone_after = self.rules.gone_after_ms;
-        let is_gone = |store: &&StoreMember| {
-            let away = self.lost.get(&store.node).map_or(0, |since| now.saturating_sub(*since));
-            away >= gone_after && !is_retiring(state, &store.node) && self.holds_nothing(state, store)
-        };
-        if !state.shards().is_empty()
-            && let Some(store) = state.stores().iter().find(is_gone)
-        {
-            return Some(ControlCommand::ForgetStore { node: store.node.clone() });
-        }
-        let is_gone = |member: &&CoordinatorMember| {
-            let is_member = self.group_members.contains(&member.replica) || member.replica == own.replica;
-            !is_member && self.away.is_gone(member.replica, gone_after, now)
-        };
-        let coordinator = state.coordinators().iter().find(is_gone)?;
-        Some(ControlCommand::ForgetCoordinator { node: coordinator.node.clone() })
-    }
-
-    /// Whether a store may be emptied. An order for one that is being emptied, or was, is a repeat and may go on.
-    ///
-    /// # Errors
-    /// Too few others would remain, or it is not known.
-    pub fn check_retire(&self, state: &ControlState, node: &str, now: u64) -> Result<(), RetireFault> {
-        let is_listed = state.stores().iter().any(|store| store.node == node);
-        let is_repeated = match state.retirement(node).map(|retirement| retirement.phase) {
-            Some(RetirementPhase::Running) => true,
-            Some(RetirementPhase::Succeeded) => !is_listed,
-            None => false,
-        };
-        if is_repeated {
-            return Ok(());
-        }
-        check_retire(&self.views(state, now), &self.rules, node)
-    }
-
-    /// The next step of the control group's own membership towards the coordinators that are there.
-    pub fn membership_change(
-        &mut self,
-        state: &ControlState,
-        replica: &Replica,
-        sessions: &Sessions,
-        now: u64,
-    ) -> Option<MembershipChange> {
-        self.watch_coordinators(state, replica, sessions, now);
-        if !replica.membership_committed() || state.coordinators().is_empty() {
-            return None;
-        }
-        let wanted = self.wanted_voters(state, replica, sessions, now);
-        next_change(replica.membership(), &wanted, &LeaderView { replica, now })
-    }
-
-    fn watch_coordinators(&mut self, state: &ControlState, replica: &Replica, sessions: &Sessions, now: u64) {
-        self.group_members = replica.membership().members().collect();
-        let connected: BTreeSet<ReplicaId> =
-            connected_coordinators(sessions).map(|member| member.replica).collect();
-        let known = state.coordinators().iter().map(|member| member.replica);
-        let known: BTreeSet<ReplicaId> = known.chain(self.group_members.iter().copied()).collect();
-        let is_there = |id: ReplicaId| {
-            id == replica.id() || connected.contains(&id) || replica.recently_active(id, now)
-        };
-        self.away.watch(&known, is_there, now);
-    }
-
-    /// The voters as they are, without those whose disk was replaced, filled up with coordinators that are connected. One
-    /// that is gone for good makes room for another that is connected, and stays as long as there is none.
-    fn wanted_voters(
-        &self,
-        state: &ControlState,
-        replica: &Replica,
-        sessions: &Sessions,
-        now: u64,
-    ) -> Vec<ReplicaId> {
-        let known: Vec<ReplicaId> = state.coordinators().iter().map(|member| member.replica).collect();
-        let mut wanted = replica.membership().voters.clone();
-        wanted.retain(|voter| !state.is_fenced(*voter));
-        let most = usize::try_from(self.replicas()).unwrap_or(usize::MAX);
-        let connected = connected_coordinators(sessions).map(|member| member.replica);
-        for candidate in connected.filter(|candidate| known.contains(candidate)) {
-            if wanted.contains(&candidate) {
-                continue;
-            }
-            let is_gone = |voter: &ReplicaId| self.away.is_gone(*voter, self.rules.gone_after_ms, now);
-            if wanted.len() < most {
-                wanted.push(candidate);
-            } else if let Some(gone) = wanted.iter_mut().find(|voter| is_gone(voter)) {
-                *gone = candidate;
-            }
-        }
-        wanted
-    }
 }
 
 fn is_retiring(state: &ControlState, node: &str) -> bool {
--- /dev/null
+++ b/crates/coordinator/src/duties/voters.rs
@@ -0,0 +1,68 @@
+//! The control group's own membership: it follows the coordinators that are there.
+
+use std::collections::BTreeSet;
+
+use ruddervalve_consensus::{MembershipChange, Replica};
+use ruddervalve_protocol::ReplicaId;
+use ruddervalve_replication::{LeaderView, next_change};
+
+use super::{Duties, connected_coordinators};
+use crate::sessions::Sessions;
+use crate::state::ControlState;
+
+impl Duties {
+    /// The next step of the control group's own membership towards the coordinators that are there.
+    pub fn membership_change(
+        &mut self,
+        state: &ControlState,
+        replica: &Replica,
+        sessions: &Sessions,
+        now: u64,
+    ) -> Option<MembershipChange> {
+        self.watch_coordinators(state, replica, sessions, now);
+        if !replica.membership_committed() || state.coordinators().is_empty() {
+            return None;
+        }
+        let wanted = self.wanted_voters(state, replica, sessions, now);
+        next_change(replica.membership(), &wanted, &LeaderView { replica, now })
+    }
+
+    fn watch_coordinators(&mut self, state: &ControlState, replica: &Replica, sessions: &Sessions, now: u64) {
+        self.group_members = replica.membership().members().collect();
+        let connected: BTreeSet<ReplicaId> =
+            connected_coordinators(sessions).map(|member| member.replica).collect();
+        let known = state.coordinators().iter().map(|member| member.replica);
+        let known: BTreeSet<ReplicaId> = known.chain(self.group_members.iter().copied()).collect();
+        let is_there =
+            |id: ReplicaId| id == replica.id() || connected.contains(&id) || replica.recently_active(id, now);
+        self.away.watch(&known, is_there, now);
+    }
+
+    /// The voters as they are, without those whose disk was replaced, filled up with coordinators that are connected. One
+    /// that is gone for good makes room for another that is connected, and stays as long as there is none.
+    fn wanted_voters(
+        &self,
+        state: &ControlState,
+        replica: &Replica,
+        sessions: &Sessions,
+        now: u64,
+    ) -> Vec<ReplicaId> {
+        let known: Vec<ReplicaId> = state.coordinators().iter().map(|member| member.replica).collect();
+        let mut wanted = replica.membership().voters.clone();
+        wanted.retain(|voter| !state.is_fenced(*voter));
+        let most = usize::try_from(self.replicas()).unwrap_or(usize::MAX);
+        let connected = connected_coordinators(sessions).map(|member| member.replica);
+        for candidate in connected.filter(|candidate| known.contains(candidate)) {
+            if wanted.contains(&candidate) {
+                continue;
+            }
+            let is_gone = |voter: &ReplicaId| self.away.is_gone(*voter, self.rules.gone_after_ms, now);
+            if wanted.len() < most {
+                wanted.push(candidate);
+            } else if let Some(gone) = wanted.iter_mut().find(|voter| is_gone(voter)) {
+                *gone = candidate;
+            }
+        }
+        wanted
+    }
+}
--- a/crates/edge/src/role.rs
+++ b/crates/edge/src/role.rs
@@ -7,13 +7,13 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use ruddervalve_protocol::{
-    Channel, ConfigurationUpdate, CoordinatorReply, Directory, EdgeToStore, GroupId, Registration, ReplicaId,
-    RunnerList, StoreToEdge,
+    Channel, ConfigurationUpdate, CoordinatorMember, CoordinatorReply, Directory, EdgeToStore, GroupId,
+    Registration, ReplicaId, RunnerList, StoreToEdge,
 };
 use ruddervalve_rpc::{LinkEvent, Outbox, Peer};
 use ruddervalve_runtime::{
-    Boot, Clock, ControlEvent, ControlLinks, ProcessSignal, Signals, backoff, draw_seed, link_settings,
-    seed_addresses,
+    Boot, Clock, ControlEvent, ControlLinks, ProcessSignal, Signals, backoff, coordinator_addresses,
+    draw_seed, link_settings,
 };
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -131,6 +131,8 @@
     front: Front,
     runners: RunnerClient,
     links: ControlLinks,
+    /// The coordinators that the newest directory names.
+    coordinators: Vec<CoordinatorMember>,
     stores: BTreeMap<ReplicaId, StoreLink>,
     clients: BTreeMap<ClientNumber, oneshot::Sender<FrontResponse>>,
     events: mpsc::UnboundedSender<Event>,
@@ -207,7 +209,7 @@
         tracing::info!(node = boot.settings.node, incarnation = boot.incarnation.0, "edge starts");
         let registration = Registration::Edge { incarnation: boot.incarnation };
         let mut links = ControlLinks::new(&boot, registration);
-        links.set_addresses(&boot, &seed_addresses(&boot.settings));
+        links.set_addresses(&boot, &coordinator_addresses(&boot.settings, &[]));
         let limits = watch::Sender::new(front_limits(&boot, None));
         let (events, received) = mpsc::unbounded_channel();
         let edge = Self {
@@ -215,6 +217,7 @@
             front: Front::new(limits.subscribe()),
             runners: RunnerClient::new(runner_settings(&boot)),
             links,
+            coordinators: Vec::new(),
             stores: BTreeMap::new(),
             clients: BTreeMap::new(),
             events,
@@ -351,12 +354,13 @@
                 self.stores.insert(store, link);
             }
         }
-        let mut coordinators = seed_addresses(&self.boot.settings);
-        let known = directory.coordinators.iter();
-        coordinators.extend(known.filter_map(|member| member.address.parse::<SocketAddr>().ok()));
-        coordinators.sort_unstable();
-        coordinators.dedup();
-        self.links.set_addresses(&self.boot, &coordinators);
+        self.coordinators.clone_from(&directory.coordinators);
+        self.connect_coordinators();
+    }
+
+    fn connect_coordinators(&mut self) {
+        let addresses = coordinator_addresses(&self.boot.settings, &self.coordinators);
+        self.links.set_addresses(&self.boot, &addresses);
     }
 
     fn open(&self, store: ReplicaId, address: SocketAddr) -> StoreLink {
@@ -437,6 +441,9 @@
             ProcessSignal::Reload => {
                 if self.boot.reload() {
                     tracing::info!("settings reloaded");
+                    self.connect_coordinators();
+                    let configuration = self.core.configuration().map(AsRef::as_ref);
+                    self.limits.send_replace(front_limits(&self.boot, configuration));
                 }
             }
         }
--- a/crates/queue/src/clock.rs
+++ b/crates/queue/src/clock.rs
@@ -12,6 +12,16 @@
     pub wall_skew_ms: u64,
 }
 
+/// When a command was proposed, as far as a replica can tell without trusting other machines' times of day.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Proposed {
+    /// It was on this replica's disk when the process started: nobody may have run since.
+    BeforeStart,
+    /// It came from a leader that this process heard. It may be older than the process where this replica has to catch
+    /// up; then time runs late until newer ones come, as late is better than early.
+    WhileRunning,
+}
+
 /// Turns the monotonic time of this process into shard time.
 ///
 /// Shard time is carried in each command. Between commands it goes on with monotonic time. It never runs ahead of what
@@ -55,9 +65,9 @@
 
     /// Must be told of each command as it is applied, and of a state that was restored from a snapshot (with
     /// [`crate::ShardState::shard_ms`] and [`crate::ShardState::wall_ms`]).
-    pub fn applied(&mut self, local_ms: u64, shard_ms: u64, wall_ms: u64) {
+    pub fn applied(&mut self, local_ms: u64, shard_ms: u64, wall_ms: u64, proposed: Proposed) {
         self.last_shard_ms = self.last_shard_ms.max(shard_ms);
-        if wall_ms >= self.start_wall_ms {
+        if proposed == Proposed::WhileRunning {
             self.applied_live(local_ms, shard_ms);
         } else if !self.anchor.live {
             let gap = self.gap_ms(local_ms, wall_ms);
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -34,7 +34,7 @@
 mod state;
 mod wire;
 
-pub use clock::{ClockSettings, ShardClock};
+pub use clock::{ClockSettings, Proposed, ShardClock};
 pub use command::{Action, Command};
 pub use edges::EdgeSession;
 pub use leader::ShardLeader;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -15,7 +15,7 @@
 pub use control::{ControlEvent, ControlLinks};
 pub use listener::{Accepted, InternalListener};
 pub use node::{NodeError, NodeEvent, ReplicaNode, StartedNode};
-pub use ports::{InternalPort, internal_address, seed_addresses};
+pub use ports::{InternalPort, coordinator_addresses, internal_address, seed_addresses};
 pub use replicas::{ReplicaInput, ReplicaOutput, Replicas};
 pub use signals::{ProcessSignal, Signals};
 pub use times::{backoff, consensus_timing, link_settings, replica_link_settings, retained_log_bytes};
--- a/crates/runtime/src/ports.rs
+++ b/crates/runtime/src/ports.rs
@@ -4,6 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 
 use ruddervalve_configuration::Settings;
+use ruddervalve_protocol::CoordinatorMember;
 
 /// The place of a role in `InternalPortRange`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,3 +35,12 @@
     let address = |seed: &SocketAddr| internal_address(settings, seed.ip(), InternalPort::Coordinator);
     settings.seeds.iter().map(address).collect()
 }
+
+/// The internal addresses of all coordinators that are known: the seeds, and those that a directory names.
+pub fn coordinator_addresses(settings: &Settings, told: &[CoordinatorMember]) -> Vec<SocketAddr> {
+    let mut addresses = seed_addresses(settings);
+    addresses.extend(told.iter().filter_map(|member| member.address.parse::<SocketAddr>().ok()));
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses
+}
--- a/crates/simulation/src/effects.rs
+++ b/crates/simulation/src/effects.rs
@@ -3,7 +3,7 @@
 use nanoserde::SerBin as _;
 use rand::Rng as _;
 use ruddervalve_consensus::MessageKind;
-use ruddervalve_protocol::{AppendOutcome, StoreToEdge};
+use ruddervalve_protocol::{AppendOutcome, GroupId, StoreToEdge};
 use ruddervalve_replication::Envelope;
 
 use crate::event::Event;
@@ -26,7 +26,7 @@
         let Some(effect) = crate::mutants::changed(effect) else { return };
         match effect {
             Effect::Send(connection, payload) => {
-                self.look_at(&payload, connection);
+                self.look_at(process, &payload, connection);
                 self.send(process, connection, payload);
             }
             Effect::Close(connection) => self.close(process, connection),
@@ -116,11 +116,12 @@
     }
 
     /// What messages between processes show of our own rules.
-    fn look_at(&mut self, payload: &Payload, connection: crate::process::ConnectionId) {
+    fn look_at(&mut self, process: Life, payload: &Payload, connection: crate::process::ConnectionId) {
         match payload {
             Payload::Envelopes(envelopes) => envelopes.iter().for_each(|envelope| self.look_at_vote(envelope)),
             Payload::ToEdge(StoreToEdge::Deliver { group, grant }) => {
                 let (lease, id) = ((grant.lease.term, grant.lease.number), grant.message.id.0.clone());
+                self.trace_lease(process, *group, &id);
                 self.look_at_lease(connection, group.0, lease, &id);
             }
             Payload::ToEdge(StoreToEdge::Appended { request, outcome: AppendOutcome::Accepted { lease: Some(lease) } }) => {
@@ -130,6 +131,19 @@
         }
     }
 
+    fn trace_lease(&mut self, process: Life, group: GroupId, id: &str) {
+        if !self.trace.keeps() {
+            return;
+        }
+        let store = self.hosts.get(process.machine).and_then(|host| host.process.as_ref()?.store());
+        let state = store.and_then(|store| store.shards().get(&group)).map(|shard| shard.state());
+        let message = ruddervalve_protocol::MessageId(id.to_owned());
+        let due = state.and_then(|state| Some(state.pending(state.sequence(&message)?)?.due_ms));
+        let shard_ms = state.map(|state| state.shard_ms());
+        let text = format!("machine {} leases {id} of group {}: due {due:?}, shard time {shard_ms:?}", process.machine, group.0);
+        self.line(|| text);
+    }
+
     fn look_at_lease(&mut self, id: crate::process::ConnectionId, group: u32, lease: (u64, u64), message: &str) {
         let Some(connection) = self.network.connections.get(&id) else { return };
         let edge = incarnation(connection.opener.process);
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -15,6 +15,7 @@
 mod ending;
 mod event;
 mod faults;
+mod hunt;
 #[cfg(feature = "mutants")]
 pub mod mutants;
 mod network;
@@ -30,6 +31,7 @@
 mod world;
 
 pub use checks::Broken;
+pub use hunt::hunt;
 pub use scenario::{Faults, LastFault, Scenario, ScenarioError, Traffic};
 pub use world::Report;
 
--- a/crates/simulation/src/process.rs
+++ b/crates/simulation/src/process.rs
@@ -117,6 +117,11 @@
         None
     }
 
+    /// As a store.
+    fn store(&self) -> Option<&ruddervalve_store::StoreCore> {
+        None
+    }
+
     /// As a coordinator.
     fn coordinator(&self) -> Option<&ruddervalve_coordinator::CoordinatorCore> {
         None
--- a/crates/simulation/src/store_process.rs
+++ b/crates/simulation/src/store_process.rs
@@ -131,6 +131,10 @@
         Some(self.core.host())
     }
 
+    fn store(&self) -> Option<&StoreCore> {
+        Some(&self.core)
+    }
+
     fn checkpoint(&self) -> Option<Checkpoint> {
         Some(self.core.checkpoint())
     }
--- a/crates/simulation/src/wires.rs
+++ b/crates/simulation/src/wires.rs
@@ -162,9 +162,11 @@
         let has_power = self.hosts.get(to.machine).is_some_and(|host| host.has_power);
         if self.network.is_cut(from.machine, to.machine) || !has_power {
             if held_for > connection.silence_ms.min(crate::places::LIVENESS_MS) {
-                // What was sent is not acknowledged for too long.
-                self.end_comes(id, side.other());
-                return self.close_end(id, side);
+                // What was sent is not acknowledged for too long. The other side learns it from silence, or when it sends.
+                if let Some(connection) = self.network.connections.get_mut(&id) {
+                    connection.end_mut(side).inbound.clear();
+                }
+                return self.end_comes(id, side.other());
             }
             return self.after(LOOK_AGAIN_MS, Event::Packet(id, side));
         }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -306,6 +306,10 @@
         }
         let local = now - host.started;
         let mut effects = Vec::new();
+        if let Input::LinkUp(link, _) | Input::LinkDown(link) = &input {
+            let is_up = matches!(input, Input::LinkUp(..));
+            self.trace.line(now, || format!("{}: {link:?} is up {is_up}", host.place.name));
+        }
         if let Some(running) = &mut host.process {
             running.handle(local, input, &mut effects);
         }
@@ -394,6 +398,9 @@
         if let Some(edge) = running.edge() {
             let version = edge.configuration().map_or(0, |configuration| configuration.version());
             let before = std::mem::replace(&mut host.version, version);
+            if version != before {
+                self.trace.line(now, || format!("{} has configuration {version} in force", host.place.name));
+            }
             if version < before {
                 let text = format!("{} goes back from version {before} to {version}", host.place.name);
                 self.checks.fail(now, "CONFIG", text);
--- /dev/null
+++ b/crates/simulation/tests/histories.rs
@@ -0,0 +1,64 @@
+//! Histories of the standard scenarios, and that a seed gives one history.
+
+use std::path::Path;
+
+use ruddervalve_simulation::{Scenario, hunt, play};
+
+fn scenario(name: &str) -> Scenario {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/scenarios").join(name);
+    Scenario::read(&path).unwrap_or_else(|error| panic!("{error}"))
+}
+
+/// Plays seeds and gives the rules that were broken.
+fn broken(name: &str, seeds: std::ops::Range<u64>) -> Vec<String> {
+    let mut broken = Vec::new();
+    hunt(&scenario(name), seeds, 2, true, |report| {
+        assert!(report.accepted > 100, "seed {} accepts messages", report.seed);
+        let faults = report.broken.iter();
+        broken.extend(faults.map(|fault| format!("seed {}: {} {}", report.seed, fault.rule, fault.text)));
+    });
+    broken
+}
+
+#[test]
+fn one_seed_gives_one_history() {
+    let scenario = scenario("standard.toml");
+    let one = play(&scenario, 11, true).expect("the settings are valid");
+    let other = play(&scenario, 11, true).expect("the settings are valid");
+    assert!(one.lines.len() > 1_000);
+    assert_eq!(one, other);
+}
+
+#[test]
+fn other_seeds_give_other_histories() {
+    let scenario = scenario("quiet.toml");
+    let digest = |seed| play(&scenario, seed, false).expect("the settings are valid").digest;
+    assert_ne!(digest(1), digest(2));
+}
+
+#[test]
+fn the_standard_scenario_is_the_standard_one() {
+    assert_eq!(scenario("standard.toml"), Scenario::standard());
+}
+
+#[test]
+fn quiet_days_break_no_rule() {
+    assert_eq!(broken("quiet.toml", 0..2), Vec::<String>::new());
+}
+
+#[test]
+fn planned_work_breaks_no_rule() {
+    assert_eq!(broken("planned.toml", 0..3), Vec::<String>::new());
+}
+
+#[test]
+fn faults_of_all_kinds_break_no_rule() {
+    assert_eq!(broken("standard.toml", 0..4), Vec::<String>::new());
+}
+
+#[test]
+fn faulty_scenarios_are_refused() {
+    for text in ["zones = 4", "stores = 0", "strange = 1", "name = 3"] {
+        assert!(Scenario::parse("scenario", text).is_err(), "{text}");
+    }
+}
--- a/crates/store/src/core/mod.rs
+++ b/crates/store/src/core/mod.rs
@@ -12,19 +12,23 @@
 use std::net::SocketAddr;
 
 use ruddervalve_configuration::Settings;
-use ruddervalve_consensus::Role;
+use ruddervalve_consensus::{Replica, Role};
 use ruddervalve_disk::ProcessState;
-use ruddervalve_protocol::{Blob, CoordinatorRequest, Directory, GroupId, ReplicaId, ShardMembers, StoreToEdge};
+use ruddervalve_protocol::{
+    Blob, CoordinatorRequest, Directory, GroupId, ReplicaId, ShardMembers, StoreToEdge,
+};
 use ruddervalve_queue::{ClockSettings, LeaderSettings, SharedPolicy, StateLimits};
 use ruddervalve_replication::{Checkpoint, GroupSnapshot, ReplicaHost};
 use ruddervalve_runtime::{
-    NodeError, ReplicaInput, ReplicaOutput, Replicas, consensus_timing, retained_log_bytes, seed_addresses,
+    NodeError, ReplicaInput, ReplicaOutput, Replicas, consensus_timing, coordinator_addresses,
+    retained_log_bytes,
 };
 
 use crate::edges::{EdgeConnections, EdgeNumber};
 use crate::error::StoreError;
 use crate::seeds::Seeds;
 use crate::shard::{Shard, ShardSettings};
+use placement::Steady;
 
 const BYTES_PER_MB: u64 = 1_024 * 1_024;
 /// Call-backs that may be outstanding at one receiver for each shard: receivers accept few connections.
@@ -68,6 +72,8 @@
     members_told: BTreeMap<GroupId, ShardMembers>,
     /// Shards that are being handed over, until when that may last.
     handing_over: BTreeMap<GroupId, u64>,
+    /// Preferred leaders of led shards, and since when they could take over.
+    steady: BTreeMap<GroupId, Steady>,
     /// Since when the process is ending.
     ending_since: Option<u64>,
     outputs: Vec<StoreOutput>,
@@ -114,7 +120,8 @@
         let replicas = replicas.map_err(NodeError::Restore)?;
         let mut shards = BTreeMap::new();
         for (group, state) in &recovered.groups {
-            let mut shard = Shard::new(*group, shard_settings(settings), now, wall);
+            let last_on_disk = replicas.host.replica(*group).map_or(0, Replica::last_index);
+            let mut shard = Shard::new(*group, shard_settings(settings), now, wall, last_on_disk);
             if let Some(snapshot) = &state.snapshot {
                 let restored = shard.restore(now, snapshot.index, &snapshot.data);
                 restored.map_err(|_| StoreError::Damaged(group.0))?;
@@ -135,6 +142,7 @@
             step_at: u64::MAX,
             members_told: BTreeMap::new(),
             handing_over: BTreeMap::new(),
+            steady: BTreeMap::new(),
             ending_since: None,
             outputs: Vec::new(),
         })
@@ -169,12 +177,7 @@
 
     /// The internal addresses of all coordinators that are known.
     pub fn coordinators(&self) -> Vec<SocketAddr> {
-        let mut coordinators = seed_addresses(&self.settings);
-        let known = self.directory.coordinators.iter();
-        coordinators.extend(known.filter_map(|member| member.address.parse::<SocketAddr>().ok()));
-        coordinators.sort_unstable();
-        coordinators.dedup();
-        coordinators
+        coordinator_addresses(&self.settings, &self.directory.coordinators)
     }
 
     /// When to call [`StoreCore::settle`] at the latest.
@@ -186,6 +189,9 @@
 
     /// Disk or peers have something for the replicas.
     pub fn replica_input(&mut self, now: u64, input: ReplicaInput) {
+        if let ReplicaInput::Unreachable(peer) = &input {
+            self.peer_lost(*peer);
+        }
         self.replicas.handle(now, input);
     }
 
--- a/crates/store/src/core/placement.rs
+++ b/crates/store/src/core/placement.rs
@@ -1,19 +1,26 @@
 //! Moves membership and leadership of shards towards what the coordinators want.
 
-use ruddervalve_consensus::{Membership, MembershipChange};
+use ruddervalve_consensus::{Membership, MembershipChange, Replica};
 use ruddervalve_protocol::{CoordinatorRequest, GroupId, ReplicaId, ShardMembers, ShardPlacement};
 use ruddervalve_replication::{LeaderView, next_change};
 use ruddervalve_runtime::consensus_timing;
 
 use super::{StoreCore, StoreOutput};
 
-/// Leadership moves to the preferred store, and members are told to the coordinators again, after this part of
-/// `LivenessMs`.
+/// Members are told to the coordinators again after this part of `LivenessMs`.
 const CARE_PER_LIVENESS: u64 = 2;
-/// While a led shard's membership is not the wanted one, the next step is tried after this part of `LivenessMs`: a store
-/// that lost its disk has to count again within `SyncS`, and each shard takes three steps.
+/// While a led shard's membership or leader is not the wanted one, the next step is tried after this part of `LivenessMs`:
+/// a store that lost its disk has to count again within `SyncS`, and each shard takes three steps.
 const STEPS_PER_LIVENESS: u64 = 40;
 
+/// The preferred leader of a shard that another leads.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Steady {
+    follower: ReplicaId,
+    /// Since when it has been caught up and active without a break.
+    since: u64,
+}
+
 impl StoreCore {
     /// Moves membership and leadership of led shards towards what is wanted. True if something was changed.
     pub(super) fn care(&mut self, now: u64) -> bool {
@@ -59,7 +66,34 @@
                 return self.change_membership(now, group, change);
             }
         }
-        tells_all && self.hand_to_preferred(now, group, &wanted)
+        let preferred = placement.wanted.first().and_then(|node| self.replica_of(node));
+        let preferred = preferred.filter(|preferred| *preferred != self.replicas.identity());
+        let Some(preferred) = preferred else { return false };
+        self.step_at = self.step_at.min(again);
+        self.is_steady(now, group, preferred) && self.hand_to_preferred(now, group, preferred)
+    }
+
+    /// Whether a follower has been caught up and active without a break for so long that it has neither just started nor
+    /// is ending.
+    fn is_steady(&mut self, now: u64, group: GroupId, preferred: ReplicaId) -> bool {
+        let bounds = &self.settings.bounds;
+        let least_ms = bounds.liveness_ms.max(bounds.grace_period_ms / 2);
+        let replica = self.replicas.host.replica(group);
+        let is_able =
+            |replica: &Replica| replica.membership().is_voter(preferred) && replica.is_caught_up(preferred);
+        if !replica.is_some_and(is_able) {
+            self.steady.remove(&group);
+            return false;
+        }
+        let known = self.steady.get(&group).filter(|steady| steady.follower == preferred).copied();
+        let steady = known.unwrap_or(Steady { follower: preferred, since: now });
+        self.steady.insert(group, steady);
+        now.saturating_sub(steady.since) >= least_ms
+    }
+
+    /// A link to a store has ended: it may be starting anew.
+    pub(super) fn peer_lost(&mut self, peer: ReplicaId) {
+        self.steady.retain(|_, steady| steady.follower != peer);
     }
 
     fn change_membership(&mut self, now: u64, group: GroupId, change: MembershipChange) -> bool {
@@ -87,15 +121,12 @@
         }
     }
 
-    fn hand_to_preferred(&mut self, now: u64, group: GroupId, wanted: &[ReplicaId]) -> bool {
-        let identity = self.replicas.identity();
-        let preferred = wanted.first().copied().filter(|preferred| *preferred != identity);
-        let Some(preferred) = preferred else { return false };
+    fn hand_to_preferred(&mut self, now: u64, group: GroupId, preferred: ReplicaId) -> bool {
         let Some(replica) = self.replicas.host.replica_mut(group) else { return false };
-        let able = replica.membership().is_voter(preferred) && replica.is_caught_up(preferred);
-        if !able || !replica.transfer_leadership(now, Some(preferred)) {
+        if !replica.transfer_leadership(now, Some(preferred)) {
             return false;
         }
+        self.steady.remove(&group);
         let longest = consensus_timing(&self.settings).election_max_ms;
         self.handing_over.insert(group, now + longest);
         tracing::info!(group = group.0, to = preferred.0, "a shard is handed to its preferred leader");
--- a/crates/store/src/core/shards.rs
+++ b/crates/store/src/core/shards.rs
@@ -58,7 +58,7 @@
     /// The shard of a group; one that this process has joined begins empty.
     fn shard(&mut self, group: GroupId, now: u64, wall: u64) -> &mut Shard {
         let settings = &self.settings;
-        let new = || Shard::new(group, shard_settings(settings), now, wall);
+        let new = || Shard::new(group, shard_settings(settings), now, wall, 0);
         self.shards.entry(group).or_insert_with(new)
     }
 
@@ -71,6 +71,8 @@
             let term = replica.term();
             if shard.office().is_some_and(|office| !leads || office != term) {
                 shard.leave_office();
+                self.steady.remove(group);
+                self.members_told.remove(group);
                 changed = true;
             }
             if shard.office().is_none() && leads && replica.lease_valid(now) {
--- a/crates/store/src/shard.rs
+++ b/crates/store/src/shard.rs
@@ -10,8 +10,8 @@
     AppendOutcome, EdgeToStore, GroupId, Incarnation, LeaseId, MessageId, NewMessage, StoreToEdge,
 };
 use ruddervalve_queue::{
-    Action, ClockSettings, Command, EdgeSession, LeaderOutput, LeaderSettings, ShardClock, ShardLeader,
-    ShardState, SharedMessage, SharedPolicy, SnapshotError,
+    Action, ClockSettings, Command, EdgeSession, LeaderOutput, LeaderSettings, Proposed, ShardClock,
+    ShardLeader, ShardState, SharedMessage, SharedPolicy, SnapshotError,
 };
 use ruddervalve_replication::GroupSnapshot;
 
@@ -73,13 +73,16 @@
     state: ShardState,
     clock: ShardClock,
     applied: u64,
+    /// Entries up to this one were on the disk when the process started.
+    last_on_disk: u64,
     office: Option<Office>,
     outputs: Vec<ShardOutput>,
 }
 
 impl Shard {
-    /// A shard that begins empty; `now` and `wall` are this process's monotonic time and time of day.
-    pub fn new(group: GroupId, settings: ShardSettings, now: u64, wall: u64) -> Self {
+    /// A shard that begins empty; `now` and `wall` are this process's monotonic time and time of day. `last_on_disk`: the
+    /// index of the last entry of its log that the disk held when the process started, 0 for none.
+    pub fn new(group: GroupId, settings: ShardSettings, now: u64, wall: u64, last_on_disk: u64) -> Self {
         let clock = ShardClock::new(now, wall, settings.clock);
         Self {
             group,
@@ -87,6 +90,7 @@
             state: ShardState::new(),
             clock,
             applied: 0,
+            last_on_disk,
             office: None,
             outputs: Vec::new(),
         }
@@ -105,10 +109,16 @@
         self.state = ShardState::restore(data)?;
         self.applied = index;
         self.office = None;
-        self.clock.applied(now, self.state.shard_ms(), self.state.wall_ms());
+        let (shard_ms, wall_ms) = (self.state.shard_ms(), self.state.wall_ms());
+        self.clock.applied(now, shard_ms, wall_ms, self.proposed(index));
         Ok(())
     }
 
+    /// When the entry of an index was proposed. Entries that a leader replaced count as those that were there before.
+    fn proposed(&self, index: u64) -> Proposed {
+        if index <= self.last_on_disk { Proposed::BeforeStart } else { Proposed::WhileRunning }
+    }
+
     /// The state machine as far as it was applied.
     pub fn snapshot(&self) -> GroupSnapshot {
         GroupSnapshot { applied: self.applied, data: self.state.snapshot() }
@@ -246,7 +256,7 @@
     /// Applies a command; the append that waits for it.
     fn apply_command(&mut self, now: u64, index: u64, command: &Command) -> Option<PendingAppend> {
         let applied = self.state.apply(command);
-        self.clock.applied(now, command.shard_ms, command.wall_ms);
+        self.clock.applied(now, command.shard_ms, command.wall_ms, self.proposed(index));
         let shard_now = self.clock.shard_ms(now);
         let office = self.office.as_mut()?;
         office.leader.applied(shard_now, &command.action, &applied, &self.state);
--- a/crates/system/src/flags.rs
+++ b/crates/system/src/flags.rs
@@ -28,5 +28,18 @@
             /// The folder.
             required folder: PathBuf
         }
+        /// Plays the whole system in one process, with faults by seeds, and checks the rules after each step.
+        cmd simulate {
+            /// The seeds, FROM..TO; 0..100 if not given.
+            optional --seeds seeds: String
+            /// A scenario file; all kinds of faults together if not given.
+            optional --scenario scenario: PathBuf
+            /// Plays one seed again and prints all that happens.
+            optional --replay seed: u64
+            /// How many threads play; all cores if not given.
+            optional --jobs jobs: usize
+            /// Goes on after the first seed that breaks a rule.
+            optional --all
+        }
     }
 }
--- a/crates/system/src/inspect.rs
+++ b/crates/system/src/inspect.rs
@@ -5,7 +5,7 @@
 
 use ruddervalve_disk::RealFolder;
 
-/// Prints what the folder holds. Fails if it is no folder.
+/// Prints what the folder holds. Fails if it is no folder, or damaged.
 pub fn inspect(path: &Path) -> ExitCode {
     if !path.is_dir() {
         eprintln!("ruddervalve: {}: no folder: name the DataDir of a role", path.display());
@@ -13,5 +13,9 @@
     }
     let inspection = ruddervalve_disk::inspect(&RealFolder::new(path.to_owned()));
     println!("{inspection:#?}");
-    ExitCode::SUCCESS
+    if inspection.errors.is_empty() {
+        return ExitCode::SUCCESS;
+    }
+    eprintln!("ruddervalve: {}: damaged, see the errors above: restore it or empty it", path.display());
+    ExitCode::FAILURE
 }
--- a/crates/system/src/lib.rs
+++ b/crates/system/src/lib.rs
@@ -7,6 +7,7 @@
 mod flags;
 mod inspect;
 mod roles;
+mod simulate;
 
 use std::ffi::OsString;
 use std::process::ExitCode;
@@ -17,7 +18,7 @@
 pub(crate) const FAULTY: u8 = 2;
 
 /// The sub-commands of the system.
-pub const COMMANDS: [&str; 5] = ["edge", "coordinator", "store", "check", "inspect"];
+pub const COMMANDS: [&str; 6] = ["edge", "coordinator", "store", "check", "inspect", "simulate"];
 
 /// Carries out a sub-command of the system, if the arguments (without the program's name) begin with one.
 pub fn run(arguments: Vec<OsString>) -> Option<ExitCode> {
@@ -38,5 +39,6 @@
         RuddervalveCmd::Store(_) => roles::store(),
         RuddervalveCmd::Check(check) => check::check(&check.file, check.configuration),
         RuddervalveCmd::Inspect(inspect) => inspect::inspect(&inspect.folder),
+        RuddervalveCmd::Simulate(options) => simulate::simulate(options),
     }
 }
