--- a/crates/coordinator/src/list_client.rs
+++ b/crates/coordinator/src/list_client.rs
@@ -33,6 +33,7 @@
 
 async fn exchange(address: SocketAddr, target: &str) -> Result<ListAnswer, Reason> {
     let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     let driver = tokio::task::spawn_local(connection);
     let request =
--- a/crates/coordinator/src/operator_server.rs
+++ b/crates/coordinator/src/operator_server.rs
@@ -42,7 +42,11 @@
     max_body_bytes: usize,
 ) {
     let handler = OperatorHandler { requests, max_body_bytes };
-    gotham::bind_server(listener, handler, |stream| std::future::ready(Ok(stream))).await;
+    let wrap = |stream: tokio::net::TcpStream| {
+        let set = stream.set_nodelay(true);
+        std::future::ready(set.map(|()| stream).map_err(|_| ()))
+    };
+    gotham::bind_server(listener, handler, wrap).await;
 }
 
 impl NewHandler for OperatorHandler {
--- a/crates/edge/src/runner/tests.rs
+++ b/crates/edge/src/runner/tests.rs
@@ -33,6 +33,7 @@
 async fn ended(end: End) -> RunnerConnection {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let stream = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("accepted");
+    stream.set_nodelay(true).expect("an option");
     let connection = RunnerConnection::new(stream).await.expect("made");
     assert!(connection.is_usable());
     let (peer, _) = listener.accept().await.expect("a connection");
--- a/crates/loopback/src/call.rs
+++ b/crates/loopback/src/call.rs
@@ -45,7 +45,9 @@
 }
 
 async fn exchange(address: SocketAddr, request: &HttpRequest) -> Result<HttpResponse, HttpError> {
-    let mut connection = HttpConnection::new(TcpStream::connect(address).await?);
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let mut connection = HttpConnection::new(stream);
     connection.write_request(request).await?;
     connection.read_response().await
 }
--- a/crates/loopback/src/server.rs
+++ b/crates/loopback/src/server.rs
@@ -53,7 +53,9 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
+                if let Ok((stream, _)) = accepted
+                    && stream.set_nodelay(true).is_ok()
+                {
                     connections.spawn(serve(stream));
                 }
             }
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -88,7 +88,7 @@
 fn tune(stream: &TcpStream, settings: &LinkSettings) {
     let socket = SockRef::from(stream);
     let limit = Duration::from_millis(settings.user_timeout_ms);
-    let _ = socket.set_tcp_nodelay(true);
+    let _ = stream.set_nodelay(true);
     let _ = socket.set_tcp_user_timeout(Some(limit));
 }
 
--- a/crates/runtime/src/listener.rs
+++ b/crates/runtime/src/listener.rs
@@ -65,6 +65,10 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                // Small frames must not wait for the acknowledgement of those before.
+                if let Err(error) = stream.set_nodelay(true) {
+                    tracing::debug!(%error, "cannot set TCP_NODELAY: frames may come late");
+                }
                 tokio::task::spawn_local(greet(stream, settings, sender.clone()));
             }
             Err(error) => {
--- a/crates/simulation/src/checks.rs
+++ b/crates/simulation/src/checks.rs
@@ -43,6 +43,9 @@
     pub body: Vec<u8>,
     pub sent_at: u64,
     pub due_at: u64,
+    /// Whether a call-back is owed, and whether it was taken.
+    pub wants_callback: bool,
+    pub callback_taken: bool,
     pub accepted_at: Option<u64>,
     pub name: Option<String>,
     pub refused: Option<u16>,
@@ -238,6 +241,13 @@
         }
     }
 
+    /// A receiver took a call-back.
+    pub fn callback_taken(&mut self, id: &str) {
+        if let Some(message) = self.messages.get_mut(id) {
+            message.callback_taken = true;
+        }
+    }
+
     /// An end is reported to a client or a receiver.
     pub fn reported(&mut self, now: u64, id: &str, phase: &str, signature: &str) {
         let Some(message) = self.messages.get(id) else { return };
--- a/crates/simulation/src/clients.rs
+++ b/crates/simulation/src/clients.rs
@@ -10,20 +10,20 @@
 use crate::checks::MessageRecord;
 use crate::event::Event;
 use crate::network::{Life, Machine};
-use crate::places::{EXTRA_ROUTES, HOST, Kind, Role, extra_path, receiver_address};
+use crate::places::{HOST, Kind, LIVENESS_MS, LOSS_SLACK_MS, Role, receiver_address};
 use crate::process::Input;
 use crate::world::World;
 
 /// From a client to an edge, one way, in milliseconds.
 const CLIENT_WAY_MS: u64 = 3;
-const DEADLINE_MS: u64 = 1_200;
+pub const DEADLINE_MS: u64 = 1_200;
 /// Askers wait so long for an answer.
-const ASK_MS: u64 = 2_000;
+pub const ASK_MS: u64 = 2_000;
 /// A client whose try was promised not to run waits so long at most.
 const LONGEST_RETRY_MS: u64 = 500;
 const LONGEST_DELAY_MS: u64 = 1_500;
 const READINESS_EVERY_MS: u64 = 1_000;
-const PROBE_EVERY_MS: u64 = 700;
+pub const PROBE_EVERY_MS: u64 = 700;
 /// The machines start that long before the traffic.
 pub const TRAFFIC_BEGINS_MS: u64 = 10_000;
 
@@ -66,7 +66,7 @@
 #[derive(Debug, Default)]
 pub struct Clients {
     pub waiting: BTreeMap<ClientNumber, Waiting>,
-    last: u64,
+    pub last: u64,
     /// The edges that get new connections, and how often in a row the others have missed.
     misses: BTreeMap<Machine, u32>,
     pub poison: BTreeSet<String>,
@@ -116,7 +116,7 @@
     }
 
     /// An edge that the platform passes a new connection to.
-    fn drawn_edge(&mut self) -> Option<Machine> {
+    pub fn drawn_edge(&mut self) -> Option<Machine> {
         let edges = self.machines(Role::Edge);
         let is_in = |machine: &&Machine| self.clients.misses.get(machine).copied().unwrap_or(0) < 2;
         let inside: Vec<Machine> = edges.iter().filter(is_in).copied().collect();
@@ -150,6 +150,8 @@
             body: attempt.body.clone(),
             sent_at: self.now,
             due_at: self.now + attempt.delay_ms.unwrap_or(0),
+            wants_callback: attempt.callback,
+            callback_taken: false,
             accepted_at: None,
             name: None,
             refused: None,
@@ -173,7 +175,7 @@
         self.ask(Question::Keep(Box::new(attempt), id), request, DEADLINE_MS);
     }
 
-    fn question(&mut self, path: String) -> FrontRequest {
+    pub fn question(&mut self, path: String) -> FrontRequest {
         FrontRequest {
             method: Method::GET,
             host: HOST.to_owned(),
@@ -188,7 +190,7 @@
         }
     }
 
-    fn ask(&mut self, question: Question, request: FrontRequest, deadline: u64) {
+    pub fn ask(&mut self, question: Question, request: FrontRequest, deadline: u64) {
         self.clients.last += 1;
         let client = ClientNumber(self.clients.last);
         let edge = self.drawn_edge();
@@ -258,10 +260,23 @@
         {
             return self.try_again(attempt.as_ref().clone(), 1);
         }
+        if let Question::Keep(_, id) = &waiting.question {
+            self.check_cut_off(&id.clone());
+        }
         self.without_answer(waiting);
     }
 
-    fn without_answer(&mut self, waiting: Waiting) {
+    /// Around planned work alone no request that was read may be cut off.
+    fn check_cut_off(&mut self, id: &str) {
+        let now = self.now;
+        let Some(sent_at) = self.checks.messages.get(id).map(|message| message.sent_at) else { return };
+        if now > sent_at + LOSS_SLACK_MS && self.checks.is_calm(sent_at.saturating_sub(LIVENESS_MS), now) {
+            let text = format!("{id}, sent at {sent_at} and read whole, is cut off without an answer");
+            self.checks.fail(now, "LOST", text);
+        }
+    }
+
+    pub fn without_answer(&mut self, waiting: Waiting) {
         match waiting.question {
             Question::Status(id, tries) | Question::Body(id, tries) => self.ask_again(id, tries),
             Question::Keep(_, id) => self.line(|| format!("client of {id} has no answer")),
@@ -269,7 +284,7 @@
         }
     }
 
-    fn try_again(&mut self, mut attempt: Try, wait: u64) {
+    pub fn try_again(&mut self, mut attempt: Try, wait: u64) {
         if attempt.left > 0 && self.now < self.traffic_ends() {
             attempt.left -= 1;
             self.after(wait, Event::Try(Box::new(attempt)));
@@ -286,7 +301,7 @@
         }
     }
 
-    fn kept(&mut self, attempt: Try, id: &str, response: &FrontResponse) {
+    pub fn kept(&mut self, attempt: Try, id: &str, response: &FrontResponse) {
         let now = self.now;
         let status = response.status;
         self.line(|| format!("client of {id} is answered {status}"));
@@ -313,108 +328,4 @@
             }
         }
     }
-
-    // Routes that come and go.
-
-    pub fn next_probe(&mut self) {
-        if self.now >= self.traffic_ends() {
-            return;
-        }
-        let number = self.traffic_random.random_range(0..EXTRA_ROUTES);
-        self.clients.last += 1;
-        let id = format!("m{:06}", self.clients.last);
-        let path = format!("{}x", extra_path(number));
-        let record = MessageRecord {
-            kind: Kind::Plain,
-            path: path.clone(),
-            key: None,
-            body: Vec::new(),
-            sent_at: self.now,
-            due_at: self.now,
-            accepted_at: None,
-            name: None,
-            refused: None,
-            runs: BTreeMap::new(),
-            ended_at: None,
-        };
-        self.checks.sent(id.clone(), record);
-        let mut request = self.question(path);
-        request.method = Method::POST;
-        request.request_id = Some(id.clone());
-        let question = Question::Probe { number, sent_at: self.now, id };
-        self.ask(question, request, DEADLINE_MS);
-        self.after(PROBE_EVERY_MS, Event::NextProbe);
-    }
-
-    fn probed(&mut self, number: u32, sent_at: u64, id: &str, response: &FrontResponse) {
-        let now = self.now;
-        if !self.checks.in_touch(now) {
-            return;
-        }
-        // What is accepted may lose its route before it runs; that ends it, so it is not looked at again.
-        let is_accepted = response.status == StatusCode::ACCEPTED;
-        let is_unknown = response.status == StatusCode::NOT_FOUND;
-        if is_accepted && self.operator.is_surely_without(number, sent_at) {
-            let text = format!("{id} is accepted at {now} on the route extra{number}, which was dropped");
-            self.checks.fail(now, "CONFIG", text);
-        }
-        if is_unknown && self.operator.is_surely_with(number, sent_at) {
-            let text = format!("{id} is answered 404 at {now} on the route extra{number}, which is there");
-            self.checks.fail(now, "CONFIG", text);
-        }
-    }
-
-    // Questions at the end.
-
-    pub fn ask_message(&mut self, id: &str, tries: u32) {
-        let Some(name) = self.checks.messages.get(id).and_then(|message| message.name.clone()) else {
-            return;
-        };
-        let request = self.question(format!("/api/message/{name}"));
-        self.ask(Question::Status(id.to_owned(), tries), request, ASK_MS);
-    }
-
-    fn ask_again(&mut self, id: String, tries: u32) {
-        if tries < MOST_QUESTIONS {
-            self.after(300, Event::AskMessage(id, tries + 1));
-        }
-    }
-
-    fn status_told(&mut self, id: String, tries: u32, response: &FrontResponse) {
-        let now = self.now;
-        if response.status != StatusCode::OK {
-            self.line(|| format!("the state of {id} is answered {}", response.status));
-            return self.ask_again(id, tries);
-        }
-        let text = String::from_utf8_lossy(&response.body).into_owned();
-        let signature = text.split("\"Signature\":\"").nth(1).and_then(|rest| rest.split('"').next());
-        let phase = ["pending", "succeeded", "dead_letter"].into_iter().find(|phase| text.contains(phase));
-        let Some(phase) = phase else { return self.ask_again(id, tries) };
-        self.checks.reported(now, &id, phase, signature.unwrap_or_default());
-        if phase != "pending" {
-            self.clients.told.insert(id);
-            return;
-        }
-        let Some(name) = self.checks.messages.get(&id).and_then(|message| message.name.clone()) else {
-            return;
-        };
-        let request = self.question(format!("/api/message-body/{name}"));
-        self.ask(Question::Body(id, tries), request, ASK_MS);
-    }
-
-    fn body_told(&mut self, id: String, tries: u32, response: &FrontResponse) {
-        if response.status != StatusCode::OK {
-            // It may have ended meanwhile: the state is asked again.
-            return self.ask_again(id, tries);
-        }
-        let same = self.checks.messages.get(&id).is_some_and(|message| message.body == response.body);
-        if !same {
-            let now = self.now;
-            self.checks.fail(now, "MIXED", format!("the body of {id} is another"));
-        }
-        self.clients.told.insert(id);
-    }
 }
-
-/// A question at the end is asked so often at most.
-pub const MOST_QUESTIONS: u32 = 20;
--- a/crates/simulation/src/delivery.rs
+++ b/crates/simulation/src/delivery.rs
@@ -1,7 +1,5 @@
 //! What runners, receivers of call-backs and the platform do.
 
-use std::net::SocketAddr;
-
 use rand::Rng as _;
 use ruddervalve_coordinator::listing::ListAnswer;
 use ruddervalve_edge::core::{CallbackOrder, DeliveryOrder, JobNumber};
@@ -13,130 +11,19 @@
 use crate::checks::RunOutcome;
 use crate::event::Event;
 use crate::network::Life;
-use crate::places::{ADDRESS_REUSE_MS, Kind, MAX_LAG_MS, endpoint_address, receiver_address};
+use crate::places::{Kind, MAX_LAG_MS, receiver_address};
 use crate::process::Input;
-use crate::runners::{Caller, Run, SimRunner};
+use crate::runners::{Caller, Run};
 use crate::world::World;
 
 /// Messages that a runner queues beyond its slots.
 const QUEUED: usize = 3;
-/// Slots of the single endpoint.
-const ENDPOINT_SLOTS: usize = 12;
-/// A crashed runner stands on the list for so long, in milliseconds.
-const GHOST_MS: u64 = 3_000;
-/// A runner that drains goes after `DrainTimeoutMs` and so much at most, in milliseconds.
-const LONGEST_STAY_MS: u64 = 4_000;
 /// Calls a second that the platform takes.
 const PLATFORM_RATE: u32 = 49;
 /// What a receiver does not take, in parts.
 const CALLBACK_FAILED_PART: f64 = 0.2;
 
 impl World {
-    pub fn begin_runners(&mut self) {
-        let count = self.scenario.traffic.runners;
-        for kind in [Kind::Plain, Kind::Ordered] {
-            for number in 0..count {
-                let host = u8::try_from(number % 200).unwrap_or(0);
-                let second = if kind == Kind::Plain { 128 } else { 129 };
-                let address = SocketAddr::from(([10, second, 0, host], 8080));
-                self.runner_comes(kind.service(), address, number % self.scenario.zones);
-            }
-        }
-        self.runner_comes(Kind::Endpoint.service(), endpoint_address(), 0);
-    }
-
-    pub fn runner_comes(&mut self, service: &'static str, address: SocketAddr, zone: u32) {
-        if self.runners.at(address).is_some() {
-            return;
-        }
-        self.runners.counted += 1;
-        let slots =
-            if address == endpoint_address() { ENDPOINT_SLOTS } else { self.scenario.traffic.slots as usize };
-        self.runners.runners.push(SimRunner {
-            uid: format!("i-{}", self.runners.counted),
-            service,
-            address,
-            zone,
-            slots,
-            draining_since: None,
-            busy: Vec::new(),
-            waiting: Default::default(),
-        });
-        self.runners.list(self.now);
-        self.line(|| format!("runner of {service} comes at {address}"));
-    }
-
-    /// A runner on the list, drawn, that neither drains nor is the last ready one of its service.
-    pub fn drawn_runner(&mut self) -> Option<String> {
-        let ready = |service: &str, runners: &[SimRunner]| {
-            runners
-                .iter()
-                .filter(|runner| runner.service == service && runner.draining_since.is_none())
-                .count()
-        };
-        let runners = &self.runners.runners;
-        let candidates: Vec<String> = runners
-            .iter()
-            .filter(|runner| runner.address != endpoint_address() && runner.draining_since.is_none())
-            .filter(|runner| ready(runner.service, runners) > 1)
-            .map(|runner| runner.uid.clone())
-            .collect();
-        let place = self.fault_random.random_range(0..candidates.len().max(1));
-        candidates.get(place).cloned()
-    }
-
-    pub fn runner_crashes(&mut self, uid: &str) {
-        let now = self.now;
-        self.runners.list(now);
-        let listed = self
-            .runners
-            .history
-            .back()
-            .and_then(|state| state.runners.iter().find(|runner| runner.uid == uid));
-        let ghost = listed.cloned();
-        self.runners.ghosts.extend(ghost);
-        self.runner_ends(uid);
-        self.after(GHOST_MS, Event::RunnerUnlisted { uid: uid.to_owned() });
-    }
-
-    pub fn runner_drains(&mut self, uid: &str) {
-        let now = self.now;
-        if let Some(runner) = self.runners.runners.iter_mut().find(|runner| runner.uid == uid) {
-            runner.draining_since = Some(now);
-        }
-        self.runners.list(now);
-        let stay =
-            crate::places::DRAIN_TIMEOUT_MS + MAX_LAG_MS + self.fault_random.random_range(0..LONGEST_STAY_MS);
-        self.after(stay, Event::RunnerGone { uid: uid.to_owned() });
-    }
-
-    pub fn runner_gone(&mut self, uid: &str) {
-        self.runner_ends(uid);
-        self.runners.list(self.now);
-    }
-
-    pub fn runner_unlisted(&mut self, uid: &str) {
-        self.runners.ghosts.retain(|ghost| ghost.uid != uid);
-        self.runners.list(self.now);
-    }
-
-    /// A runner is no more: what it worked on is lost, and its address is used again, maybe by another service.
-    fn runner_ends(&mut self, uid: &str) {
-        let Some(place) = self.runners.runners.iter().position(|runner| runner.uid == uid) else { return };
-        let runner = self.runners.runners.remove(place);
-        for run in runner.busy.iter().chain(&runner.waiting) {
-            self.checks.run_ended(self.now, &run.id, run.number, RunOutcome::Broken);
-            self.answer(run.clone(), unclear(UnclearReason::Reset), None, false);
-        }
-        let other = if runner.service == Kind::Plain.service() { Kind::Ordered } else { Kind::Plain };
-        let same = self.runners.runners.iter().filter(|left| left.service == runner.service).count();
-        let few = same < self.scenario.traffic.runners as usize;
-        let service =
-            if few || self.fault_random.random_bool(0.5) { runner.service } else { other.service() };
-        let wait = ADDRESS_REUSE_MS + self.fault_random.random_range(0..1_000);
-        self.after(wait, Event::RunnerComes { service, address: runner.address, zone: runner.zone });
-    }
-
     // Deliveries.
 
     pub fn deliver(&mut self, process: Life, order: DeliveryOrder) {
@@ -176,7 +63,7 @@
         self.begin_runs(&uid);
     }
 
-    fn check_body(&mut self, delivery: &Delivery) {
+    pub fn check_body(&mut self, delivery: &Delivery) {
         let now = self.now;
         let Some(message) = self.checks.messages.get(&delivery.request_id) else { return };
         let same = message.body == delivery.body
@@ -188,7 +75,7 @@
         }
     }
 
-    fn begin_runs(&mut self, uid: &str) {
+    pub fn begin_runs(&mut self, uid: &str) {
         let now = self.now;
         let work = self.scenario.traffic.work_ms;
         while let Some(runner) = self.runners.runners.iter_mut().find(|runner| runner.uid == uid) {
@@ -226,7 +113,7 @@
         self.begin_runs(uid);
     }
 
-    fn outcome(&mut self, run: &Run, is_cut_off: bool) -> (RunOutcome, RunnerAnswer) {
+    pub fn outcome(&mut self, run: &Run, is_cut_off: bool) -> (RunOutcome, RunnerAnswer) {
         if is_cut_off {
             return (RunOutcome::Broken, unclear(UnclearReason::UnexpectedStatus(504)));
         }
@@ -244,7 +131,7 @@
         )
     }
 
-    fn load(&self, uid: &str) -> Option<InstanceLoad> {
+    pub fn load(&self, uid: &str) -> Option<InstanceLoad> {
         let runner = self.runners.runners.iter().find(|runner| runner.uid == uid)?;
         let number = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
         Some(InstanceLoad {
@@ -255,7 +142,7 @@
     }
 
     /// An answer goes back to the edge.
-    fn answer(&mut self, run: Run, answer: RunnerAnswer, load: Option<InstanceLoad>, is_success: bool) {
+    pub fn answer(&mut self, run: Run, answer: RunnerAnswer, load: Option<InstanceLoad>, is_success: bool) {
         let way = self.outside_way();
         let Caller { edge, job } = run.caller;
         let (answer, at) = match self.now + way >= run.deadline_at {
@@ -323,6 +210,9 @@
             false if is_known => CallbackResult::Taken,
             _ => CallbackResult::Failed,
         };
+        if result == CallbackResult::Taken {
+            self.checks.callback_taken(&id);
+        }
         let way = self.outside_way();
         self.after(way, Event::CalledBack(process, group, order, result));
     }
@@ -348,7 +238,7 @@
     }
 }
 
-fn unclear(reason: UnclearReason) -> RunnerAnswer {
+pub fn unclear(reason: UnclearReason) -> RunnerAnswer {
     RunnerAnswer::Unclear { reason }
 }
 
--- a/crates/simulation/src/effects.rs
+++ b/crates/simulation/src/effects.rs
@@ -7,9 +7,10 @@
 use ruddervalve_replication::Envelope;
 
 use crate::event::Event;
+use crate::lives::incarnation;
 use crate::network::Life;
 use crate::process::{Effect, Input, Payload};
-use crate::world::{World, incarnation};
+use crate::world::World;
 
 /// A slot takes so many syncs longer than a log.
 const SLOT_SYNCS: u64 = 3;
--- a/crates/simulation/src/ending.rs
+++ b/crates/simulation/src/ending.rs
@@ -70,6 +70,36 @@
             self.checks.fail(now, "CONFIG", "the configuration cannot be read back".to_owned());
         }
         self.check_recovery();
+        self.check_stuck();
+    }
+
+    /// After so long without faults all that was accepted has ended, and all call-backs were taken.
+    fn check_stuck(&mut self) {
+        let now = self.now;
+        let before = self.traffic_ends();
+        let real = self
+            .checks
+            .messages
+            .iter()
+            .filter(|(_, message)| message.accepted_at.is_some() && !message.path.starts_with("/extra-"));
+        let stuck: Vec<String> = real
+            .clone()
+            .filter(|(_, message)| message.ended_at.is_none())
+            .map(|(id, message)| {
+                format!("{id} accepted at {:?} has not ended: {:?}", message.accepted_at, message.runs)
+            })
+            .collect();
+        let uncalled: Vec<String> = real
+            .filter(|(_, message)| message.wants_callback && !message.callback_taken)
+            .filter(|(_, message)| message.ended_at.is_some_and(|at| at < before))
+            .map(|(id, message)| format!("{id} ended at {:?} has no call-back", message.ended_at))
+            .collect();
+        if let Some(first) = stuck.first() {
+            self.checks.fail(now, "STUCK", format!("{} messages, first {first}", stuck.len()));
+        }
+        if let Some(first) = uncalled.first() {
+            self.checks.fail(now, "CALLBACK", format!("{} messages, first {first}", uncalled.len()));
+        }
     }
 
     fn check_recovery(&mut self) {
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -5,7 +5,7 @@
 use crate::clients::TRAFFIC_BEGINS_MS;
 use crate::event::Event;
 use crate::network::Machine;
-use crate::places::{GRACE_MS, RECOVERY_MS, Role, SYNC_MS};
+use crate::places::{RECOVERY_MS, Role};
 use crate::process::Input;
 use crate::scenario::LastFault;
 use crate::world::World;
@@ -15,14 +15,9 @@
 /// Other faults end before that, in milliseconds.
 const QUIET_BEFORE_LAST_MS: u64 = 3_000;
 /// How long something lasts, in milliseconds.
-const SHORTEST_MS: u64 = 100;
-const LONGEST_DOWN_MS: u64 = 4_000;
-const LONGEST_FREEZE_MS: u64 = 5_000;
-const LONGEST_CUT_MS: u64 = 5_000;
-const LONGEST_HERD_MS: u64 = 1_000;
+pub const SHORTEST_MS: u64 = 100;
+pub const LONGEST_HERD_MS: u64 = 1_000;
 const PLATFORM_DOWN_MS: u64 = 4_000;
-/// A write has about so many operations at which the power may go.
-const OPERATIONS_OF_A_WRITE: u64 = 2;
 
 /// A kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -83,7 +78,7 @@
 }
 
 impl World {
-    fn every(&self, kind: FaultKind) -> u64 {
+    pub fn every(&self, kind: FaultKind) -> u64 {
         let faults = &self.scenario.faults;
         match kind {
             FaultKind::Kill => faults.kill_every_ms,
@@ -117,11 +112,11 @@
         self.at(questions, Event::LastQuestions);
     }
 
-    fn last_fault_at(&self) -> u64 {
+    pub fn last_fault_at(&self) -> u64 {
         self.traffic_ends().saturating_sub(LAST_FAULT_BEFORE_END_MS)
     }
 
-    fn plan_fault(&mut self, kind: FaultKind, from: u64) {
+    pub fn plan_fault(&mut self, kind: FaultKind, from: u64) {
         let mean = self.every(kind);
         if mean == 0 {
             return;
@@ -181,19 +176,19 @@
         self.checks.trouble_begins(self.now, is_planned)
     }
 
-    fn is_edge(&self, machine: Machine) -> bool {
+    pub fn is_edge(&self, machine: Machine) -> bool {
         self.hosts.get(machine).is_some_and(|host| host.place.role == Role::Edge)
     }
 
     /// Whether a machine with a disk may be lost now: no other one is.
-    fn may_lose(&self, machine: Machine) -> bool {
+    pub fn may_lose(&self, machine: Machine) -> bool {
         let others = self.lost_until.iter().filter(|(other, until)| **other != machine && **until > self.now);
         self.running(machine).is_some()
             && others.count() == 0
             && self.lost_until.get(&machine).is_none_or(|until| *until <= self.now)
     }
 
-    fn on_spare_machine(&mut self, act: impl FnOnce(&mut World, Machine)) {
+    pub fn on_spare_machine(&mut self, act: impl FnOnce(&mut World, Machine)) {
         let disks: Vec<Machine> = (0..self.hosts.len()).filter(|machine| !self.is_edge(*machine)).collect();
         let place = self.fault_random.random_range(0..disks.len());
         if let Some(machine) = disks.get(place).copied().filter(|machine| self.may_lose(*machine)) {
@@ -201,7 +196,7 @@
         }
     }
 
-    fn on_edge(&mut self, act: impl FnOnce(&mut World, Machine)) {
+    pub fn on_edge(&mut self, act: impl FnOnce(&mut World, Machine)) {
         let edges = self.machines(Role::Edge);
         let place = self.fault_random.random_range(0..edges.len());
         if let Some(machine) = edges.get(place).copied().filter(|machine| self.running(*machine).is_some()) {
@@ -209,148 +204,6 @@
         }
     }
 
-    fn lose_until(&mut self, machine: Machine, back: u64) {
-        if !self.is_edge(machine) {
-            self.lost_until.insert(machine, back + SYNC_MS);
-        }
-    }
-
-    fn kill(&mut self, machine: Machine) {
-        let down = self.fault_random.random_range(SHORTEST_MS..LONGEST_DOWN_MS);
-        self.kill_for(machine, down);
-    }
-
-    fn kill_for(&mut self, machine: Machine, down: u64) {
-        self.line(|| format!("FAULT machine {machine} is killed, back in {down}"));
-        let trouble = self.trouble(false);
-        self.lose_until(machine, self.now + down);
-        self.end_process(machine, false);
-        if let Some(host) = self.hosts.get_mut(machine) {
-            host.disk.kill();
-        }
-        self.after(down, Event::Fault(Fault::PowerOn(machine, Some(trouble))));
-    }
-
-    fn power_off(&mut self, machine: Machine, loses_disk: bool) {
-        let down = self.fault_random.random_range(SHORTEST_MS..LONGEST_DOWN_MS);
-        self.power_off_for(machine, down, loses_disk);
-    }
-
-    fn power_off_for(&mut self, machine: Machine, down: u64, loses_disk: bool) {
-        self.line(|| {
-            format!("FAULT machine {machine} loses power, and its disk {loses_disk}, back in {down}")
-        });
-        let trouble = self.trouble(false);
-        self.lose_until(machine, self.now + down);
-        self.end_process(machine, true);
-        let during = self.fault_random.random_bool(0.5);
-        let step = during.then(|| self.fault_random.random_range(0..OPERATIONS_OF_A_WRITE));
-        let seed = self.fault_random.random();
-        let new_disk = loses_disk.then(|| self.new_disk());
-        if let Some(host) = self.hosts.get_mut(machine) {
-            host.has_power = false;
-            host.disk.lose_power(step, seed);
-            if let Some(disk) = new_disk {
-                host.disk = disk;
-            }
-        }
-        self.after(down, Event::Fault(Fault::PowerOn(machine, Some(trouble))));
-    }
-
-    fn freeze(&mut self, machine: Machine) {
-        let lasts = self.fault_random.random_range(SHORTEST_MS..LONGEST_FREEZE_MS);
-        let Some(host) = self.hosts.get_mut(machine) else { return };
-        if host.is_frozen {
-            return;
-        }
-        host.is_frozen = true;
-        let life = host.life;
-        self.line(|| format!("FAULT machine {machine} stands still for {lasts}"));
-        let trouble = self.trouble(false);
-        self.lose_until(machine, self.now + lasts);
-        self.after(lasts, Event::Fault(Fault::Thaw(machine, life, trouble)));
-    }
-
-    /// Cuts a machine off from some or all others, one way or both.
-    fn cut(&mut self, machine: Machine) {
-        let lasts = self.fault_random.random_range(SHORTEST_MS..LONGEST_CUT_MS);
-        let from_all = self.fault_random.random_bool(0.5);
-        let way = self.fault_random.random_range(0..4);
-        let mut ways = Vec::new();
-        for other in (0..self.hosts.len()).filter(|other| *other != machine) {
-            if from_all || self.fault_random.random_bool(0.5) {
-                if way != 1 {
-                    ways.push((machine, other));
-                }
-                if way != 2 {
-                    ways.push((other, machine));
-                }
-            }
-        }
-        self.line(|| format!("FAULT cut for {lasts}: {ways:?}"));
-        ways.iter().for_each(|(from, to)| self.network.cut(*from, *to));
-        let trouble = self.trouble(false);
-        self.lose_until(machine, self.now + lasts);
-        self.after(lasts, Event::Fault(Fault::Heal(ways, trouble)));
-    }
-
-    fn resets(&mut self, machine: Machine) {
-        self.line(|| format!("FAULT connections of machine {machine} are reset"));
-        let trouble = self.trouble(false);
-        self.reset_connections(machine);
-        self.after(SHORTEST_MS, Event::Fault(Fault::TroubleOver(trouble)));
-    }
-
-    /// Planned work: a machine is stopped and started again.
-    fn term(&mut self, machine: Machine) {
-        let Some(process) = self.running(machine) else { return };
-        if self.hosts.get(machine).is_none_or(|host| host.is_frozen || host.is_ending) {
-            return;
-        }
-        self.line(|| format!("machine {machine} is told to end"));
-        let trouble = self.trouble(true);
-        self.lose_until(machine, self.now + GRACE_MS);
-        if let Some(host) = self.hosts.get_mut(machine) {
-            host.is_ending = true;
-        }
-        self.hand(process, Input::Terminate);
-        self.after(GRACE_MS, Event::Fault(Fault::GraceOver(machine, process.life)));
-        self.after(SHORTEST_MS, Event::Fault(Fault::StartAfterEnd(machine, trouble)));
-    }
-
-    fn herd_kill(&mut self, role: Role) {
-        for machine in self.machines(role) {
-            if self.running(machine).is_some() {
-                let down = self.fault_random.random_range(SHORTEST_MS..LONGEST_HERD_MS);
-                self.kill_for(machine, down);
-            }
-        }
-    }
-
-    fn all_power(&mut self) {
-        if self.lost_until.values().any(|until| *until > self.now) {
-            return;
-        }
-        self.power_all(false);
-    }
-
-    /// Something was acknowledged just now.
-    pub fn has_acknowledged(&mut self) {
-        if std::mem::take(&mut self.loses_power_at_ack) && self.now < self.last_fault_at() {
-            let wait = self.fault_random.random_range(0..3);
-            self.after(wait, Event::Fault(Fault::AllPower));
-        }
-    }
-
-    fn power_all(&mut self, with_edges: bool) {
-        for machine in 0..self.hosts.len() {
-            if with_edges || !self.is_edge(machine) {
-                let down = self.fault_random.random_range(SHORTEST_MS..LONGEST_HERD_MS * 2);
-                self.power_off_for(machine, down, false);
-            }
-        }
-    }
-
     /// The last fault of the day.
     pub fn last_fault(&mut self) {
         let drawn = self.fault_random.random_range(0..3);
@@ -418,11 +271,11 @@
         }
     }
 
-    fn is_ending(&self, machine: Machine) -> bool {
+    pub fn is_ending(&self, machine: Machine) -> bool {
         self.hosts.get(machine).is_some_and(|host| host.is_ending)
     }
 
-    fn thaw(&mut self, machine: Machine, life: u64) {
+    pub fn thaw(&mut self, machine: Machine, life: u64) {
         let Some(host) = self.hosts.get_mut(machine) else { return };
         if host.life != life || !host.is_frozen {
             return;
--- a/crates/simulation/src/operator.rs
+++ b/crates/simulation/src/operator.rs
@@ -21,7 +21,7 @@
 const LOST_PART: f64 = 0.15;
 const RACE_PART: f64 = 0.3;
 const INVALID_PART: f64 = 0.1;
-const REPEAT_PART: f64 = 0.15;
+pub const REPEAT_PART: f64 = 0.15;
 
 /// What a call came to.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -43,13 +43,13 @@
 pub struct Order {
     pub wish: Wish,
     /// The call that is under way.
-    call: CallerNumber,
+    pub call: CallerNumber,
     /// Where to ask next, if somebody said so.
-    next: Option<Machine>,
-    redirects: u32,
-    tries: u32,
-    is_repeat: bool,
-    first_sent_at: u64,
+    pub next: Option<Machine>,
+    pub redirects: u32,
+    pub tries: u32,
+    pub is_repeat: bool,
+    pub first_sent_at: u64,
 }
 
 /// A change that was acknowledged.
@@ -65,23 +65,23 @@
 
 /// A valid change that was sent.
 #[derive(Debug, Clone)]
-struct SentChange {
-    version: u64,
-    extra: u32,
-    body: Vec<u8>,
-    is_refused: bool,
+pub struct SentChange {
+    pub version: u64,
+    pub extra: u32,
+    pub body: Vec<u8>,
+    pub is_refused: bool,
 }
 
 /// The operator.
 #[derive(Debug, Default)]
 pub struct Operator {
-    orders: BTreeMap<u64, Order>,
-    last: u64,
+    pub orders: BTreeMap<u64, Order>,
+    pub last: u64,
     last_call: u64,
     calls: BTreeMap<CallerNumber, (u64, Life)>,
     pub acknowledged: Vec<Acknowledged>,
     /// All valid changes that were sent.
-    sent: Vec<SentChange>,
+    pub sent: Vec<SentChange>,
     /// What coordinators have applied, by version.
     pub committed: BTreeMap<u64, Vec<u8>>,
     /// When the operator wishes the configuration back at the end, and what it got.
@@ -89,12 +89,12 @@
 }
 
 impl Operator {
-    fn newest(&self) -> Option<&Acknowledged> {
+    pub fn newest(&self) -> Option<&Acknowledged> {
         self.acknowledged.iter().max_by_key(|change| change.version)
     }
 
     /// All configurations that may be in force at any time from so long before `sent_at`, by their extra routes.
-    fn possible(&self, sent_at: u64) -> Option<Vec<u32>> {
+    pub fn possible(&self, sent_at: u64) -> Option<Vec<u32>> {
         let settled = sent_at.checked_sub(CONFIG_PROPAGATION_MS)?;
         let newest = self
             .acknowledged
@@ -127,7 +127,7 @@
         }
     }
 
-    fn order(&mut self, wish: Wish, wait: u64) {
+    pub fn order(&mut self, wish: Wish, wait: u64) {
         self.operator.last += 1;
         let number = self.operator.last;
         let at = self.now + wait;
@@ -272,7 +272,7 @@
         }
     }
 
-    fn call_again(&mut self, number: u64) {
+    pub fn call_again(&mut self, number: u64) {
         let Some(order) = self.operator.orders.get_mut(&number) else { return };
         order.call = CallerNumber(0);
         order.redirects = 0;
@@ -285,7 +285,7 @@
     }
 
     /// A proper order has to be acknowledged within `AckTimeoutMs` of calm: a gate, not a rule.
-    fn check_acknowledged(&mut self, number: u64) {
+    pub fn check_acknowledged(&mut self, number: u64) {
         let now = self.now;
         let Some(order) = self.operator.orders.get(&number) else { return };
         let from = order.first_sent_at.max(now.saturating_sub(ACK_TIMEOUT_MS));
@@ -296,151 +296,6 @@
             self.checks.fail(now, "ACK", text);
         }
     }
-
-    pub fn order_answered(&mut self, number: u64, call: CallerNumber, answer: CallAnswer) {
-        let Some(order) = self.operator.orders.get_mut(&number).filter(|order| order.call == call) else {
-            return;
-        };
-        match answer {
-            CallAnswer::Redirect(address) if order.redirects < 2 => {
-                order.redirects += 1;
-                let ip = address.rsplit_once(':').map(|(ip, _)| ip.to_owned());
-                let by_ip = |machine: &Machine| {
-                    self.hosts.get(*machine).is_some_and(|host| Some(host.place.ip.to_string()) == ip)
-                };
-                let next = (0..self.hosts.len()).find(by_ip);
-                if let Some(order) = self.operator.orders.get_mut(&number) {
-                    order.next = next;
-                }
-                self.after(0, Event::OrderCalls(number));
-            }
-            CallAnswer::Status(status, body) if matches!(status, 200 | 400 | 404 | 412) => {
-                self.order_ends(number, status, body);
-            }
-            _ => self.call_again(number),
-        }
-    }
-
-    fn order_ends(&mut self, number: u64, status: u16, body: Vec<u8>) {
-        let now = self.now;
-        let Some(order) = self.operator.orders.remove(&number) else { return };
-        self.line(|| format!("order {number} {} is answered {status}", shown(&order.wish)));
-        match order.wish.clone() {
-            Wish::Get => self.read_back(status, body),
-            Wish::Replace { base, version, extra, body, is_valid } => {
-                if status == 200 && !is_valid {
-                    return self.checks.fail(
-                        now,
-                        "CONFIG",
-                        format!("invalid version {version} is acknowledged"),
-                    );
-                }
-                if status == 200 {
-                    self.acknowledged(&order, base, version, extra, body);
-                } else {
-                    self.order_refused(status, version, &body, is_valid);
-                }
-            }
-        }
-    }
-
-    fn acknowledged(&mut self, order: &Order, base: u64, version: u64, extra: u32, body: Vec<u8>) {
-        let now = self.now;
-        let rival = self.operator.acknowledged.iter().find(|known| known.base == base && known.body != body);
-        if let Some(rival) = rival {
-            let text =
-                format!("versions {} and {version} on top of {base} are both acknowledged", rival.version);
-            return self.checks.fail(now, "CONFIG", text);
-        }
-        let is_in_force = self.operator.committed.get(&version) == Some(&body);
-        if !is_in_force {
-            return self.checks.fail(
-                now,
-                "CONFIG",
-                format!("version {version} is acknowledged and not in force"),
-            );
-        }
-        if order.is_repeat || self.operator.acknowledged.iter().any(|known| known.body == body) {
-            return;
-        }
-        self.operator.acknowledged.push(Acknowledged { version, base, extra, body, at: now });
-        if self.fault_random.random_bool(REPEAT_PART) {
-            let mut repeat = order.clone();
-            repeat.is_repeat = true;
-            repeat.tries = 0;
-            repeat.redirects = 0;
-            repeat.first_sent_at = now;
-            self.operator.last += 1;
-            let number = self.operator.last;
-            self.operator.orders.insert(number, repeat);
-            self.after(5, Event::OrderCalls(number));
-        }
-    }
-
-    fn order_refused(&mut self, status: u16, version: u64, body: &[u8], is_valid: bool) {
-        let now = self.now;
-        let newest = self.operator.committed.keys().max().copied();
-        let is_current = newest == Some(version)
-            && self.operator.committed.get(&version).is_some_and(|known| known == body);
-        if is_current {
-            let text = format!("version {version} is in force and is answered {status}");
-            return self.checks.fail(now, "CONFIG", text);
-        }
-        let is_in_force = self.operator.committed.get(&version).is_some_and(|known| known == body);
-        let was_acknowledged = self.operator.acknowledged.iter().any(|known| known.body == body);
-        if is_in_force && !was_acknowledged {
-            let text = format!("version {version} was taken and is answered {status}");
-            return self.checks.fail(now, "CONFIG", text);
-        }
-        if is_valid && !is_in_force {
-            let refused =
-                self.operator.sent.iter_mut().filter(|sent| sent.version == version && sent.body == body);
-            refused.for_each(|sent| sent.is_refused = true);
-        }
-    }
-
-    /// The operator reads the configuration back.
-    fn read_back(&mut self, status: u16, body: Vec<u8>) {
-        let now = self.now;
-        if status != 200 {
-            return;
-        }
-        let newest = self.operator.newest().cloned();
-        let version =
-            self.operator.committed.iter().find(|(_, known)| **known == body).map(|(version, _)| *version);
-        let is_old =
-            newest.as_ref().is_some_and(|newest| version.is_none_or(|version| version < newest.version));
-        if is_old {
-            let text = format!(
-                "version {version:?} is read back, {:?} was acknowledged",
-                newest.map(|newest| newest.version)
-            );
-            return self.checks.fail(now, "CONFIG", text);
-        }
-        let known = self.operator.sent.iter().find(|sent| sent.body == body).cloned();
-        if let Some(SentChange { version, extra, body, is_refused }) = known {
-            if is_refused {
-                let text = format!("version {version} was refused and is in force");
-                return self.checks.fail(now, "CONFIG", text);
-            }
-            // What had no clear answer is known to be in force now: the next change builds on it.
-            if newest.is_none_or(|newest| newest.version < version) {
-                self.operator.acknowledged.push(Acknowledged {
-                    version,
-                    base: u64::MAX - version,
-                    extra,
-                    body: body.clone(),
-                    at: now,
-                });
-            }
-        }
-        self.operator.read_back = Some(body);
-    }
-
-    /// Asks for the configuration in force.
-    pub fn order_read_back(&mut self) {
-        self.order(Wish::Get, 0);
-    }
 }
 
 fn replace(base: u64, version: u64, extra: u32, is_valid: bool) -> Wish {
@@ -449,7 +304,7 @@
     Wish::Replace { base, version, extra, body, is_valid }
 }
 
-fn shown(wish: &Wish) -> String {
+pub fn shown(wish: &Wish) -> String {
     match wish {
         Wish::Get => "get".to_owned(),
         Wish::Replace { base, version, extra, is_valid, .. } => {
--- a/crates/simulation/src/places.rs
+++ b/crates/simulation/src/places.rs
@@ -16,6 +16,7 @@
 pub const RECOVERY_MS: u64 = 12_000;
 pub const COMPLETION_MS: u64 = 10_000;
 pub const EARLY_SLACK_MS: u64 = 100;
+pub const LOSS_SLACK_MS: u64 = 200;
 pub const ORIGIN_WINDOW_MS: u64 = 5_000;
 pub const ORIGIN_OVERSHOOT: f64 = 1.1;
 pub const MAX_LAG_MS: u64 = 800;
--- a/crates/simulation/src/replica_links.rs
+++ b/crates/simulation/src/replica_links.rs
@@ -101,6 +101,7 @@
 }
 
 /// What the replicas have to be told of an input, if it is for them.
+#[expect(clippy::result_large_err, reason = "not an error: the input goes on to whom it is for")]
 pub fn replica_input(input: Input) -> Result<ReplicaInput, Input> {
     match input {
         Input::Written(ticket) => Ok(ReplicaInput::Written { ticket }),
--- /dev/null
+++ b/crates/simulation/src/troubles.rs
@@ -0,0 +1,160 @@
+//! The faults themselves.
+
+use rand::Rng as _;
+
+use crate::event::Event;
+use crate::faults::{Fault, LONGEST_HERD_MS, SHORTEST_MS};
+use crate::network::Machine;
+use crate::places::{GRACE_MS, Role, SYNC_MS};
+use crate::process::Input;
+use crate::world::World;
+
+const LONGEST_DOWN_MS: u64 = 4_000;
+const LONGEST_FREEZE_MS: u64 = 5_000;
+const LONGEST_CUT_MS: u64 = 5_000;
+/// A write has about so many operations at which the power may go.
+const OPERATIONS_OF_A_WRITE: u64 = 2;
+
+impl World {
+    pub fn lose_until(&mut self, machine: Machine, back: u64) {
+        if !self.is_edge(machine) {
+            self.lost_until.insert(machine, back + SYNC_MS);
+        }
+    }
+
+    pub fn kill(&mut self, machine: Machine) {
+        let down = self.fault_random.random_range(SHORTEST_MS..LONGEST_DOWN_MS);
+        self.kill_for(machine, down);
+    }
+
+    pub fn kill_for(&mut self, machine: Machine, down: u64) {
+        self.line(|| format!("FAULT machine {machine} is killed, back in {down}"));
+        let trouble = self.trouble(false);
+        self.lose_until(machine, self.now + down);
+        self.end_process(machine, false);
+        if let Some(host) = self.hosts.get_mut(machine) {
+            host.disk.kill();
+        }
+        self.after(down, Event::Fault(Fault::PowerOn(machine, Some(trouble))));
+    }
+
+    pub fn power_off(&mut self, machine: Machine, loses_disk: bool) {
+        let down = self.fault_random.random_range(SHORTEST_MS..LONGEST_DOWN_MS);
+        self.power_off_for(machine, down, loses_disk);
+    }
+
+    pub fn power_off_for(&mut self, machine: Machine, down: u64, loses_disk: bool) {
+        self.line(|| {
+            format!("FAULT machine {machine} loses power, and its disk {loses_disk}, back in {down}")
+        });
+        let trouble = self.trouble(false);
+        self.lose_until(machine, self.now + down);
+        self.end_process(machine, true);
+        let during = self.fault_random.random_bool(0.5);
+        let step = during.then(|| self.fault_random.random_range(0..OPERATIONS_OF_A_WRITE));
+        let seed = self.fault_random.random();
+        let new_disk = loses_disk.then(|| self.new_disk());
+        if let Some(host) = self.hosts.get_mut(machine) {
+            host.has_power = false;
+            host.disk.lose_power(step, seed);
+            if let Some(disk) = new_disk {
+                host.disk = disk;
+            }
+        }
+        self.after(down, Event::Fault(Fault::PowerOn(machine, Some(trouble))));
+    }
+
+    pub fn freeze(&mut self, machine: Machine) {
+        let lasts = self.fault_random.random_range(SHORTEST_MS..LONGEST_FREEZE_MS);
+        let Some(host) = self.hosts.get_mut(machine) else { return };
+        if host.is_frozen {
+            return;
+        }
+        host.is_frozen = true;
+        let life = host.life;
+        self.line(|| format!("FAULT machine {machine} stands still for {lasts}"));
+        let trouble = self.trouble(false);
+        self.lose_until(machine, self.now + lasts);
+        self.after(lasts, Event::Fault(Fault::Thaw(machine, life, trouble)));
+    }
+
+    /// Cuts a machine off from some or all others, one way or both.
+    pub fn cut(&mut self, machine: Machine) {
+        let lasts = self.fault_random.random_range(SHORTEST_MS..LONGEST_CUT_MS);
+        let from_all = self.fault_random.random_bool(0.5);
+        let way = self.fault_random.random_range(0..4);
+        let mut ways = Vec::new();
+        for other in (0..self.hosts.len()).filter(|other| *other != machine) {
+            if from_all || self.fault_random.random_bool(0.5) {
+                if way != 1 {
+                    ways.push((machine, other));
+                }
+                if way != 2 {
+                    ways.push((other, machine));
+                }
+            }
+        }
+        self.line(|| format!("FAULT cut for {lasts}: {ways:?}"));
+        ways.iter().for_each(|(from, to)| self.network.cut(*from, *to));
+        let trouble = self.trouble(false);
+        self.lose_until(machine, self.now + lasts);
+        self.after(lasts, Event::Fault(Fault::Heal(ways, trouble)));
+    }
+
+    pub fn resets(&mut self, machine: Machine) {
+        self.line(|| format!("FAULT connections of machine {machine} are reset"));
+        let trouble = self.trouble(false);
+        self.reset_connections(machine);
+        self.after(SHORTEST_MS, Event::Fault(Fault::TroubleOver(trouble)));
+    }
+
+    /// Planned work: a machine is stopped and started again.
+    pub fn term(&mut self, machine: Machine) {
+        let Some(process) = self.running(machine) else { return };
+        if self.hosts.get(machine).is_none_or(|host| host.is_frozen || host.is_ending) {
+            return;
+        }
+        self.line(|| format!("machine {machine} is told to end"));
+        let trouble = self.trouble(true);
+        self.lose_until(machine, self.now + GRACE_MS);
+        if let Some(host) = self.hosts.get_mut(machine) {
+            host.is_ending = true;
+        }
+        self.hand(process, Input::Terminate);
+        self.after(GRACE_MS, Event::Fault(Fault::GraceOver(machine, process.life)));
+        self.after(SHORTEST_MS, Event::Fault(Fault::StartAfterEnd(machine, trouble)));
+    }
+
+    pub fn herd_kill(&mut self, role: Role) {
+        for machine in self.machines(role) {
+            if self.running(machine).is_some() {
+                let down = self.fault_random.random_range(SHORTEST_MS..LONGEST_HERD_MS);
+                self.kill_for(machine, down);
+            }
+        }
+    }
+
+    pub fn all_power(&mut self) {
+        if self.lost_until.values().any(|until| *until > self.now) {
+            return;
+        }
+        self.power_all(false);
+    }
+
+    /// Something was acknowledged just now.
+    pub fn has_acknowledged(&mut self) {
+        if std::mem::take(&mut self.loses_power_at_ack) && self.now < self.last_fault_at() {
+            let wait = self.fault_random.random_range(0..3);
+            self.after(wait, Event::Fault(Fault::AllPower));
+        }
+    }
+
+    pub fn power_all(&mut self, with_edges: bool) {
+        for machine in 0..self.hosts.len() {
+            if with_edges || !self.is_edge(machine) {
+                let down = self.fault_random.random_range(SHORTEST_MS..LONGEST_HERD_MS * 2);
+                self.power_off_for(machine, down, false);
+            }
+        }
+    }
+}
--- a/crates/simulation/src/wires.rs
+++ b/crates/simulation/src/wires.rs
@@ -1,18 +1,16 @@
 //! How connections come up, carry messages and end.
 
 use rand::Rng as _;
-use ruddervalve_protocol::{Greeting, PROTOCOL_VERSION};
-use ruddervalve_runtime::{backoff, link_settings, replica_link_settings};
 
 use crate::event::Event;
 use crate::network::{Life, Machine, Packet, Side};
-use crate::process::{ConnectionId, Input, Link, Payload};
-use crate::world::{World, incarnation};
+use crate::process::{ConnectionId, Input, Payload};
+use crate::world::World;
 
 /// A packet that a cut holds up is looked at again after this, in milliseconds.
-const LOOK_AGAIN_MS: u64 = 25;
+pub const LOOK_AGAIN_MS: u64 = 25;
 /// Between machines of one zone, in milliseconds.
-const NEAR_MS: u64 = 1;
+pub const NEAR_MS: u64 = 1;
 
 impl World {
     /// How long a packet takes.
@@ -22,110 +20,6 @@
         delay + self.network_random.random_range(0..=self.scenario.jitter_ms)
     }
 
-    /// Keeps exactly these links of a process.
-    pub fn set_links(&mut self, process: Life, wanted: &[Link]) {
-        let Some(host) = self.hosts.get_mut(process.machine) else { return };
-        let known: Vec<Link> = host.links.keys().copied().collect();
-        host.links.retain(|link, _| wanted.contains(link));
-        let new: Vec<Link> = wanted.iter().copied().filter(|link| !known.contains(link)).collect();
-        host.links.extend(new.iter().map(|link| (*link, 0)));
-        for link in known.into_iter().filter(|link| !wanted.contains(link)) {
-            if let Some(connection) = self.network.links.remove(&(process, link)) {
-                self.close_end(connection, Side::Opener);
-            }
-        }
-        for link in new {
-            self.after(0, Event::Dial(process, link));
-        }
-    }
-
-    fn wants(&self, process: Life, link: Link) -> bool {
-        let host = self.hosts.get(process.machine);
-        self.is_running(process)
-            && host.is_some_and(|host| host.links.contains_key(&link))
-            && !self.network.links.contains_key(&(process, link))
-    }
-
-    pub fn dial(&mut self, process: Life, link: Link) {
-        if !self.wants(process, link) {
-            return;
-        }
-        if self.hosts.get(process.machine).is_some_and(|host| host.is_frozen) {
-            return self.after(LOOK_AGAIN_MS, Event::Dial(process, link));
-        }
-        let target = self.by_address.get(&link.address()).copied();
-        let Some(target) = target else { return self.after(NEAR_MS, Event::DialFailed(process, link)) };
-        let silent = self.network.is_cut(process.machine, target)
-            || self.network.is_cut(target, process.machine)
-            || self.hosts.get(target).is_none_or(|host| !host.has_power);
-        if silent {
-            let timeout = self.connect_timeout(process.machine);
-            return self.after(timeout, Event::DialFailed(process, link));
-        }
-        let way = self.way(process.machine, target);
-        self.after(way, Event::Reaches(process, link));
-    }
-
-    fn connect_timeout(&self, machine: Machine) -> u64 {
-        self.hosts.get(machine).map_or(1, |host| link_settings(&host.settings).connect_timeout_ms)
-    }
-
-    pub fn dial_reaches(&mut self, process: Life, link: Link) {
-        if !self.wants(process, link) {
-            return;
-        }
-        let Some(target) = self.by_address.get(&link.address()).copied() else { return };
-        let way = self.way(target, process.machine);
-        let Some(acceptor) = self.running(target) else {
-            return self.after(way, Event::DialFailed(process, link));
-        };
-        let silence = self.hosts.get(process.machine).map_or(1, |host| match link {
-            Link::Replica(..) => replica_link_settings(&host.settings).silence_ms,
-            _ => link_settings(&host.settings).silence_ms,
-        });
-        let connection = self.network.open(link, process, acceptor, self.now, silence);
-        self.network.links.insert((process, link), connection);
-        for side in [Side::Opener, Side::Acceptor] {
-            self.after(silence, Event::Silence(connection, side));
-        }
-        self.after(way, Event::Established(connection));
-    }
-
-    pub fn dial_failed(&mut self, process: Life, link: Link) {
-        if self.wants(process, link) {
-            self.hand(process, Input::LinkDown(link));
-            self.dial_again(process, link);
-        }
-    }
-
-    fn dial_again(&mut self, process: Life, link: Link) {
-        let seed: u64 = self.network_random.random();
-        let Some(host) = self.hosts.get_mut(process.machine) else { return };
-        let Some(failures) = host.links.get_mut(&link) else { return };
-        *failures += 1;
-        let pause = backoff(&host.settings, seed).pause(*failures);
-        let pause = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
-        self.after(pause.max(1), Event::Dial(process, link));
-    }
-
-    pub fn established(&mut self, id: ConnectionId) {
-        let Some(connection) = self.network.connections.get(&id) else { return };
-        if !connection.opener.is_open {
-            return;
-        }
-        let (process, link) = (connection.opener.process, connection.link);
-        let Some(host) = self.hosts.get(process.machine) else { return };
-        let greeting = Greeting {
-            version: PROTOCOL_VERSION,
-            channel: link.channel(),
-            node: host.place.name.clone(),
-            zone: host.settings.zone.clone(),
-            incarnation: ruddervalve_protocol::Incarnation(incarnation(process)),
-        };
-        self.push(id, Side::Acceptor, Packet::Greeting(greeting));
-        self.hand(process, Input::LinkUp(link, id));
-    }
-
     /// A process sends on one of its connections.
     pub fn send(&mut self, process: Life, id: ConnectionId, payload: Payload) {
         let Some(connection) = self.network.connections.get(&id) else { return };
@@ -136,7 +30,7 @@
     }
 
     /// Puts a packet on its way to one side.
-    fn push(&mut self, id: ConnectionId, to: Side, packet: Packet) {
+    pub fn push(&mut self, id: ConnectionId, to: Side, packet: Packet) {
         let Some(connection) = self.network.connections.get(&id) else { return };
         let (from, target) = (connection.end(to.other()).process.machine, connection.end(to).process.machine);
         let way = self.way(from, target);
@@ -188,7 +82,7 @@
     }
 
     /// Nobody is there for a packet: its sender is told.
-    fn refused(&mut self, id: ConnectionId, side: Side) {
+    pub fn refused(&mut self, id: ConnectionId, side: Side) {
         if let Some(connection) = self.network.connections.get_mut(&id) {
             connection.end_mut(side).inbound.clear();
             connection.end_mut(side).is_open = false;
@@ -203,7 +97,7 @@
     }
 
     /// A side learns that its connection has ended.
-    fn end_comes(&mut self, id: ConnectionId, side: Side) {
+    pub fn end_comes(&mut self, id: ConnectionId, side: Side) {
         let Some(connection) = self.network.connections.get_mut(&id) else { return };
         let link = connection.link;
         let is_accepted = connection.is_accepted;
