--- a/crates/coordinator/src/role.rs
+++ b/crates/coordinator/src/role.rs
@@ -236,7 +236,7 @@
             CoordinatorOutput::CallPlatform(call) => self.call_platform(call),
             CoordinatorOutput::Connect => {
                 self.node.set_peers(&self.boot, &self.core.coordinators());
-                self.links.set_addresses(&self.boot, &self.core.others());
+                self.links.set_addresses(&self.core.others());
             }
         }
     }
--- a/crates/edge/src/role.rs
+++ b/crates/edge/src/role.rs
@@ -209,7 +209,7 @@
         tracing::info!(node = boot.settings.node, incarnation = boot.incarnation.0, "edge starts");
         let registration = Registration::Edge { incarnation: boot.incarnation };
         let mut links = ControlLinks::new(&boot, registration);
-        links.set_addresses(&boot, &coordinator_addresses(&boot.settings, &[]));
+        links.set_addresses(&coordinator_addresses(&boot.settings, &[]));
         let limits = watch::Sender::new(front_limits(&boot, None));
         let (events, received) = mpsc::unbounded_channel();
         let edge = Self {
@@ -360,7 +360,7 @@
 
     fn connect_coordinators(&mut self) {
         let addresses = coordinator_addresses(&self.boot.settings, &self.coordinators);
-        self.links.set_addresses(&self.boot, &addresses);
+        self.links.set_addresses(&addresses);
     }
 
     fn open(&self, store: ReplicaId, address: SocketAddr) -> StoreLink {
--- a/crates/runtime/src/boot.rs
+++ b/crates/runtime/src/boot.rs
@@ -49,6 +49,11 @@
         Ok(Self { settings, incarnation: draw_incarnation(), path })
     }
 
+    /// Settings that were read already, from the file at this path.
+    pub fn new(settings: Settings, incarnation: Incarnation, path: PathBuf) -> Self {
+        Self { settings, incarnation, path }
+    }
+
     /// Reads the file again. What is faulty leaves all as it was and is logged. True if something changed.
     pub fn reload(&mut self) -> bool {
         match Settings::read(&self.path) {
--- a/crates/runtime/src/control.rs
+++ b/crates/runtime/src/control.rs
@@ -1,11 +1,11 @@
 //! Links of an edge, a store or a coordinator to all coordinators: whichever leads sends its updates.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ruddervalve_protocol::{Channel, CoordinatorReply, CoordinatorRequest, Registration};
-use ruddervalve_rpc::{LinkEvent, LinkSettings, Outbox, Peer};
+use ruddervalve_protocol::{Channel, CoordinatorReply, CoordinatorRequest, Greeting, Registration};
+use ruddervalve_rpc::{Backoff, LinkEvent, LinkSettings, Outbox, Peer};
 use tokio::sync::mpsc;
 
 use crate::{Boot, backoff, draw_seed, link_settings};
@@ -29,8 +29,14 @@
 #[derive(Debug)]
 pub struct ControlLinks {
     links: BTreeMap<SocketAddr, Link>,
+    /// The addresses that the owner knows.
+    wanted: Vec<SocketAddr>,
+    /// The leader that the others name, whether the owner knows its address or not.
+    leader: Option<SocketAddr>,
     registration: Registration,
+    greeting: Greeting,
     settings: LinkSettings,
+    backoff: Backoff,
     sender: mpsc::UnboundedSender<(SocketAddr, LinkEvent<CoordinatorReply>)>,
     events: mpsc::UnboundedReceiver<(SocketAddr, LinkEvent<CoordinatorReply>)>,
 }
@@ -39,28 +45,53 @@
     /// No links yet.
     pub fn new(boot: &Boot, registration: Registration) -> Self {
         let (sender, events) = mpsc::unbounded_channel();
-        Self { links: BTreeMap::new(), registration, settings: link_settings(&boot.settings), sender, events }
+        Self {
+            links: BTreeMap::new(),
+            wanted: Vec::new(),
+            leader: None,
+            registration,
+            greeting: boot.greeting(Channel::Control),
+            settings: link_settings(&boot.settings),
+            backoff: backoff(&boot.settings, draw_seed()),
+            sender,
+            events,
+        }
+    }
+
+    /// Opens links to these addresses and closes those to others, but for the leader's.
+    pub fn set_addresses(&mut self, addresses: &[SocketAddr]) {
+        self.wanted = addresses.to_vec();
+        self.open_missing();
     }
 
-    /// Opens links to these addresses and closes those to others.
-    pub fn set_addresses(&mut self, boot: &Boot, addresses: &[SocketAddr]) {
+    /// Opens a link to the leader that a coordinator names: it may be none of those that this process knows, as right after
+    /// its start it knows the seeds alone.
+    fn follow(&mut self, leader: &str) {
+        let Ok(leader) = leader.parse() else { return };
+        if self.leader != Some(leader) {
+            self.leader = Some(leader);
+            self.open_missing();
+        }
+    }
+
+    fn open_missing(&mut self) {
+        let addresses: BTreeSet<SocketAddr> = self.wanted.iter().copied().chain(self.leader).collect();
         self.links.retain(|address, _| addresses.contains(address));
         for address in addresses {
-            if !self.links.contains_key(address) {
-                let link = self.open(boot, *address);
-                self.links.insert(*address, link);
+            if !self.links.contains_key(&address) {
+                let link = self.open(address);
+                self.links.insert(address, link);
             }
         }
     }
 
-    fn open(&self, boot: &Boot, address: SocketAddr) -> Link {
+    fn open(&self, address: SocketAddr) -> Link {
         let sender = self.sender.clone();
         let sink = move |event| {
             let _ = sender.send((address, event));
         };
-        let greeting = boot.greeting(Channel::Control);
-        let backoff = backoff(&boot.settings, draw_seed());
-        Link { _peer: Peer::keep(address, greeting, self.settings, backoff, sink), outbox: None }
+        let backoff = Backoff { seed: draw_seed(), ..self.backoff };
+        Link { _peer: Peer::keep(address, self.greeting.clone(), self.settings, backoff, sink), outbox: None }
     }
 
     /// What happens next. Registers by itself on connections that come up.
@@ -71,10 +102,16 @@
             match event {
                 LinkEvent::Up(outbox) => {
                     outbox.send(&CoordinatorRequest::Register(self.registration.clone()));
+                    outbox.send(&CoordinatorRequest::Heartbeat);
                     link.outbox = Some(outbox);
                     return ControlEvent { from, reply: None };
                 }
-                LinkEvent::Message(reply) => return ControlEvent { from, reply: Some(reply) },
+                LinkEvent::Message(reply) => {
+                    if let CoordinatorReply::NotLeader { leader: Some(leader) } = &reply {
+                        self.follow(leader);
+                    }
+                    return ControlEvent { from, reply: Some(reply) };
+                }
                 LinkEvent::Down(error) => {
                     tracing::debug!(%from, %error, "no connection to a coordinator");
                     link.outbox = None;
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -182,18 +182,39 @@
 
     /// Whether a machine with a disk may be lost now: no other one is.
     pub fn may_lose(&self, machine: Machine) -> bool {
-        let others = self.lost_until.iter().filter(|(other, until)| **other != machine && **until > self.now);
+        let neighbour = self.neighbour(machine);
+        let is_other = |other: Machine| other != machine && Some(other) != neighbour;
+        let others = self.lost_until.iter().filter(|(other, until)| is_other(**other) && **until > self.now);
         self.running(machine).is_some()
             && others.count() == 0
             && self.lost_until.get(&machine).is_none_or(|until| *until <= self.now)
     }
 
-    pub fn on_spare_machine(&mut self, act: impl FnOnce(&mut World, Machine)) {
+    pub fn on_spare_machine(&mut self, mut act: impl FnMut(&mut World, Machine)) {
         let disks: Vec<Machine> = (0..self.hosts.len()).filter(|machine| !self.is_edge(*machine)).collect();
         let place = self.fault_random.random_range(0..disks.len());
-        if let Some(machine) = disks.get(place).copied().filter(|machine| self.may_lose(*machine)) {
-            act(self, machine);
+        let Some(machine) = disks.get(place).copied().filter(|machine| self.may_lose(*machine)) else {
+            return;
+        };
+        let neighbour = self.neighbour(machine);
+        if neighbour.is_some_and(|neighbour| !self.may_lose(neighbour)) {
+            return;
         }
+        act(self, machine);
+        neighbour.into_iter().for_each(|neighbour| act(self, neighbour));
+    }
+
+    /// What shares the machine, where coordinators and stores do.
+    fn neighbour(&self, machine: Machine) -> Option<Machine> {
+        if !self.scenario.coordinators_on_stores {
+            return None;
+        }
+        let (coordinators, stores) = (self.machines(Role::Coordinator), self.machines(Role::Store));
+        let other = |from: &[Machine], to: &[Machine]| {
+            let place = from.iter().position(|known| *known == machine)?;
+            to.get(place).copied()
+        };
+        other(&coordinators, &stores).or_else(|| other(&stores, &coordinators))
     }
 
     pub fn on_edge(&mut self, act: impl FnOnce(&mut World, Machine)) {
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -19,6 +19,8 @@
     pub coordinators: u32,
     /// Machines with stores.
     pub stores: u32,
+    /// Whether the first coordinator is on the first store's machine, and so on: they are lost together.
+    pub coordinators_on_stores: bool,
     /// How long clients send, in milliseconds. Faults happen in the same time.
     pub traffic_ms: u64,
     /// One way between zones, in milliseconds.
@@ -136,6 +138,7 @@
             edges: 3,
             coordinators: 3,
             stores: 3,
+            coordinators_on_stores: false,
             traffic_ms: 40_000,
             delay_ms: 1,
             jitter_ms: 2,
--- a/crates/store/src/role.rs
+++ b/crates/store/src/role.rs
@@ -95,7 +95,7 @@
             "store starts"
         );
         let mut links = ControlLinks::new(&boot, Registration::Store(member));
-        links.set_addresses(&boot, &seed_addresses(&boot.settings));
+        links.set_addresses(&seed_addresses(&boot.settings));
         let (events, received) = mpsc::unbounded_channel();
         let store = Self { boot, clock, core, node, outboxes: BTreeMap::new(), links, events };
         Ok((store, received))
@@ -191,7 +191,7 @@
             StoreOutput::Coordinators(request) => self.links.send(&request),
             StoreOutput::Connect => {
                 self.node.set_peers(&self.boot, &self.core.peers());
-                self.links.set_addresses(&self.boot, &self.core.coordinators());
+                self.links.set_addresses(&self.core.coordinators());
             }
         }
     }
