Newcomers take the place of members that are away, without waiting to know whether these are gone for good

Cause: a voter or store that was away gave its place away only after four times SyncS, and a newcomer did not even learn until then, so a second loss after the successor's SyncS left no majority.

Change: after SyncS/4 of absence a connected newcomer learns at once, in the control group and in placement; a silent voter stays until its successor has caught up and then goes first; no group shrinks below 2f voters; a store or coordinator that returns before its successor votes keeps its place; one that is struck off is not fenced and may return with its disk.

--- a/crates/coordinator/src/absence.rs
+++ b/crates/coordinator/src/absence.rs
@@ -30,7 +30,7 @@
     }
 
     /// Whether a coordinator has been away for at least so many milliseconds.
-    pub(crate) fn is_gone(&self, id: ReplicaId, after_ms: u64, now: u64) -> bool {
+    pub(crate) fn is_away(&self, id: ReplicaId, after_ms: u64, now: u64) -> bool {
         self.since.get(&id).is_some_and(|since| now.saturating_sub(*since) >= after_ms)
     }
 }
--- a/crates/coordinator/src/duties.rs
+++ b/crates/coordinator/src/duties.rs
@@ -17,6 +17,7 @@
 use crate::listing_pace::ListPace;
 use crate::placement::{PlacementRules, StoreView, found};
 use crate::placement_improve::improve;
+use crate::placement_return::Replaced;
 use crate::sessions::Sessions;
 use crate::state::ControlState;
 use crate::state_command::ControlCommand;
@@ -30,7 +31,11 @@
 const SETTLING_PER_LIVENESS: u64 = 8;
 /// A command that was proposed is proposed again after this part of `LivenessMs`, should it have been lost.
 const AGAIN_PER_LIVENESS: u64 = 8;
-/// A store or coordinator is taken for gone for good after so many times what it may take to start, fill and count again.
+/// A store or coordinator that is away gives its place to a newcomer after this part of `SyncS`: from `SyncS` after the
+/// newcomer's start on another machine may be lost. The rest of it is for seeing the loss and for copying.
+const AWAY_PER_SYNC: u64 = 4;
+/// A store or coordinator is taken for gone for good, and struck off, after so many times what it may take to start, fill
+/// and count again.
 const GONE_PER_SYNC: u64 = 4;
 
 /// The leader's duties.
@@ -50,6 +55,8 @@
     group_members: BTreeSet<ReplicaId>,
     /// Who holds each shard, as its leader told.
     members: BTreeMap<GroupId, ShardMembers>,
+    /// Stores that were replaced while they were away.
+    replaced: Replaced,
     /// When the set of stores last changed.
     stores_changed_at: u64,
     stores_seen: usize,
@@ -69,6 +76,7 @@
             lost_zones: tolerance.zones,
             lost_regions: tolerance.regions,
             shards_per_store: SHARDS_PER_STORE,
+            away_after_ms: (settings.bounds.sync_ms / AWAY_PER_SYNC).max(1),
             gone_after_ms: settings.bounds.sync_ms.saturating_mul(GONE_PER_SYNC),
             moves_at_once: MOVES_AT_ONCE,
         };
@@ -82,6 +90,7 @@
             away: Absences::default(),
             group_members: BTreeSet::new(),
             members: BTreeMap::new(),
+            replaced: Replaced::default(),
             stores_changed_at: 0,
             stores_seen: 0,
             again_at: 0,
@@ -104,6 +113,7 @@
         self.lost.clear();
         self.away.clear();
         self.members.clear();
+        self.replaced.clear();
         self.stores_changed_at = now;
         self.again_at = 0;
         self.proposed_version = None;
@@ -208,7 +218,7 @@
         state.stores().iter().map(view).collect()
     }
 
-    fn placement(&self, state: &ControlState, now: u64) -> Option<ControlCommand> {
+    fn placement(&mut self, state: &ControlState, now: u64) -> Option<ControlCommand> {
         let views = self.views(state, now);
         let shards = if state.shards().is_empty() {
             let settled =
@@ -218,7 +228,13 @@
             }
             found(&views, &self.rules).ok()?
         } else {
-            improve(&views, &self.rules, state.shards(), &self.moving(state))?
+            let back = self.replaced.give_back(&views, state.shards(), &self.members);
+            let shards = match back {
+                Some(shards) => shards,
+                None => improve(&views, &self.rules, state.shards(), &self.moving(state))?,
+            };
+            self.replaced.note(&views, state.shards(), &shards);
+            shards
         };
         (shards != state.shards()).then_some(ControlCommand::SetPlacement { shards })
     }
@@ -230,9 +246,9 @@
             let node = |member: &ReplicaId| {
                 state.stores().iter().find(|store| store.replica == *member).map(|store| &store.node)
             };
-            let present: BTreeSet<Option<&String>> = members.members.iter().map(node).collect();
+            let present: BTreeSet<Option<&String>> = members.voters.iter().map(node).collect();
             let wanted: BTreeSet<Option<&String>> = shard.wanted.iter().map(Some).collect();
-            present != wanted
+            present != wanted || !members.learners.is_empty()
         };
         state.shards().iter().filter(is_moving).map(|shard| shard.group).collect()
     }
--- a/crates/coordinator/src/duties/leaving.rs
+++ b/crates/coordinator/src/duties/leaving.rs
@@ -21,7 +21,7 @@
     fn holds_nothing(&self, state: &ControlState, store: &StoreMember) -> bool {
         let holds = |shard: &ShardPlacement| {
             let members = self.members.get(&shard.group);
-            members.is_none_or(|members| members.members.contains(&store.replica))
+            members.is_none_or(|members| members.contains(store.replica))
         };
         let beside = state.coordinators().iter().filter(|member| member.node == store.node);
         let coordinates = beside.map(|member| member.replica).any(|id| self.group_members.contains(&id));
@@ -47,7 +47,7 @@
         }
         let is_gone = |member: &&CoordinatorMember| {
             let is_member = self.group_members.contains(&member.replica) || member.replica == own.replica;
-            !is_member && self.away.is_gone(member.replica, gone_after, now)
+            !is_member && self.away.is_away(member.replica, gone_after, now)
         };
         let coordinator = state.coordinators().iter().find(is_gone)?;
         Some(ControlCommand::ForgetCoordinator { node: coordinator.node.clone() })
--- a/crates/coordinator/src/duties/voters.rs
+++ b/crates/coordinator/src/duties/voters.rs
@@ -24,7 +24,8 @@
             return None;
         }
         let wanted = self.wanted_voters(state, replica, sessions, now);
-        next_change(replica.membership(), &wanted, &LeaderView { replica, now })
+        let least_voters = self.full_group().saturating_sub(1);
+        next_change(replica.membership(), &wanted, least_voters, &LeaderView { replica, now })
     }
 
     fn watch_coordinators(&mut self, state: &ControlState, replica: &Replica, sessions: &Sessions, now: u64) {
@@ -38,9 +39,14 @@
         self.away.watch(&known, is_there, now);
     }
 
+    /// How many voters the group has where enough coordinators are there.
+    fn full_group(&self) -> usize {
+        usize::try_from(self.replicas()).unwrap_or(usize::MAX)
+    }
+
     /// The voters as they are, without those whose disk was replaced or whose machine is to be emptied, filled up with
-    /// coordinators that are connected. One that is gone for good makes room for another that is connected, and stays as
-    /// long as there is none.
+    /// coordinators that are connected. One that is away makes room for another that is connected, and stays as long as
+    /// there is none. If it returns before the other has its vote, it is wanted again.
     fn wanted_voters(
         &self,
         state: &ControlState,
@@ -57,19 +63,44 @@
         };
         let mut wanted = replica.membership().voters.clone();
         wanted.retain(|voter| !state.is_fenced(*voter) && !leaves(*voter));
-        let most = usize::try_from(self.replicas()).unwrap_or(usize::MAX);
-        let connected = connected_coordinators(sessions).map(|member| member.replica);
-        for candidate in connected.filter(|candidate| known.contains(candidate)) {
+        let candidates = self.candidates(state, replica, sessions, now);
+        for candidate in candidates.into_iter().filter(|candidate| known.contains(candidate)) {
             if wanted.contains(&candidate) {
                 continue;
             }
-            let is_gone = |voter: &ReplicaId| self.away.is_gone(*voter, self.rules.gone_after_ms, now);
-            if wanted.len() < most {
+            let is_away = |voter: &ReplicaId| self.away.is_away(*voter, self.rules.away_after_ms, now);
+            if wanted.len() < self.full_group() {
                 wanted.push(candidate);
-            } else if let Some(gone) = wanted.iter_mut().find(|voter| is_gone(voter)) {
-                *gone = candidate;
+            } else if let Some(away) = wanted.iter_mut().find(|voter| is_away(voter)) {
+                *away = candidate;
             }
         }
         wanted
     }
+
+    /// Coordinators that are connected: first those that learn the log already, then those in the zones with fewest
+    /// voters. A coordinator's zone is that of the store on its machine, where it is known.
+    fn candidates(
+        &self,
+        state: &ControlState,
+        replica: &Replica,
+        sessions: &Sessions,
+        now: u64,
+    ) -> Vec<ReplicaId> {
+        let zone = |id: ReplicaId| {
+            let member = state.coordinators().iter().find(|member| member.replica == id)?;
+            let beside = state.stores().iter().find(|store| store.node == member.node)?;
+            Some(beside.zone.as_str())
+        };
+        let voters = &replica.membership().voters;
+        let is_there = |voter: &ReplicaId| !self.away.is_away(*voter, self.rules.away_after_ms, now);
+        let crowding = |id: ReplicaId| {
+            let own = zone(id);
+            voters.iter().filter(|voter| is_there(voter) && zone(**voter) == own).count()
+        };
+        let mut candidates: Vec<ReplicaId> =
+            connected_coordinators(sessions).map(|member| member.replica).collect();
+        candidates.sort_by_key(|id| (!replica.membership().is_learner(*id), crowding(*id)));
+        candidates
+    }
 }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -15,6 +15,7 @@
 mod operator_server;
 pub mod placement;
 pub mod placement_improve;
+pub mod placement_return;
 pub mod placement_spread;
 mod role;
 pub mod sessions;
--- a/crates/coordinator/src/placement.rs
+++ b/crates/coordinator/src/placement.rs
@@ -33,9 +33,12 @@
     pub lost_regions: u32,
     /// Shards for each store that is there at the founding. More spread the load more evenly, and cost more groups.
     pub shards_per_store: u32,
+    /// How long a store has to be dead to give its places to a newcomer, in milliseconds.
+    pub away_after_ms: u64,
     /// How long a store has to be dead to be taken for gone for good, in milliseconds.
     pub gone_after_ms: u64,
-    /// How many shards may be on the move at the same time; 0 keeps all where they are, also for retirements.
+    /// How many shards may be on the move at the same time; 0 keeps all where they are, also for retirements. A newcomer
+    /// takes all places of a store that is away at once.
     pub moves_at_once: u32,
 }
 
@@ -82,6 +85,11 @@
         losses.saturating_mul(2).saturating_add(1)
     }
 
+    /// Whether a store is away for so long that a newcomer takes its place.
+    pub fn is_away(&self, store: &StoreView) -> bool {
+        store.dead_for_ms > 0 && store.dead_for_ms >= self.away_after_ms
+    }
+
     /// Whether a store has to be taken for gone for good.
     pub fn is_gone(&self, store: &StoreView) -> bool {
         store.dead_for_ms > 0 && store.dead_for_ms >= self.gone_after_ms
--- a/crates/coordinator/src/placement_improve.rs
+++ b/crates/coordinator/src/placement_improve.rs
@@ -1,7 +1,8 @@
 //! The next step from the present placement to a better one.
 //!
-//! A step exchanges at most one member of a shard, and few shards are on the move at once. First come stores that
-//! retire or are gone, then the spread over zones, then the balance of replicas, then that of leaders.
+//! A step exchanges at most one member of a shard, and few shards are on the move at once. First come members that are
+//! away and can be replaced by a newcomer, then stores that retire or are gone, then the spread over zones, then the balance
+//! of replicas, then that of leaders.
 
 use std::collections::BTreeSet;
 
@@ -23,10 +24,12 @@
     moving: &BTreeSet<GroupId>,
 ) -> Option<Vec<ShardPlacement>> {
     let mut step = Step::new(stores, rules, present, moving);
-    step.replace_leaving();
-    step.improve_spread();
-    step.balance_replicas();
-    step.balance_leaders();
+    if !step.repair() {
+        step.replace_leaving();
+        step.improve_spread();
+        step.balance_replicas();
+        step.balance_leaders();
+    }
     (step.shards != present).then_some(step.shards)
 }
 
@@ -69,6 +72,69 @@
         Self { stores, eligible, rules, shards: present.to_vec(), moving: moving.clone(), load }
     }
 
+    /// Gives all places of a store that is away to a newcomer, without waiting to know whether it is gone for good: one such
+    /// store at a time, first the one whose shards have the fewest living members. Whether there was one.
+    fn repair(&mut self) -> bool {
+        let is_away = |store: &&StoreView| {
+            self.rules.is_away(store) && !store.is_retiring && self.load.of(&store.node).replicas > 0
+        };
+        let mut away: Vec<&'a StoreView> = self.stores.iter().filter(is_away).collect();
+        away.sort_by_key(|store| self.fewest_living(&store.node));
+        let successor = away.into_iter().find_map(|leaving| Some((leaving, self.successor(leaving)?)));
+        let Some((leaving, joining)) = successor else { return false };
+        for shard in self.shards_of(&leaving.node) {
+            self.exchange(Exchange { shard, leaving: leaving.node.clone(), joining });
+        }
+        true
+    }
+
+    /// The newcomer that takes the places of a store that is away: one that holds so little that it has room for all of them
+    /// within its share. Where there is none, copying to stores that are full would cost more than the return of the one
+    /// that is away.
+    fn successor(&self, leaving: &StoreView) -> Option<&'a StoreView> {
+        let shards = self.shards_of(&leaving.node);
+        let needed = self.load.of(&leaving.node).replicas;
+        let share = self.share();
+        let has_room = |store: &&&StoreView| {
+            let is_free = !shards.iter().any(|shard| self.holds(*shard, &store.node));
+            is_free && self.load.of(&store.node).replicas.saturating_add(needed) <= share
+        };
+        let cost = |store: &&&StoreView| {
+            let crowding: Vec<Crowding> = shards
+                .iter()
+                .map(|shard| with(self.members_without(*shard, &leaving.node), store))
+                .map(|members| crowding(&members, self.rules.spread()))
+                .collect();
+            (crowding.into_iter().max(), self.load.of(&store.node).replicas, store.node.clone())
+        };
+        self.eligible.iter().filter(has_room).min_by_key(cost).copied()
+    }
+
+    /// What a store may hold: as much as the fullest, or an even part of all among as many stores as are to be there.
+    fn share(&self) -> u32 {
+        let counts = |store: &&StoreView| {
+            store.is_eligible() || (!store.is_retiring && self.load.of(&store.node).replicas > 0)
+        };
+        let known = self.stores.iter().filter(counts).count();
+        let dead = self.stores.iter().filter(counts).filter(|store| store.dead_for_ms > 0).count();
+        let borne = usize::try_from(self.rules.replicas() / 2).unwrap_or(usize::MAX);
+        let living = known.saturating_sub(dead.min(borne)).max(1);
+        let total: usize = self.shards.iter().map(|shard| shard.wanted.len()).sum();
+        let even = u32::try_from(total.div_ceil(living)).unwrap_or(u32::MAX);
+        let fullest = self.stores.iter().map(|store| self.load.of(&store.node).replicas).max();
+        even.max(fullest.unwrap_or(0))
+    }
+
+    fn shards_of(&self, node: &str) -> Vec<usize> {
+        (0..self.shards.len()).filter(|index| self.holds(*index, node)).collect()
+    }
+
+    /// How many living members the shard of a store has that has fewest.
+    fn fewest_living(&self, node: &str) -> usize {
+        let living = |index| self.members(index).into_iter().filter(|store| store.dead_for_ms == 0).count();
+        self.shards_of(node).into_iter().map(living).min().unwrap_or(0)
+    }
+
     /// Replaces members that retire, are gone or are not known any more.
     fn replace_leaving(&mut self) {
         for index in 0..self.shards.len() {
--- a/crates/coordinator/src/state_members.rs
+++ b/crates/coordinator/src/state_members.rs
@@ -44,6 +44,7 @@
         ControlResult::Registered
     }
 
+    /// Strikes a store off. Its disk is not fenced: it keeps what it voted and its logs, and may return.
     pub(crate) fn forget_store(&mut self, node: &str) -> ControlResult {
         if !self.has_store(node) {
             return ControlResult::UnknownNode;
@@ -51,27 +52,32 @@
         if self.is_wanted(node) {
             return ControlResult::StillPlaced;
         }
-        self.strike_off_store(node);
+        self.remove_store(node);
         self.end_retirement(node);
         ControlResult::Forgotten
     }
 
+    /// Strikes a coordinator off. Its disk is not fenced: it keeps what it voted and its log, and may return.
     pub(crate) fn forget_coordinator(&mut self, node: &str) -> ControlResult {
         let Some(index) = self.coordinators.iter().position(|known| known.node == node) else {
             return ControlResult::UnknownNode;
         };
-        let forgotten = self.coordinators.remove(index);
-        self.fence(forgotten.replica);
+        self.coordinators.remove(index);
         self.directory_changed();
         ControlResult::Forgotten
     }
 
     /// Takes a store off the list and fences its disk.
     pub(crate) fn strike_off_store(&mut self, node: &str) {
-        let Some(index) = self.stores.iter().position(|known| known.node == node) else { return };
-        let gone = self.stores.remove(index);
-        self.fence(gone.replica);
+        if let Some(gone) = self.remove_store(node) {
+            self.fence(gone.replica);
+        }
+    }
+
+    fn remove_store(&mut self, node: &str) -> Option<StoreMember> {
+        let index = self.stores.iter().position(|known| known.node == node)?;
         self.directory_changed();
+        Some(self.stores.remove(index))
     }
 
     pub(crate) fn has_store(&self, node: &str) -> bool {
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -113,15 +113,24 @@
     pub wanted: Vec<String>,
 }
 
-/// Which disks hold a shard, voters and learners.
+/// Which disks hold a shard.
 #[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
 pub struct ShardMembers {
     /// The shard's group.
     pub group: GroupId,
     /// The term of the leader that tells; older terms are passed over.
     pub term: u64,
-    /// All disks that hold a copy.
-    pub members: Vec<ReplicaId>,
+    /// Those that vote.
+    pub voters: Vec<ReplicaId>,
+    /// Those that receive the log without a vote.
+    pub learners: Vec<ReplicaId>,
+}
+
+impl ShardMembers {
+    /// Whether a disk holds a copy, or part of one.
+    pub fn contains(&self, replica: ReplicaId) -> bool {
+        self.voters.contains(&replica) || self.learners.contains(&replica)
+    }
 }
 
 /// The platform's list of runners.
--- a/crates/replication/src/plan.rs
+++ b/crates/replication/src/plan.rs
@@ -30,25 +30,28 @@
     }
 }
 
-/// The next step towards `wanted` voters, if one can be taken now.
+/// The next step towards `wanted` voters, if one can be taken now. A group never has fewer than `least_voters` by these
+/// steps: with twice the number of disks that may be lost, each quorum, and so all that is committed, is on one disk more
+/// than that.
 ///
-/// A replica that was lost goes first, as it can only lower the quorum's chances; a living one goes only when all that are
-/// wanted have a vote. New ones learn the log before they vote.
+/// A newcomer learns the log before it votes, and until it has, nobody leaves: whoever is silent may come back. It then
+/// takes the place of a voter that is not wanted. If that one is silent, it goes first, so that the newcomer cannot hold
+/// up its own vote, nor block the group should it fail in between; if it is active, it goes after, as its copy and its
+/// vote count until then. While fewer are wanted than a full group has, nobody is let go.
 pub fn next_change(
     membership: &Membership,
     wanted: &[ReplicaId],
+    least_voters: usize,
     followers: &impl Followers,
 ) -> Option<MembershipChange> {
     let is_unwanted = |id: &&ReplicaId| !wanted.contains(id);
-    let lost = membership.voters.iter().filter(is_unwanted).find(|id| !followers.is_active(**id));
-    if let Some(lost) = lost
-        && membership.voters.len() > 1
-    {
-        return Some(MembershipChange::Remove(*lost));
-    }
-    let ready = |id: &&ReplicaId| wanted.contains(id) && followers.is_caught_up(**id);
-    if let Some(ready) = membership.learners.iter().find(ready) {
-        return Some(MembershipChange::PromoteLearner(*ready));
+    let is_ready = |id: &&ReplicaId| wanted.contains(id) && followers.is_caught_up(**id);
+    if let Some(ready) = membership.learners.iter().find(is_ready) {
+        let mut unwanted = membership.voters.iter().filter(is_unwanted);
+        let silent = unwanted.find(|id| !followers.is_active(**id));
+        let silent = silent.filter(|_| membership.voters.len() > least_voters);
+        let change = silent.map(|id| MembershipChange::Remove(*id));
+        return change.or(Some(MembershipChange::PromoteLearner(*ready)));
     }
     if let Some(missing) = wanted.iter().find(|id| !membership.contains(**id)) {
         return Some(MembershipChange::AddLearner(*missing));
@@ -56,7 +59,7 @@
     if let Some(learner) = membership.learners.iter().find(is_unwanted) {
         return Some(MembershipChange::Remove(*learner));
     }
-    let complete = wanted.iter().all(|id| membership.is_voter(*id));
+    let is_complete = wanted.len() > least_voters && wanted.iter().all(|id| membership.is_voter(*id));
     let surplus = membership.voters.iter().find(is_unwanted);
-    surplus.filter(|_| complete).map(|id| MembershipChange::Remove(*id))
+    surplus.filter(|_| is_complete).map(|id| MembershipChange::Remove(*id))
 }
--- a/crates/store/src/core/placement.rs
+++ b/crates/store/src/core/placement.rs
@@ -62,7 +62,9 @@
         let Some(replica) = self.replicas.host.replica_mut(group) else { return false };
         if complete && !is_reached(replica.membership(), &wanted) {
             self.step_at = self.step_at.min(again);
-            if let Some(change) = next_change(replica.membership(), &wanted, &LeaderView { replica, now }) {
+            let least_voters = wanted.len().saturating_sub(1);
+            let view = LeaderView { replica, now };
+            if let Some(change) = next_change(replica.membership(), &wanted, least_voters, &view) {
                 return self.change_membership(now, group, change);
             }
         }
@@ -113,8 +115,8 @@
     /// Tells the coordinators who holds a shard: each membership once, and now and then again.
     fn tell_members(&mut self, group: GroupId, again: bool) {
         let Some(replica) = self.replicas.host.replica(group) else { return };
-        let members = replica.membership().members().collect();
-        let members = ShardMembers { group, term: replica.term(), members };
+        let Membership { voters, learners } = replica.membership().clone();
+        let members = ShardMembers { group, term: replica.term(), voters, learners };
         if again || self.members_told.get(&group) != Some(&members) {
             self.members_told.insert(group, members.clone());
             self.outputs.push(StoreOutput::Coordinators(CoordinatorRequest::ShardMembers(members)));
