Edge: leases of an older term are dropped, outcomes are kept by lease, late answers end no wait

A store that is deposed while its lease or promise is on its way to an edge may be overtaken by its successor, which takes stock and grants the message to another edge. The edge now passes over leases of an older term than the newest that it knows. Outcomes that are not recorded were kept by message: a lease given back late took the place of a success, which was then lost with the leader. They are kept by lease. Refusals and 'unknown' count only from the store that is waited for. Appends whose fate is unknown are remembered without those that were answered, so that a lease that comes late is still given back after thousands of others.

Questions: a name of a shard that is not known here gets 503, not 404; a name is also tried as an id before 404; a new leader is asked when the old one does not answer. A store answers only in the term of its office.

--- a/crates/edge/src/core/appends.rs
+++ b/crates/edge/src/core/appends.rs
@@ -20,7 +20,7 @@
 const TARGETS_SILENT: u64 = 2;
 /// Pauses between tries where nothing better is known, in parts of the target.
 const PAUSES_PER_TARGET: u64 = 4;
-/// Appends that are remembered after their end: more than are under way at once.
+/// Appends of unknown fate that are remembered after their end: more than are under way at once.
 const REMEMBERED_APPENDS: usize = 4_096;
 
 /// A message on its way.
@@ -84,6 +84,11 @@
         self.sent_to.is_none() && !self.may_be_kept
     }
 
+    /// Whether a store may still answer it.
+    fn is_answer_owed(&self) -> bool {
+        self.sent_to.is_some() || self.may_be_kept
+    }
+
     /// Its answer is not waited for any more; the store that owes it.
     fn lose(&mut self) -> Option<ReplicaId> {
         let store = self.sent_to.take()?;
@@ -112,7 +117,7 @@
     ended: EndedAppends,
 }
 
-/// The newest appends that ended here and may still bring a lease.
+/// The newest appends that ended here while a store owed them an answer, which may still bring a lease.
 #[derive(Debug, Default)]
 struct EndedAppends {
     known: HashMap<u64, (GroupId, MessageId)>,
@@ -167,6 +172,7 @@
         self.last
     }
 
+    /// Ends an append here; what a store that was asked says later is known to be of it.
     fn remove(&mut self, number: u64) -> Option<Append> {
         let append = self.appends.remove(&number)?;
         self.checks.remove(&(append.check_at, number));
@@ -177,6 +183,7 @@
             *reserved = reserved.saturating_sub(1);
         }
         if append.lease_here
+            && append.is_answer_owed()
             && let Some(group) = append.group
         {
             self.ended.push(number, group, append.message.id.clone());
@@ -265,20 +272,37 @@
         }
     }
 
-    /// A store answered.
-    pub(super) fn appended(&mut self, number: u64, outcome: AppendOutcome) {
-        if let Some(store) = self.appends.appends.get(&number).and_then(|append| append.sent_to) {
-            self.health.answered(store);
-        }
+    /// A store answered. An append may have been sent to several leaders of its shard in turn: that one of them has kept
+    /// it counts whoever says so, and all else only from the one that is waited for.
+    pub(super) fn appended(&mut self, store: ReplicaId, number: u64, outcome: AppendOutcome) {
+        let awaited = self.appends.appends.get(&number).and_then(|append| append.sent_to);
+        let is_awaited = awaited == Some(store);
         match outcome {
-            AppendOutcome::Accepted { lease } => self.kept(number, lease),
+            AppendOutcome::Accepted { lease } => {
+                self.settle_answer(number);
+                self.kept(number, lease);
+            }
+            AppendOutcome::Unknown | AppendOutcome::Refused { .. } if !is_awaited => {}
             AppendOutcome::Unknown => {
+                self.health.answered(store);
                 if let Some(append) = self.appends.appends.get_mut(&number) {
                     append.lose();
                 }
                 self.send_after(number);
             }
-            AppendOutcome::Refused { retry_after_ms } => self.refused(number, retry_after_ms),
+            AppendOutcome::Refused { retry_after_ms } => {
+                self.health.answered(store);
+                self.refused(number, retry_after_ms);
+            }
+        }
+    }
+
+    /// The store that an append was sent to last owes it nothing any more. If it was another one that has kept it, its own
+    /// answer is still known to be late.
+    fn settle_answer(&mut self, number: u64) {
+        let Some(append) = self.appends.appends.get_mut(&number) else { return };
+        if let Some(store) = append.sent_to.take() {
+            self.health.answered(store);
         }
     }
 
--- a/crates/edge/src/core/deliveries.rs
+++ b/crates/edge/src/core/deliveries.rs
@@ -21,18 +21,13 @@
     message: Arc<NewMessage>,
 }
 
-/// An outcome that no store has recorded yet.
-#[derive(Debug)]
-struct Unrecorded {
-    lease: LeaseId,
-    outcome: DeliveryOutcome,
-}
-
 /// All leased messages.
 #[derive(Debug, Default)]
 pub struct Deliveries {
     jobs: HashMap<u64, Job>,
-    unrecorded: HashMap<(GroupId, MessageId), Unrecorded>,
+    /// Outcomes that no store has recorded yet, each by its lease: one message may have had several, and a lease that is
+    /// given back says nothing of the run under another.
+    unrecorded: HashMap<(GroupId, MessageId, LeaseId), DeliveryOutcome>,
     last: u64,
     wake_at: Option<u64>,
 }
@@ -53,30 +48,27 @@
 
     /// A store has recorded an outcome.
     pub fn recorded(&mut self, group: GroupId, id: &MessageId, lease: LeaseId) {
-        let key = (group, id.clone());
-        if self.unrecorded.get(&key).is_some_and(|unrecorded| unrecorded.lease == lease) {
-            self.unrecorded.remove(&key);
-        }
+        self.unrecorded.remove(&(group, id.clone(), lease));
     }
 
     /// All leases of a shard that are held or not recorded.
     pub fn inventory(&self, group: GroupId) -> Vec<InventoryItem> {
         let jobs = self.jobs.values().filter(|job| job.group == group);
         let held = jobs.map(|job| InventoryItem { id: job.message.id.clone(), lease: Some(job.lease) });
-        let unrecorded = self.unrecorded.iter().filter(|((of, _), _)| *of == group);
+        let unrecorded = self.unrecorded.keys().filter(|(of, _, _)| *of == group);
         let unrecorded =
-            unrecorded.map(|((_, id), known)| InventoryItem { id: id.clone(), lease: Some(known.lease) });
+            unrecorded.map(|(_, id, lease)| InventoryItem { id: id.clone(), lease: Some(*lease) });
         held.chain(unrecorded).collect()
     }
 
     /// Outcomes of a shard to be told again.
     pub fn unrecorded(&self, group: GroupId) -> impl Iterator<Item = EdgeToStore> + '_ {
-        let unrecorded = self.unrecorded.iter().filter(move |((of, _), _)| *of == group);
-        unrecorded.map(|((group, id), known)| EdgeToStore::Outcome {
+        let unrecorded = self.unrecorded.iter().filter(move |((of, _, _), _)| *of == group);
+        unrecorded.map(|((group, id, lease), outcome)| EdgeToStore::Outcome {
             group: *group,
             id: id.clone(),
-            lease: known.lease,
-            outcome: known.outcome.clone(),
+            lease: *lease,
+            outcome: outcome.clone(),
         })
     }
 
@@ -91,8 +83,13 @@
 }
 
 impl EdgeCore {
-    /// A lease has come: the message goes to a runner, or back.
+    /// A lease has come: the message goes to a runner, or back. One of an older term than the newest that is known here was
+    /// under way while the new leader took stock, and that leader may have granted the message to another edge: it is
+    /// dropped, as nobody who leads knows of it.
     pub(super) fn deliver(&mut self, group: GroupId, lease: LeaseId, message: Arc<NewMessage>) {
+        if !self.shards.is_newest_term(group, lease.term) {
+            return;
+        }
         self.deliveries.last += 1;
         let number = self.deliveries.last;
         let route = self.routes.as_ref().and_then(|routes| routes.find(&message.host, &message.path));
@@ -182,8 +179,7 @@
 
     /// Tells the shard's leader an outcome, and keeps it until it is recorded.
     fn tell_outcome(&mut self, group: GroupId, id: MessageId, lease: LeaseId, outcome: DeliveryOutcome) {
-        let unrecorded = Unrecorded { lease, outcome: outcome.clone() };
-        self.deliveries.unrecorded.insert((group, id.clone()), unrecorded);
+        self.deliveries.unrecorded.insert((group, id.clone(), lease), outcome.clone());
         self.send_to_leader(group, EdgeToStore::Outcome { group, id, lease, outcome });
     }
 }
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -240,7 +240,7 @@
         self.health.heard(store, now);
         match message {
             StoreToEdge::Leading { groups } => self.leading(store, &groups),
-            StoreToEdge::Appended { request, outcome } => self.appended(request, outcome),
+            StoreToEdge::Appended { request, outcome } => self.appended(store, request, outcome),
             StoreToEdge::Deliver { group, grant } => {
                 self.credits.granted(store, &grant.message.service);
                 self.deliver(group, grant.lease, Arc::new(grant.message));
@@ -262,6 +262,7 @@
     fn leading(&mut self, store: ReplicaId, groups: &[(GroupId, u64)]) {
         let new = self.shards.leading(store, groups);
         self.lose_appends(&new);
+        self.statuses.ask_anew(&new);
         for group in new {
             let mut items: Vec<InventoryItem> = self.deliveries.inventory(group);
             items.extend(self.callbacks.inventory(group));
--- a/crates/edge/src/core/shards.rs
+++ b/crates/edge/src/core/shards.rs
@@ -93,6 +93,12 @@
         new
     }
 
+    /// Whether no newer term of the shard is known here than this one. A leader of a newer term has been told what this
+    /// edge holds; what an older one still sends was not among it.
+    pub fn is_newest_term(&self, group: GroupId, term: u64) -> bool {
+        self.newest_terms.get(&group).is_none_or(|newest| term >= *newest)
+    }
+
     /// The store that leads a shard.
     pub fn leader(&self, group: GroupId) -> Option<ReplicaId> {
         self.leaders.get(&group).map(|leadership| leadership.store)
--- a/crates/edge/src/core/statuses.rs
+++ b/crates/edge/src/core/statuses.rs
@@ -57,14 +57,39 @@
     Unknown,
 }
 
+/// How the shards that are asked were found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Search {
+    /// The name says the shard. A client's own id may look like such a name: if the shard knows no such message, all
+    /// shards are asked for that id.
+    Named,
+    /// All shards are asked for an id.
+    All,
+    /// All shards that are known here are asked, but the name says another one: nobody can be sure.
+    Uncertain,
+}
+
 #[derive(Debug)]
 struct Question {
     query: StatusQuery,
+    search: Search,
     /// The shards to ask, and by which id.
     shards: BTreeMap<GroupId, (MessageId, Asked)>,
     give_up_at: u64,
 }
 
+impl Question {
+    fn is_known_nowhere(&self) -> bool {
+        self.shards.values().all(|(_, asked)| *asked == Asked::Unknown)
+    }
+}
+
+/// All shards, to be asked for the message whose id is the name itself.
+fn ask_all(groups: &[GroupId], name: &str) -> BTreeMap<GroupId, (MessageId, Asked)> {
+    let id = MessageId(name.to_owned());
+    groups.iter().map(|group| (*group, (id.clone(), Asked::Waiting))).collect()
+}
+
 /// All questions that wait for stores.
 #[derive(Debug, Default)]
 pub struct Statuses {
@@ -84,6 +109,16 @@
         self.questions.retain(|_, question| question.query.client != client);
     }
 
+    /// These shards have new leaders: what the old ones have not answered is asked of the new ones.
+    pub fn ask_anew(&mut self, groups: &[GroupId]) {
+        let shards = self.questions.values_mut().flat_map(|question| question.shards.iter_mut());
+        for (_, (_, asked)) in shards.filter(|(group, _)| groups.contains(*group)) {
+            if matches!(asked, Asked::Sent(_)) {
+                *asked = Asked::Waiting;
+            }
+        }
+    }
+
     pub fn store_down(&mut self, store: ReplicaId) {
         let shards = self.questions.values_mut().flat_map(|question| question.shards.values_mut());
         for (_, asked) in shards {
@@ -98,20 +133,19 @@
     /// Asks the shards that may know the message; the answer, if it can be given at once.
     pub(super) fn query(&mut self, query: StatusQuery) -> Option<FrontResponse> {
         let groups = self.shards.groups();
-        let named = read_name(&query.name).filter(|(group, _)| groups.contains(group));
-        let shards = match named {
-            Some((group, id)) => BTreeMap::from([(group, (id, Asked::Waiting))]),
-            None => {
-                let id = MessageId(query.name.clone());
-                groups.iter().map(|group| (*group, (id.clone(), Asked::Waiting))).collect()
+        let (search, shards) = match read_name(&query.name) {
+            Some((group, id)) if groups.contains(&group) => {
+                (Search::Named, BTreeMap::from([(group, (id, Asked::Waiting))]))
             }
+            Some(_) => (Search::Uncertain, ask_all(groups, &query.name)),
+            None => (Search::All, ask_all(groups, &query.name)),
         };
         if shards.is_empty() {
             return Some(come_back("no store is known yet: come back later", 0));
         }
         self.statuses.last += 1;
         let number = self.statuses.last;
-        let question = Question { query, shards, give_up_at: self.now + GIVE_UP_MS };
+        let question = Question { query, search, shards, give_up_at: self.now + GIVE_UP_MS };
         self.statuses.questions.insert(number, question);
         self.ask(number);
         None
@@ -183,12 +217,29 @@
             return;
         }
         *asked = if leads { Asked::Unknown } else { Asked::Waiting };
-        if question.shards.values().all(|(_, asked)| *asked == Asked::Unknown) {
-            let client = question.query.client;
-            self.statuses.questions.remove(&number);
-            self.respond(client, refusal(StatusCode::NOT_FOUND, "no message has this name"));
+        if question.is_known_nowhere() {
+            self.not_found(number);
         }
     }
+
+    /// None of the shards that were asked knows the message: others are asked, or it is certain, or not.
+    fn not_found(&mut self, number: u64) {
+        let Some(question) = self.statuses.questions.get_mut(&number) else { return };
+        let client = question.query.client;
+        let response = match question.search {
+            Search::Named => {
+                question.search = Search::All;
+                question.shards = ask_all(self.shards.groups(), &question.query.name);
+                // What was asked before was about another id.
+                self.statuses.requests.retain(|_, (asker, _)| *asker != number);
+                return self.ask(number);
+            }
+            Search::All => refusal(StatusCode::NOT_FOUND, "no message has this name"),
+            Search::Uncertain => come_back("the message's shard is not known here: ask again", 0),
+        };
+        self.statuses.questions.remove(&number);
+        self.respond(client, response);
+    }
 }
 
 /// The answer; `body`: the body is wanted, and is there or not.
--- a/crates/store/src/core/edges.rs
+++ b/crates/store/src/core/edges.rs
@@ -4,7 +4,7 @@
 
 use super::{BYTES_PER_MB, StoreCore, StoreOutput};
 use crate::edges::EdgeNumber;
-use crate::shard::Append;
+use crate::shard::{Append, Shard};
 
 /// The part of the process's memory that bodies may take, in percent: the log keeps them, too, until the next checkpoint.
 const BODIES_PERCENT_OF_MEMORY: u64 = 35;
@@ -109,8 +109,11 @@
         self.ending_since.is_none() && !hands_over && self.may_lead(group, now)
     }
 
+    /// Whether this store may answer for a shard: it has taken office in the present term, so that all entries of earlier
+    /// terms are applied, and nobody else can lead meanwhile.
     pub(super) fn may_lead(&self, group: GroupId, now: u64) -> bool {
-        let in_office = self.shards.get(&group).is_some_and(|shard| shard.office().is_some());
-        in_office && self.replicas.host.replica(group).is_some_and(|replica| replica.lease_valid(now))
+        let Some(term) = self.shards.get(&group).and_then(Shard::office) else { return false };
+        let replica = self.replicas.host.replica(group);
+        replica.is_some_and(|replica| replica.term() == term && replica.lease_valid(now))
     }
 }
