Runner connections: no message goes twice over one connection; a body without a told end is not whole

A runner in trouble may answer a second time, later. Where the same message had been sent again over the same connection, that answer was taken for the answer to the repeat: a failed attempt counted twice, and the connection was kept while the runner was at work. The newest 16 messages of a connection are remembered, and a repeat takes another one.

An answer whose last transfer coding is not chunks ends with its connection, so that a cut cannot be told; it counted as whole. Now it counts for nothing, as one without length does.

--- a/crates/edge/src/runner/client.rs
+++ b/crates/edge/src/runner/client.rs
@@ -51,6 +51,8 @@
     address: SocketAddr,
     owner: OwnerRef<'name>,
     most: usize,
+    /// The id of the message, which must not have gone over the same connection before.
+    request_id: Option<&'name str>,
 }
 
 /// Why there is no answer.
@@ -110,6 +112,7 @@
             address,
             owner: OwnerRef { service: host, instance: None },
             most: inner.settings.callback_connections,
+            request_id: None,
         };
         let build = || request::call_back(host, path, body.clone());
         let Ok(answered) = inner.send(target, build, timeout_ms, &mut false).await else {
@@ -133,6 +136,7 @@
             address,
             owner: OwnerRef { service: "", instance: None },
             most: inner.settings.health_connections,
+            request_id: None,
         };
         let build = || request::health(address, path);
         let Ok(answered) = inner.send(target, build, timeout_ms, &mut false).await else {
@@ -174,6 +178,7 @@
             address: delivery.address,
             owner: OwnerRef { service: &delivery.service, instance: delivery.expected_instance.as_deref() },
             most: delivery.max_connections_here,
+            request_id: Some(&delivery.request_id),
         };
         let build = || request::delivery(delivery);
         let answered = self.send(target, build, delivery.deadline_ms, new_connection).await?;
@@ -188,7 +193,8 @@
     }
 
     /// Sends a request once. If an idle connection turns out to be closed before a byte was given to the system, the
-    /// request goes to a new one.
+    /// request goes to a new one. The proof is the socket's own: no write of this exchange was taken by the system, not
+    /// even in part. What hyper says of the request (that it was cancelled, or that it hands it back) is not asked.
     async fn send(
         &self,
         target: Target<'_>,
@@ -201,7 +207,7 @@
         self.prune();
         if let Some(mut pooled) = self.take_idle(target) {
             let mut limit = pin!(sleep(Duration::from_millis(limit_ms)));
-            match self.exchange(&mut pooled, first, limit.as_mut()).await {
+            match self.exchange(&mut pooled, target, first, limit.as_mut()).await {
                 Ok(exchanged) => return Ok(Answered { exchanged, pooled }),
                 Err(ExchangeError::Unclear(reason)) => return Err(SendError::Unclear(reason)),
                 Err(ExchangeError::NotWritten) if limit.is_elapsed() => {
@@ -212,7 +218,7 @@
         }
         let mut pooled = self.open(target, new_connection).await?;
         let limit = pin!(sleep(Duration::from_millis(limit_ms)));
-        match self.exchange(&mut pooled, build()?, limit).await {
+        match self.exchange(&mut pooled, target, build()?, limit).await {
             Ok(exchanged) => Ok(Answered { exchanged, pooled }),
             Err(ExchangeError::NotWritten) => Err(SendError::NotRun(NotRunReason::ConnectFailed)),
             Err(ExchangeError::Unclear(reason)) => Err(SendError::Unclear(reason)),
@@ -222,17 +228,26 @@
     async fn exchange(
         &self,
         pooled: &mut Pooled<RunnerConnection>,
+        target: Target<'_>,
         request: Request<Full<Bytes>>,
         limit: Pin<&mut Sleep>,
     ) -> Result<Exchanged, ExchangeError> {
+        if let Some(request_id) = target.request_id {
+            pooled.connection.note_carried(request_id);
+        }
         pooled.connection.exchange(request, self.settings.max_answer_bytes, limit).await
     }
 
-    /// An idle connection that is still open.
+    /// An idle connection that is still open and has not carried this message.
     fn take_idle(&self, target: Target<'_>) -> Option<Pooled<RunnerConnection>> {
+        let is_new_there = |connection: &RunnerConnection| {
+            target.request_id.is_none_or(|request_id| !connection.has_carried(request_id))
+        };
         loop {
             let now_ms = self.now_ms();
-            let pooled = target.pool.borrow_mut().take_idle(target.address, target.owner, now_ms)?;
+            let mut pool = target.pool.borrow_mut();
+            let pooled = pool.take_idle(target.address, target.owner, now_ms, is_new_there)?;
+            drop(pool);
             if pooled.connection.is_usable() {
                 return Some(pooled);
             }
--- a/crates/edge/src/runner/connection.rs
+++ b/crates/edge/src/runner/connection.rs
@@ -16,6 +16,7 @@
 use tokio::time::Sleep;
 
 use super::UnclearReason;
+use super::carried::Carried;
 use super::exchange::{Exchanged, framing_is_certain, keep_alive_ms};
 use super::stream::Socket;
 
@@ -39,6 +40,7 @@
     sender: SendRequest<Full<Bytes>>,
     /// Gone once hyper has ended the connection.
     driver: Option<Driver>,
+    carried: Carried,
 }
 
 impl RunnerConnection {
@@ -47,7 +49,7 @@
         let socket = Socket::new(stream);
         let io = TokioIo::new(socket.clone());
         let (sender, driver) = http1::Builder::new().title_case_headers(true).handshake(io).await?;
-        Ok(Self { socket, sender, driver: Some(driver) })
+        Ok(Self { socket, sender, driver: Some(driver), carried: Carried::default() })
     }
 
     /// Whether an idle connection can be used: it is open, and nothing has come on it.
@@ -55,6 +57,16 @@
         self.driver.is_some() && self.socket.is_quiet()
     }
 
+    /// Whether a message was sent on this connection before.
+    pub(super) fn has_carried(&self, request_id: &str) -> bool {
+        self.carried.contains(request_id)
+    }
+
+    /// A message is to be sent on this connection.
+    pub(super) fn note_carried(&mut self, request_id: &str) {
+        self.carried.note(request_id);
+    }
+
     /// Sends a request and reads the answer with its body, of which no more than `most` bytes. The connection must be
     /// dropped afterwards unless the answer says that it can be kept.
     pub(super) async fn exchange(
--- a/crates/edge/src/runner/exchange.rs
+++ b/crates/edge/src/runner/exchange.rs
@@ -5,6 +5,8 @@
 
 use super::UnclearReason;
 
+/// The one transfer coding that tells where a body ends.
+const CHUNKED: &str = "chunked";
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// One second, in milliseconds: the unit of `Keep-Alive: timeout`.
@@ -35,12 +37,22 @@
 }
 
 /// Whether the end of the body is told by a length or by chunks, and by only one of them. A body that ends with the
-/// connection looks whole wherever it is cut.
+/// connection looks whole wherever it is cut; so does one whose last transfer coding is another than chunks (RFC 9112,
+/// section 6.3).
 pub(super) fn framing_is_certain(status: StatusCode, headers: &HeaderMap) -> bool {
-    let length = headers.contains_key(CONTENT_LENGTH);
-    let chunked = headers.contains_key(TRANSFER_ENCODING);
-    let bodiless = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    length != chunked || (bodiless && !length)
+    let has_length = headers.contains_key(CONTENT_LENGTH);
+    if headers.contains_key(TRANSFER_ENCODING) {
+        return !has_length && is_chunked(headers);
+    }
+    let is_bodiless = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    has_length || is_bodiless
+}
+
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last =
+        headers.get_all(TRANSFER_ENCODING).iter().next_back().and_then(|codings| codings.to_str().ok());
+    let last = last.and_then(|codings| codings.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case(CHUNKED))
 }
 
 /// `timeout` of `Keep-Alive`, in milliseconds.
--- a/crates/edge/src/runner/mod.rs
+++ b/crates/edge/src/runner/mod.rs
@@ -8,6 +8,7 @@
 //! driven at all, so that they cost nothing, and are looked at before they are used again.
 
 mod answer;
+mod carried;
 mod client;
 mod connection;
 mod delivery;
--- a/crates/edge/src/runner/pool.rs
+++ b/crates/edge/src/runner/pool.rs
@@ -87,8 +87,9 @@
         self.idle.retain(|idle| idle.expires_ms > now_ms);
     }
 
-    fn take(&mut self, owner: OwnerRef<'_>) -> Option<Pooled<C>> {
-        let place = self.idle.iter().rposition(|idle| idle.pooled.owner.is(owner))?;
+    fn take(&mut self, owner: OwnerRef<'_>, fits: impl Fn(&C) -> bool) -> Option<Pooled<C>> {
+        let is_fit = |idle: &Idle<C>| idle.pooled.owner.is(owner) && fits(&idle.pooled.connection);
+        let place = self.idle.iter().rposition(is_fit)?;
         Some(self.idle.remove(place).pooled)
     }
 
@@ -112,16 +113,17 @@
         Self { addresses: HashMap::new(), max_idle }
     }
 
-    /// An idle connection of this owner, the one used last.
+    /// An idle connection of this owner that fits, the one used last.
     pub(super) fn take_idle(
         &mut self,
         address: SocketAddr,
         owner: OwnerRef<'_>,
         now_ms: u64,
+        fits: impl Fn(&C) -> bool,
     ) -> Option<Pooled<C>> {
         let entry = self.addresses.get_mut(&address)?;
         entry.drop_expired(now_ms);
-        entry.take(owner)
+        entry.take(owner, fits)
     }
 
     /// Leave to open a connection if there are fewer than `most`, idle ones included. The oldest idle one gives way.
--- a/crates/edge/src/runner/tests.rs
+++ b/crates/edge/src/runner/tests.rs
@@ -8,6 +8,7 @@
 use tokio::task::yield_now;
 use tokio::time::sleep;
 
+use super::carried::Carried;
 use super::connection::{ExchangeError, RunnerConnection};
 use super::pool::{OwnerRef, Permit, Pool, Pooled};
 use super::request;
@@ -85,7 +86,7 @@
     let permits: Vec<Permit> = (0..3).map(|_| pool.permit(address(2), 9, 0).expect("room")).collect();
     assert_eq!(pool.open_connections(&address(1)), 3, "the oldest gave way to the bound of idle ones");
     let mut taken = Vec::new();
-    while let Some(pooled) = pool.take_idle(address(1), OWNER, 0) {
+    while let Some(pooled) = pool.take_idle(address(1), OWNER, 0, |_| true) {
         taken.push(pooled.connection);
     }
     assert_eq!(taken, [3, 2, 1]);
@@ -102,7 +103,7 @@
     }
     pool.prune(100);
     assert_eq!(pool.open_connections(&address(1)), 1);
-    assert!(pool.take_idle(address(1), OWNER, 200).is_none());
+    assert!(pool.take_idle(address(1), OWNER, 200, |_| true).is_none());
     pool.prune(200);
     assert_eq!(pool.open_connections(&address(1)), 0);
 }
@@ -114,7 +115,33 @@
     pool.retain(|_| false);
     let again = pool.permit(address(1), 1, 0).expect("a new owner has its own bound");
     pool.checkin(address(1), pooled(1, permit), 100);
-    assert!(pool.take_idle(address(1), OWNER, 0).is_none());
+    assert!(pool.take_idle(address(1), OWNER, 0, |_| true).is_none());
     pool.checkin(address(1), pooled(2, again), 100);
-    assert_eq!(pool.take_idle(address(1), OWNER, 0).map(|pooled| pooled.connection), Some(2));
+    assert_eq!(pool.take_idle(address(1), OWNER, 0, |_| true).map(|pooled| pooled.connection), Some(2));
+}
+
+#[test]
+fn idle_connection_that_does_not_fit_stays() {
+    let mut pool = Pool::new(3);
+    for number in [1, 2] {
+        let permit = pool.permit(address(1), 2, 0).expect("room");
+        pool.checkin(address(1), pooled(number, permit), 100);
+    }
+    let taken = pool.take_idle(address(1), OWNER, 0, |connection| *connection != 2);
+    assert_eq!(taken.map(|pooled| pooled.connection), Some(1));
+    assert!(pool.take_idle(address(1), OWNER, 0, |connection| *connection != 2).is_none());
+    let taken = pool.take_idle(address(1), OWNER, 0, |_| true);
+    assert_eq!(taken.map(|pooled| pooled.connection), Some(2));
+}
+
+#[test]
+fn messages_that_were_carried_are_remembered_up_to_a_bound() {
+    let mut carried = Carried::default();
+    assert!(!carried.contains("m0"));
+    for number in 0..20 {
+        carried.note(&format!("m{number}"));
+        assert!(carried.contains(&format!("m{number}")));
+    }
+    assert!(!carried.contains("m3"));
+    assert!((4..20).all(|number| carried.contains(&format!("m{number}"))));
 }
--- a/crates/edge/tests/http_runner.rs
+++ b/crates/edge/tests/http_runner.rs
@@ -2,6 +2,7 @@
 
 mod http_support;
 
+use std::cell::Cell;
 use std::collections::HashSet;
 use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -73,6 +74,7 @@
     client: RunnerClient,
     listener: TcpListener,
     address: SocketAddr,
+    messages: Cell<u64>,
 }
 
 impl Rig {
@@ -80,7 +82,7 @@
         let clock = ManualClock::stopped();
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("bound");
-        Self { clock, client: RunnerClient::new(settings()), listener, address }
+        Self { clock, client: RunnerClient::new(settings()), listener, address, messages: Cell::new(100) }
     }
 
     async fn peer(&self) -> Peer {
@@ -119,19 +121,33 @@
         (delivering.await.expect("delivered"), peer)
     }
 
-    /// Delivers on a connection that is kept.
+    /// The delivery of a message that no connection has carried, and its answer.
+    fn another(&self) -> (Delivery, String) {
+        self.messages.set(self.messages.get() + 1);
+        let request_id = format!("r-{}", self.messages.get());
+        let answer = DONE.replace("r-1", &request_id);
+        (Delivery { request_id, ..self.delivery() }, answer)
+    }
+
+    /// Delivers another message on a connection that is kept.
     async fn assert_reuses(&self, peer: &mut Peer) {
-        let delivering = self.start(self.delivery());
+        let (delivery, answer) = self.another();
+        let delivering = self.start(delivery);
         peer.request().await;
-        peer.send(DONE).await;
+        peer.send(answer).await;
         let result = delivering.await.expect("delivered");
         assert_eq!(result.answer, succeeded());
         assert!(!result.new_connection);
     }
 
-    /// Delivers, and expects that it takes a new connection.
+    /// Delivers another message, and expects that it takes a new connection.
     async fn assert_opens(&self) -> Peer {
-        let (result, peer) = self.answered(DONE).await;
+        let (delivery, answer) = self.another();
+        let delivering = self.start(delivery);
+        let mut peer = self.peer().await;
+        peer.request().await;
+        peer.send(answer).await;
+        let result = delivering.await.expect("delivered");
         assert_eq!(result.answer, succeeded());
         assert!(result.new_connection);
         peer
@@ -366,6 +382,12 @@
             UnclearReason::Garbled,
         ),
         (format!("HTTP/1.1 200 OK\r\n{signed}\r\nab"), UnclearReason::Garbled),
+        (format!("HTTP/1.1 200 OK\r\n{signed}Transfer-Encoding: gzip\r\n\r\nab"), UnclearReason::Garbled),
+        (
+            format!("HTTP/1.1 200 OK\r\n{signed}Transfer-Encoding: chunked, gzip\r\n\r\nab"),
+            UnclearReason::Garbled,
+        ),
+        ("HTTP/1.1 500 E\r\nTransfer-Encoding: identity\r\n\r\nab".to_owned(), UnclearReason::Garbled),
         ("HTTP/1.1 500 E\r\nContent-Length: 3\r\n\r\nab".to_owned(), UnclearReason::Garbled),
         ("HTTP/1.1 422 E\r\nContent-Length: 3\r\n\r\nab".to_owned(), UnclearReason::Garbled),
     ] {
@@ -540,6 +562,82 @@
     .await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn second_answer_that_crosses_the_same_message_is_not_the_answer_to_its_repeat() {
+    local(async {
+        let rig = Rig::new().await;
+        let failed = "HTTP/1.1 500 E\r\nRequest-Id: r-1\r\nContent-Length: 0\r\n\r\n";
+        let (result, mut first) = rig.answered(failed).await;
+        assert_eq!(result.answer, RunnerAnswer::Failed);
+        // The message is sent again. An answer on the first connection could be the first run's once more.
+        let (result, second) = rig.answered(DONE).await;
+        assert_eq!(result.answer, succeeded());
+        assert!(result.new_connection);
+        drop(second);
+        rig.assert_reuses(&mut first).await;
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn answer_before_the_whole_request_was_sent_ends_the_connection() {
+    /// More than the buffers of both sides of a connection take.
+    const LARGE: usize = 64 << 20;
+    for answer in [
+        DONE.to_owned(),
+        "HTTP/1.1 503 E\r\nRequest-Id: r-1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".to_owned(),
+    ] {
+        local(async {
+            let rig = Rig::new().await;
+            let body = Bytes::from(vec![b'a'; LARGE]);
+            let delivering = rig.start(Delivery { body, ..rig.delivery() });
+            let mut peer = rig.peer().await;
+            peer.more().await;
+            peer.send(&answer).await;
+            let result = delivering.await.expect("delivered");
+            assert!(!matches!(result.answer, RunnerAnswer::Unclear { .. }), "{:?}", result.answer);
+            assert_eq!(rig.client.open_connections(rig.address), 0, "the rest of a body stands before it");
+            rig.assert_opens().await;
+        })
+        .await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn bytes_before_any_request_are_no_answer_and_the_message_was_not_sent() {
+    local(async {
+        let rig = Rig::new().await;
+        let delivering = rig.start(rig.delivery());
+        let mut peer = rig.peer().await;
+        // The request may be on its way already: what came on a new connection is judged by its id.
+        peer.send(DONE.replace("r-1", "r-0")).await;
+        let answer = delivering.await.expect("delivered").answer;
+        assert!(
+            matches!(
+                answer,
+                RunnerAnswer::Unclear { reason: UnclearReason::Garbled }
+                    | RunnerAnswer::NotRun { reason: NotRunReason::ConnectFailed, .. }
+            ),
+            "{answer:?}"
+        );
+        rig.assert_nobody_connects().await;
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn switching_protocols_is_no_answer_and_ends_the_connection() {
+    local(async {
+        let rig = Rig::new().await;
+        let head = "HTTP/1.1 101 Switching Protocols\r\nRequest-Id: r-1\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n";
+        let (result, mut peer) = rig.answered(format!("{head}{DONE}")).await;
+        assert_eq!(result.answer, unclear(UnclearReason::UnexpectedStatus(101)));
+        peer.assert_ended().await;
+        rig.assert_opens().await;
+    })
+    .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn idle_connection_that_was_closed_is_not_used() {
     local(async {
@@ -581,9 +679,9 @@
         let named = DONE.replace("Request-Id", "Keep-Alive: max=9, timeout=2\r\nRequest-Id");
         let (_, mut peer) = rig.answered(&named).await;
         rig.clock.pass(1_400).await;
-        let delivering = rig.start(rig.delivery());
+        let delivering = rig.start(Delivery { request_id: "r-2".to_owned(), ..rig.delivery() });
         peer.request().await;
-        peer.send(&named).await;
+        peer.send(named.replace("r-1", "r-2")).await;
         assert!(!delivering.await.expect("delivered").new_connection);
         rig.clock.pass(1_500).await;
         let mut unnamed = rig.assert_opens().await;
@@ -637,10 +735,11 @@
         ];
         let mut peers = Vec::new();
         for other in others {
-            let delivering = rig.start(other);
+            let (Delivery { request_id, .. }, answer) = rig.another();
+            let delivering = rig.start(Delivery { request_id, ..other });
             let mut peer = rig.peer().await;
             peer.request().await;
-            peer.send(DONE).await;
+            peer.send(answer).await;
             assert!(delivering.await.expect("delivered").new_connection);
             assert!(rig.client.open_connections(rig.address) <= 2);
             peers.push(peer);
