Queue: a failed attempt counts though its lease was freed, and a spent message is not granted again

A 500 that was reported under a lease that had been freed (its edge had been silent or without a connection) was confirmed and not counted: with each such loss a message that always fails had one run more than its route allows. It is recorded as an attempt now, once for each lease, and confirmed when that is applied; a message whose attempts are used up ends as soon as no edge holds it.

--- a/crates/queue/src/entry.rs
+++ b/crates/queue/src/entry.rs
@@ -17,6 +17,13 @@
     pub(crate) schedule_target_ms: u64,
 }
 
+impl RouteInForce {
+    /// How many attempts may fail; at least one is made whatever the route says.
+    pub(crate) fn most_attempts(&self) -> usize {
+        self.max_retries.max(1) as usize
+    }
+}
+
 /// A lease that is outstanding.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct HeldLease {
@@ -66,6 +73,8 @@
     /// Since when a known policy has no route for it.
     pub(crate) missing_since_ms: Option<u64>,
     pub(crate) failed_attempts: Vec<LeaseId>,
+    /// Who reported a failed attempt under a lease that was not outstanding any more, while that is proposed.
+    pub(crate) late_failures: Vec<Reporter>,
     /// Leases in a row that came to nothing; for the backoff.
     pub(crate) fruitless: u32,
     pub(crate) phase: Phase,
@@ -81,6 +90,7 @@
             route: None,
             missing_since_ms: None,
             failed_attempts: pending.failed_attempts.clone(),
+            late_failures: Vec::new(),
             fruitless: 0,
             phase,
         }
@@ -103,6 +113,22 @@
         self.failed_attempts.len() + 1
     }
 
+    /// Whether runners have answered with 500 as often as its route allows: it has ended, though no entry says so yet.
+    pub(crate) fn is_spent(&self) -> bool {
+        self.route.is_some_and(|route| self.failed_attempts.len() >= route.most_attempts())
+    }
+
+    /// Whether the failed attempt under this lease is being recorded, and nothing else.
+    pub(crate) fn is_recording_attempt(&self, lease: LeaseId) -> bool {
+        let Phase::RecordingAttempt(reporters) = &self.phase else { return false };
+        reporters.iter().any(|reporter| reporter.lease == lease)
+    }
+
+    /// Takes out those who reported a failed attempt under this lease when it was not outstanding any more.
+    pub(crate) fn take_late_failures(&mut self, lease: LeaseId) -> Vec<Reporter> {
+        self.late_failures.extract_if(.., |reporter| reporter.lease == lease).collect()
+    }
+
     /// The waits before further runs: the first few fit into the aim of its route.
     pub(crate) fn retry_waits(&self, otherwise_ms: u64) -> Waits {
         Waits::within(self.route.map_or(otherwise_ms, |route| route.schedule_target_ms))
--- a/crates/queue/src/leader/applying.rs
+++ b/crates/queue/src/leader/applying.rs
@@ -49,12 +49,29 @@
         if !entry.failed_attempts.contains(&lease) {
             entry.failed_attempts.push(lease);
         }
-        let Phase::RecordingAttempt(reporters) = &mut entry.phase else { return };
-        let reporters = std::mem::take(reporters);
-        for reporter in reporters {
+        let late = entry.take_late_failures(lease);
+        let is_recording = entry.is_recording_attempt(lease);
+        let is_spent = entry.is_spent();
+        for reporter in late {
             self.tell_recorded(reporter, id);
         }
-        self.place(now_ms, sequence);
+        if is_recording {
+            self.tell_recorders(sequence);
+            self.place(now_ms, sequence);
+        } else if is_spent && self.is_free(sequence) {
+            self.unqueue(sequence);
+            self.place(now_ms, sequence);
+        }
+    }
+
+    /// Those who reported the attempt that was being recorded hear that it is.
+    fn tell_recorders(&mut self, sequence: Sequence) {
+        let Some(entry) = self.entries.get_mut(&sequence) else { return };
+        let id = entry.id().clone();
+        let Phase::RecordingAttempt(reporters) = &mut entry.phase else { return };
+        for reporter in std::mem::take(reporters) {
+            self.tell_recorded(reporter, &id);
+        }
     }
 
     fn end_recorded(&mut self, now_ms: u64, id: &MessageId, phase: EndPhase, state: &ShardState) {
@@ -77,7 +94,7 @@
             let reporter = reporter.filter(|_| phase == EndPhase::Succeeded);
             self.callbacks.add_owed(sequence, id.clone(), &owed.url, reporter);
         }
-        for reporter in reporters {
+        for reporter in reporters.into_iter().chain(entry.late_failures) {
             self.tell_recorded(reporter, id);
         }
     }
--- a/crates/queue/src/leader/outcomes.rs
+++ b/crates/queue/src/leader/outcomes.rs
@@ -9,7 +9,8 @@
 
 impl ShardLeader {
     /// An edge reports how a delivery ended. `Recorded` follows once that is durable, at once where nothing needs to be:
-    /// for an ended message, or a lease that is not outstanding (unless it reports an end).
+    /// for an ended message, or a lease that is not outstanding (unless it reports an end or a failed attempt, which are
+    /// facts whoever holds the message now).
     pub fn outcome(
         &mut self,
         now_ms: u64,
@@ -37,6 +38,7 @@
             DeliveryOutcome::Rejected => {
                 self.end_reported(sequence, EndPhase::DeadLetter, String::new(), reporter);
             }
+            DeliveryOutcome::Failed if held.is_none() => self.late_failure(sequence, reporter),
             _ if held.is_none() => self.tell_recorded(reporter, id),
             DeliveryOutcome::Failed => self.attempt_failed(now_ms, sequence, reporter),
             DeliveryOutcome::NotRun { retry_after_ms } => {
@@ -96,7 +98,7 @@
             return self.tell_recorded(reporter, &id);
         }
         let attempt = entry.next_attempt();
-        let most = entry.route.map_or(usize::MAX, |route| route.max_retries.max(1) as usize);
+        let most = entry.route.map_or(usize::MAX, |route| route.most_attempts());
         if attempt >= most {
             return self.propose_end(sequence, EndPhase::DeadLetter, String::new(), vec![reporter]);
         }
@@ -108,6 +110,20 @@
         self.propose(Action::AttemptFailed { id, lease: reporter.lease });
     }
 
+    /// A runner answered 500 under a lease that was freed since: the attempt counts, and the message stays where it is.
+    fn late_failure(&mut self, sequence: Sequence, reporter: Reporter) {
+        let Some(entry) = self.entries.get_mut(&sequence) else { return };
+        let id = entry.id().clone();
+        if entry.failed_attempts.contains(&reporter.lease) {
+            return self.tell_recorded(reporter, &id);
+        }
+        if entry.late_failures.contains(&reporter) {
+            return;
+        }
+        entry.late_failures.push(reporter);
+        self.propose(Action::AttemptFailed { id, lease: reporter.lease });
+    }
+
     /// The delivery came to nothing: again after what the edge asks for, and after a backoff (`backs_off`: from the
     /// first time on).
     fn try_again(&mut self, now_ms: u64, sequence: Sequence, retry_after_ms: u64, backs_off: bool) {
--- a/crates/queue/src/leader/placing.rs
+++ b/crates/queue/src/leader/placing.rs
@@ -72,6 +72,9 @@
             return self.propose_end(sequence, EndPhase::DeadLetter, String::new(), Vec::new());
         }
         let Some(route) = entry.route else { return self.place_unrouted(sequence) };
+        if entry.is_spent() {
+            return self.propose_end(sequence, EndPhase::DeadLetter, String::new(), Vec::new());
+        }
         if entry.not_before_ms > now_ms {
             entry.phase = Phase::Waiting;
             self.schedule.waiting.insert(entry.not_before_ms, sequence);
