Edge: events of a link that was replaced are passed over, and nothing decided for one connection goes out on the next

A store that is listed at another address gets a new link; what the old one had left in the queue of the role was taken for the new one's: its end took the outbox of the new link, its leases were delivered. Links are numbered. What the decisions want sent goes out before a new connection is taken, so that a stock taken for the old one is never the first of the new.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod front;
 mod role;
 pub mod runner;
+mod store_links;
 
 pub use role::{EdgeError, run_edge};
--- a/crates/edge/src/role.rs
+++ b/crates/edge/src/role.rs
@@ -10,7 +10,7 @@
     Channel, ConfigurationUpdate, CoordinatorMember, CoordinatorReply, Directory, EdgeToStore, GroupId,
     Registration, ReplicaId, RunnerList, StoreToEdge,
 };
-use ruddervalve_rpc::{LinkEvent, Outbox, Peer};
+use ruddervalve_rpc::{LinkEvent, Peer};
 use ruddervalve_runtime::{
     Boot, Clock, ControlEvent, ControlLinks, ProcessSignal, Signals, backoff, coordinator_addresses,
     draw_seed, link_settings,
@@ -24,6 +24,7 @@
 };
 use crate::front::{Front, FrontLimits, FrontRequest, FrontResponse, Handler, Readiness, StatusCode};
 use crate::runner::{CallbackResult, DeliveryResult, RunnerClient, RunnerSettings};
+use crate::store_links::{LinkNumber, StoreLinks};
 
 /// Events that are taken before what they led to is carried out.
 const EVENTS_PER_ROUND: usize = 256;
@@ -69,7 +70,7 @@
     ClientLeft(ClientNumber),
     Delivered(JobNumber, Box<DeliveryResult>),
     CalledBack(GroupId, Box<CallbackOrder>, CallbackResult),
-    Store(ReplicaId, Box<LinkEvent<StoreToEdge>>),
+    Store(ReplicaId, LinkNumber, Box<LinkEvent<StoreToEdge>>),
 }
 
 /// Hands clients' requests to the role.
@@ -107,12 +108,6 @@
     }
 }
 
-#[derive(Debug)]
-struct StoreLink {
-    peer: Peer,
-    outbox: Option<Outbox>,
-}
-
 /// How far the end of the process is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Ending {
@@ -133,7 +128,7 @@
     links: ControlLinks,
     /// The coordinators that the newest directory names.
     coordinators: Vec<CoordinatorMember>,
-    stores: BTreeMap<ReplicaId, StoreLink>,
+    stores: StoreLinks<Peer>,
     clients: BTreeMap<ClientNumber, oneshot::Sender<FrontResponse>>,
     events: mpsc::UnboundedSender<Event>,
     limits: watch::Sender<FrontLimits>,
@@ -218,7 +213,7 @@
             runners: RunnerClient::new(runner_settings(&boot)),
             links,
             coordinators: Vec::new(),
-            stores: BTreeMap::new(),
+            stores: StoreLinks::new(),
             clients: BTreeMap::new(),
             events,
             limits,
@@ -257,7 +252,7 @@
 
     fn heartbeat(&self) {
         self.links.heartbeat();
-        for outbox in self.stores.values().filter_map(|link| link.outbox.as_ref()) {
+        for outbox in self.stores.outboxes() {
             outbox.send(&EdgeToStore::Heartbeat);
         }
     }
@@ -277,22 +272,27 @@
             }
             Event::Delivered(job, result) => self.core.delivered(now, job, &result),
             Event::CalledBack(group, order, result) => self.core.called_back(now, group, &order, result),
-            Event::Store(store, event) => self.store(now, store, *event),
+            Event::Store(store, link, event) => self.store(now, store, link, *event),
         }
     }
 
-    fn store(&mut self, now: u64, store: ReplicaId, event: LinkEvent<StoreToEdge>) {
+    fn store(&mut self, now: u64, store: ReplicaId, link: LinkNumber, event: LinkEvent<StoreToEdge>) {
         match event {
             LinkEvent::Up(outbox) => {
-                let Some(link) = self.stores.get_mut(&store) else { return };
-                link.outbox = Some(outbox);
-                self.core.store_up(now, store);
+                // What was decided for the connection before must not go out on this one.
+                self.carry_out_all();
+                if self.stores.up(store, link, outbox) {
+                    self.core.store_up(now, store);
+                }
+            }
+            LinkEvent::Message(message) => {
+                if self.stores.is_up(store, link) {
+                    self.core.store_says(now, store, message);
+                }
             }
-            LinkEvent::Message(message) => self.core.store_says(now, store, message),
             LinkEvent::Down(error) => {
                 tracing::debug!(store = store.0, %error, "no connection to a store");
-                let link = self.stores.get_mut(&store);
-                if link.is_some_and(|link| link.outbox.take().is_some()) {
+                if self.stores.down(store, link) {
                     self.core.store_down(now, store);
                 }
             }
@@ -338,21 +338,11 @@
             .iter()
             .filter_map(|store| Some((store.replica, store.address.parse().ok()?)))
             .collect();
-        let gone: Vec<ReplicaId> = self
-            .stores
-            .iter()
-            .filter(|(store, link)| addresses.get(store) != Some(&link.peer.address()))
-            .map(|(store, _)| *store)
-            .collect();
-        for store in gone {
-            self.stores.remove(&store);
+        for store in self.stores.close_others(&addresses) {
             self.core.store_down(now, store);
         }
         for (store, address) in addresses {
-            if !self.stores.contains_key(&store) {
-                let link = self.open(store, address);
-                self.stores.insert(store, link);
-            }
+            self.open(store, address);
         }
         self.coordinators.clone_from(&directory.coordinators);
         self.connect_coordinators();
@@ -363,13 +353,16 @@
         self.links.set_addresses(&addresses);
     }
 
-    fn open(&self, store: ReplicaId, address: SocketAddr) -> StoreLink {
+    /// Opens a link to a store that has none.
+    fn open(&mut self, store: ReplicaId, address: SocketAddr) {
         let events = self.events.clone();
-        let sink = move |event| drop(events.send(Event::Store(store, Box::new(event))));
         let greeting = self.boot.greeting(Channel::Delivery);
         let settings = link_settings(&self.boot.settings);
         let backoff = backoff(&self.boot.settings, draw_seed());
-        StoreLink { peer: Peer::keep(address, greeting, settings, backoff, sink), outbox: None }
+        self.stores.open(store, address, |link| {
+            let sink = move |event| drop(events.send(Event::Store(store, link, Box::new(event))));
+            Peer::keep(address, greeting, settings, backoff, sink)
+        });
     }
 
     // What the decisions want done.
@@ -377,14 +370,18 @@
     fn settle(&mut self) {
         let now = self.now();
         self.core.tick(now);
-        for output in self.core.outputs() {
-            self.carry_out(output);
-        }
+        self.carry_out_all();
         self.advance_end(now);
         let ready = self.core.is_ready();
         self.ready.send_if_modified(|known| std::mem::replace(known, ready) != ready);
     }
 
+    fn carry_out_all(&mut self) {
+        for output in self.core.outputs() {
+            self.carry_out(output);
+        }
+    }
+
     fn carry_out(&mut self, output: EdgeOutput) {
         match output {
             EdgeOutput::Respond(client, response) => {
@@ -393,7 +390,7 @@
                 }
             }
             EdgeOutput::Send(store, message) => {
-                if let Some(outbox) = self.stores.get(&store).and_then(|link| link.outbox.as_ref()) {
+                if let Some(outbox) = self.stores.outbox(store) {
                     outbox.send(&message);
                 }
             }
