Tests: call-backs that are owed when traffic has ended, and at each point where an edge or a leader may be lost

queue/tests/callbacks.rs: 30 call-backs to a receiver that was down for 90 s are all made within 6 s of its return; of five points at which the edge, the leader or both are lost, the call-back is made and recorded at each.

--- a/crates/queue/tests/callbacks.rs
+++ b/crates/queue/tests/callbacks.rs
@@ -187,3 +187,119 @@
     shard.inventory(2, &[]);
     assert_eq!(callbacks_in(&shard.poll()).len(), 1);
 }
+
+/// Tells the outcome of all call-backs that are granted now, until `until_ms`, and returns who was called when.
+fn calls_until(shard: &mut Shard, until_ms: u64, taken: bool) -> Vec<(String, u64)> {
+    let mut calls = Vec::new();
+    while shard.now_ms < until_ms {
+        alive(shard);
+        for (name, by) in callbacks_in(&shard.poll()) {
+            calls.push((name.clone(), shard.now_ms));
+            match taken {
+                true => shard.leader.callback_taken(shard.now_ms, edge(by), &id(&name)),
+                false => shard.leader.callback_failed(shard.now_ms, edge(by), &id(&name)),
+            }
+        }
+        shard.advance(10);
+    }
+    calls
+}
+
+#[test]
+fn a_receiver_that_was_down_for_long_gets_all_that_it_is_owed_within_seconds() {
+    /// As long as traffic that has ended is judged by.
+    const STEADY_MS: u64 = 6_000;
+    let names: Vec<String> = (0..30).map(|number| format!("m{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut shard = shard_with_ended(&names, URL);
+    let up_ms = shard.now_ms + 90_000;
+    let in_vain = calls_until(&mut shard, up_ms, false);
+    assert!(in_vain.len() < 200, "{} calls to a receiver that is down", in_vain.len());
+    assert_eq!(shard.state.owed_callbacks().count(), names.len());
+    let made = calls_until(&mut shard, up_ms + STEADY_MS, true);
+    assert_eq!(made.len(), names.len());
+    assert_eq!(shard.state.owed_callbacks().count(), 0);
+}
+
+/// What a call-back has come to when its edge or leader is lost.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Reached {
+    Owed,
+    Granted,
+    Failed,
+    Taken,
+    Proposed,
+}
+
+/// Who is lost.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Lost {
+    Leader,
+    Edge,
+    Both,
+}
+
+/// Brings the call-back of `a` to a point; whether edge 2 has had it taken.
+fn bring_to(shard: &mut Shard, reached: Reached) -> bool {
+    if reached == Reached::Owed {
+        return false;
+    }
+    assert_eq!(callbacks_in(&shard.poll()), [("a".to_owned(), 2)]);
+    match reached {
+        Reached::Failed => shard.leader.callback_failed(shard.now_ms, edge(2), &id("a")),
+        Reached::Proposed => {
+            shard.holds = true;
+            shard.leader.callback_taken(shard.now_ms, edge(2), &id("a"));
+            shard.poll();
+            shard.holds = false;
+        }
+        Reached::Owed | Reached::Granted | Reached::Taken => {}
+    }
+    matches!(reached, Reached::Taken | Reached::Proposed)
+}
+
+#[test]
+fn a_callback_is_made_and_recorded_whatever_is_lost_on_the_way() {
+    for reached in [Reached::Owed, Reached::Granted, Reached::Failed, Reached::Taken, Reached::Proposed] {
+        for lost in [Lost::Leader, Lost::Edge, Lost::Both] {
+            let mut shard = shard_with_ended(&["a"], URL);
+            // The end is applied, and nothing has followed from it yet.
+            shard.holds = true;
+            assert!(shard.poll().is_empty());
+            shard.unhold();
+            let taken = bring_to(&mut shard, reached);
+            if lost != Lost::Edge {
+                shard.change_leader();
+                shard.connect(1, "node-1", "near");
+                shard.inventory(1, &[]);
+            }
+            match lost {
+                Lost::Leader => {
+                    shard.connect(2, "node-2", "far");
+                    shard.inventory(2, &[]);
+                    if taken {
+                        shard.leader.callback_taken(shard.now_ms, edge(2), &id("a"));
+                    }
+                }
+                Lost::Edge => {
+                    shard.leader.edge_disconnected(shard.now_ms, edge(2));
+                    shard.unhold();
+                }
+                Lost::Both => {}
+            }
+            let until_ms = shard.now_ms + 2 * support::VISIBILITY_MS;
+            let mut made = 0;
+            while shard.now_ms < until_ms {
+                shard.leader.heartbeat(shard.now_ms, edge(1));
+                for (name, by) in callbacks_in(&shard.poll()) {
+                    made += 1;
+                    shard.leader.callback_taken(shard.now_ms, edge(by), &id(&name));
+                }
+                shard.advance(10);
+            }
+            assert!(taken || made == 1, "{reached:?} {lost:?}: made {made} times");
+            assert!(made <= 1, "{reached:?} {lost:?}");
+            assert!(shard.state.callback(&id("a")).is_none(), "{reached:?} {lost:?}: still owed");
+        }
+    }
+}
