Tests: the operator's connections, and edges that are told to end together

loopback/whole_system: pipelined and split calls are answered in order, an order whose connection breaks is answered to nobody else and may be sent again, and two edges with SIGTERM at once are not ready at the first question from then on, a configuration meanwhile notwithstanding.

--- a/crates/loopback/tests/whole_system/edges.rs
+++ b/crates/loopback/tests/whole_system/edges.rs
@@ -1,6 +1,8 @@
 //! The end of an edge in order.
 
-use ruddervalve_loopback::{ProcessSignal, RunnerPlan};
+use std::time::Duration;
+
+use ruddervalve_loopback::{MachineRole, ProcessSignal, RunnerPlan};
 
 use crate::load::Load;
 use crate::stage::{LETTERS, STEP, Stage, letter};
@@ -34,3 +36,24 @@
     }
     stage.ends_well(&all);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn edges_that_are_told_to_end_together_are_ready_no_more() {
+    let mut stage = Stage::set_up().await;
+    let edges = stage.system.names(MachineRole::Edge);
+    for edge in &edges {
+        stage.system.signal(edge, ProcessSignal::Terminate).unwrap();
+    }
+    for edge in &edges {
+        stage.system.unready(edge, STEP).await.unwrap();
+    }
+    // Whatever they still learn, a configuration among it, none calls itself ready again before it has ended.
+    let mut second = stage.configuration.clone();
+    second.resource_version += 3;
+    stage.system.operator().replace(1, &second, STEP).await.unwrap();
+    for edge in &edges {
+        stage.system.unready(edge, Duration::ZERO).await.expect("not ready at the first question");
+        let status = stage.system.ended(edge, STEP).await.unwrap();
+        assert!(status.success(), "{edge}: {status}");
+    }
+}
--- a/crates/loopback/tests/whole_system/main.rs
+++ b/crates/loopback/tests/whole_system/main.rs
@@ -5,6 +5,7 @@
 mod edges;
 mod load;
 mod messages;
+mod operators;
 mod rates;
 mod rolls;
 mod runners;
