--- a/crates/queue/tests/histories.rs
+++ b/crates/queue/tests/histories.rs
@@ -343,9 +343,10 @@
                     edge.calls.insert(id, false);
                 }
             }
-            LeaderOutput::Recorded { edge, lease, .. } => {
-                if let Some(edge) = self.process(edge) {
-                    edge.leases.remove(&lease);
+            LeaderOutput::Recorded { edge, id, lease } => {
+                let held = self.process(edge).and_then(|edge| edge.leases.remove(&lease));
+                if held.is_some_and(|held| held.outcome == Some(DeliveryOutcome::Failed)) {
+                    self.check_counted(&id, lease);
                 }
             }
             LeaderOutput::CallbackRecorded { edge, id } => {
@@ -356,6 +357,14 @@
         }
     }
 
+    /// A failed attempt that was confirmed counts, unless the message has ended.
+    fn check_counted(&self, id: &MessageId, lease: LeaseId) {
+        let state = &self.replicas[self.leading];
+        let pending = state.sequence(id).and_then(|sequence| state.pending(sequence));
+        let counts = pending.is_none_or(|pending| pending.failed_attempts.contains(&lease));
+        assert!(counts, "an attempt of {id:?} was confirmed and is not counted");
+    }
+
     /// The process of that life, if it runs and can be reached.
     fn process(&mut self, incarnation: Incarnation) -> Option<&mut EdgeProcess> {
         self.edges.iter_mut().find(|edge| edge.incarnation == incarnation && edge.connected && !edge.deaf)
