An edge says which leader its stock is meant for

Inventory carried no term. If a store lost its office and won it back on one connection while the stock of the first term was on its way for longer than another leader's reign, the stock was taken for that of the new term: what the leader in between had granted was freed although the edge ran it. The edge now says Follows (shard, term) before its stock, and a leader takes the stock only of edges that follow it on their present connection.

--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -264,6 +264,8 @@
         self.lose_appends(&new);
         self.statuses.ask_anew(&new);
         for group in new {
+            let term = self.shards.newest_term(group);
+            self.send(store, EdgeToStore::Follows { group, term });
             let mut items: Vec<InventoryItem> = self.deliveries.inventory(group);
             items.extend(self.callbacks.inventory(group));
             self.send(store, EdgeToStore::Inventory { group, items });
--- a/crates/edge/src/core/shards.rs
+++ b/crates/edge/src/core/shards.rs
@@ -96,7 +96,12 @@
     /// Whether no newer term of the shard is known here than this one. A leader of a newer term has been told what this
     /// edge holds; what an older one still sends was not among it.
     pub fn is_newest_term(&self, group: GroupId, term: u64) -> bool {
-        self.newest_terms.get(&group).is_none_or(|newest| term >= *newest)
+        term >= self.newest_term(group)
+    }
+
+    /// The newest term in which a shard was led, as far as known here; 0 before the first.
+    pub fn newest_term(&self, group: GroupId) -> u64 {
+        self.newest_terms.get(&group).copied().unwrap_or_default()
     }
 
     /// The store that leads a shard.
--- a/crates/edge/tests/core_histories.rs
+++ b/crates/edge/tests/core_histories.rs
@@ -44,6 +44,8 @@
     done: BTreeSet<String>,
     /// What the leader knows this edge to hold.
     held: BTreeMap<LeaseId, String>,
+    /// Whether the edge has said on this connection that it follows this leader.
+    is_followed: bool,
     /// Whether the leader knows what the edge holds on this connection.
     has_stock: bool,
 }
@@ -213,7 +215,7 @@
         link.is_up = true;
         self.play.core.store_up(self.play.now, store(number));
         let led = self.shards.values_mut().filter(|shard| shard.leader == number);
-        led.for_each(|shard| shard.has_stock = false);
+        led.for_each(Shard::forget_stock);
         self.tell_leading(number);
     }
 
@@ -241,6 +243,11 @@
             EdgeToStore::Outcome { group, id, lease, outcome } => {
                 self.outcome(number, group, id, lease, outcome)
             }
+            EdgeToStore::Follows { group, term } => {
+                if let Some(shard) = self.led(number, group) {
+                    shard.is_followed |= shard.term == term;
+                }
+            }
             EdgeToStore::Inventory { group, items } => self.inventory(number, group, items),
             _ => {}
         }
@@ -302,7 +309,8 @@
     /// The first stock on a connection: what is not named is free, and another edge may have it at once.
     fn inventory(&mut self, number: u64, group: GroupId, items: Vec<InventoryItem>) {
         let runs_elsewhere = self.random.random_bool(0.5);
-        let Some(shard) = self.led(number, group) else { return };
+        let running: BTreeSet<String> = self.running.values().cloned().collect();
+        let Some(shard) = self.led(number, group).filter(|shard| shard.is_followed) else { return };
         if std::mem::replace(&mut shard.has_stock, true) {
             return;
         }
@@ -312,8 +320,10 @@
                 shard.held.insert(lease, item.id.0);
             }
         }
+        let free: BTreeSet<String> = shard.kept.keys().filter(|id| shard.is_free(id)).cloned().collect();
+        let both: Vec<&String> = free.intersection(&running).collect();
+        assert!(both.is_empty(), "free though they run here: {both:?}");
         if runs_elsewhere {
-            let free: Vec<String> = shard.kept.keys().filter(|id| shard.is_free(id)).cloned().collect();
             shard.done.extend(free);
         }
     }
@@ -325,7 +335,7 @@
         shard.term += 1;
         shard.leases = 0;
         shard.held.clear();
-        shard.has_stock = false;
+        shard.forget_stock();
         for entry in std::mem::take(&mut shard.proposed) {
             if self.random.random_bool(0.5) {
                 self.keep(number, entry.message);
@@ -377,6 +387,12 @@
 }
 
 impl Shard {
+    /// The edge has another connection, or another leader to follow.
+    fn forget_stock(&mut self) {
+        self.is_followed = false;
+        self.has_stock = false;
+    }
+
     fn is_free(&self, id: &str) -> bool {
         !self.done.contains(id) && !self.held.values().any(|held| held == id)
     }
--- a/crates/protocol/src/delivery.rs
+++ b/crates/protocol/src/delivery.rs
@@ -92,7 +92,7 @@
         id: MessageId,
     },
     /// All leases and call-backs of a shard that the edge holds or has not had acknowledged. Sent once to each new leader,
-    /// before anything else about the shard.
+    /// right after [`EdgeToStore::Follows`] and before anything else about the shard.
     Inventory {
         /// The shard.
         group: GroupId,
@@ -114,6 +114,14 @@
         /// Whether the body is wanted.
         body: bool,
     },
+    /// The edge has heard that the receiver leads a shard in this term: it takes no lease of an older one from here on, and
+    /// the [`EdgeToStore::Inventory`] that comes next is meant for that leader.
+    Follows {
+        /// The shard.
+        group: GroupId,
+        /// The term that [`StoreToEdge::Leading`] named.
+        term: u64,
+    },
 }
 
 /// A lease or call-back that an edge holds.
--- a/crates/store/src/core/edges.rs
+++ b/crates/store/src/core/edges.rs
@@ -58,7 +58,8 @@
             EdgeToStore::Outcome { group, .. }
             | EdgeToStore::CallbackTaken { group, .. }
             | EdgeToStore::CallbackFailed { group, .. }
-            | EdgeToStore::Inventory { group, .. } => {
+            | EdgeToStore::Inventory { group, .. }
+            | EdgeToStore::Follows { group, .. } => {
                 if let Some(shard) = self.shards.get_mut(&group) {
                     shard.take(now, edge, message);
                 }
--- a/crates/store/src/shard.rs
+++ b/crates/store/src/shard.rs
@@ -2,7 +2,7 @@
 //!
 //! No I/O and no clock: time is passed in, proposals and messages to edges come out.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ruddervalve_consensus::Entry;
 use ruddervalve_consensus::Payload;
@@ -57,6 +57,9 @@
 struct Office {
     term: u64,
     leader: ShardLeader,
+    /// Edges that have said on their present connection that they follow this leader. What others name as their stock was
+    /// meant for an earlier one, and may lack what they were granted since.
+    followers: BTreeSet<Incarnation>,
     /// Entries of this term that edges wait for, by index.
     appends: BTreeMap<u64, PendingAppend>,
     /// Actions that could not be proposed while the office was being handed over.
@@ -148,7 +151,13 @@
         let settings = LeaderSettings { seed, ..self.settings.leader.clone() };
         let mut leader = ShardLeader::new(term, shard_now, &self.state, policy, settings);
         edges.for_each(|edge| leader.edge_connected(shard_now, edge));
-        self.office = Some(Office { term, leader, appends: BTreeMap::new(), unproposed: Vec::new() });
+        self.office = Some(Office {
+            term,
+            leader,
+            followers: BTreeSet::new(),
+            appends: BTreeMap::new(),
+            unproposed: Vec::new(),
+        });
     }
 
     /// This replica does not lead any more: what waits for its entries is not known to be kept.
@@ -165,6 +174,7 @@
     pub fn edge_connected(&mut self, now: u64, edge: &EdgeSession) {
         let now = self.clock.shard_ms(now);
         if let Some(office) = &mut self.office {
+            office.followers.remove(&edge.incarnation);
             office.leader.edge_connected(now, edge);
         }
     }
@@ -173,6 +183,7 @@
     pub fn edge_disconnected(&mut self, now: u64, edge: Incarnation) {
         let now = self.clock.shard_ms(now);
         if let Some(office) = &mut self.office {
+            office.followers.remove(&edge);
             office.leader.edge_disconnected(now, edge);
         }
     }
@@ -224,7 +235,11 @@
             EdgeToStore::Outcome { id, lease, outcome, .. } => leader.outcome(now, edge, &id, lease, outcome),
             EdgeToStore::CallbackTaken { id, .. } => leader.callback_taken(now, edge, &id),
             EdgeToStore::CallbackFailed { id, .. } => leader.callback_failed(now, edge, &id),
-            EdgeToStore::Inventory { items, .. } => leader.inventory(now, edge, &items),
+            EdgeToStore::Follows { term, .. } if term == office.term => drop(office.followers.insert(edge)),
+            EdgeToStore::Inventory { items, .. } if office.followers.contains(&edge) => {
+                leader.inventory(now, edge, &items);
+            }
+            EdgeToStore::Follows { .. } | EdgeToStore::Inventory { .. } => {}
             EdgeToStore::Heartbeat => leader.heartbeat(now, edge),
             EdgeToStore::Leaving => leader.leaving(edge),
             EdgeToStore::Append { .. } | EdgeToStore::Status { .. } => {}
--- a/crates/store/tests/cluster/mod.rs
+++ b/crates/store/tests/cluster/mod.rs
@@ -216,6 +216,13 @@
         self.member(store).core.edge_says(now, number, message);
     }
 
+    /// An edge that holds nothing answers a leader's word that it leads.
+    pub fn takes_stock(&mut self, store: ReplicaId, number: EdgeNumber) {
+        let term = self.member(store).core.shards()[&GROUP].office().unwrap_or_default();
+        self.edge_says(store, number, EdgeToStore::Follows { group: GROUP, term });
+        self.edge_says(store, number, EdgeToStore::Inventory { group: GROUP, items: Vec::new() });
+    }
+
     /// What a store has told edges since the last call.
     pub fn told(&mut self, store: ReplicaId) -> Vec<StoreToEdge> {
         let told = std::mem::take(&mut self.member(store).to_edges);
--- a/crates/store/tests/leases.rs
+++ b/crates/store/tests/leases.rs
@@ -19,7 +19,7 @@
     cluster.run(LIVENESS_MS);
     cluster.configure(LEADER, VERSION, CONFIGURATION);
     let edge = cluster.edge(LEADER, 7);
-    cluster.edge_says(LEADER, edge, EdgeToStore::Inventory { group: GROUP, items: Vec::new() });
+    cluster.takes_stock(LEADER, edge);
     // The leader waits until it has heard of edges that were connected to its predecessor.
     cluster.run(2 * LIVENESS_MS);
     cluster.edge_says(LEADER, edge, EdgeToStore::Heartbeat);
@@ -94,3 +94,29 @@
         [AppendOutcome::Refused { retry_after_ms: 3_000 }, AppendOutcome::Accepted { lease: None }];
     assert_eq!(told, expected);
 }
+
+#[test]
+fn a_stock_that_was_meant_for_an_earlier_term_is_not_taken() {
+    let (mut cluster, _) = led();
+    let edge = cluster.edge(LEADER, 8);
+    cluster.run(100);
+    let term = cluster.member(LEADER).core.shards()[&GROUP].office().unwrap();
+    cluster.edge_says(LEADER, edge, EdgeToStore::Follows { group: GROUP, term: term - 1 });
+    cluster.edge_says(LEADER, edge, EdgeToStore::Inventory { group: GROUP, items: Vec::new() });
+    cluster.told(LEADER);
+    cluster.edge_says(LEADER, edge, append("m1", 10));
+    cluster.settle();
+    assert_eq!(outcomes(&cluster.told(LEADER)), [AppendOutcome::Accepted { lease: None }]);
+    cluster.takes_stock(LEADER, edge);
+    cluster.edge_says(LEADER, edge, EdgeToStore::Credits { services: Vec::new() });
+    cluster.settle();
+    cluster.told(LEADER);
+    // The first message waits for a credit, and a lease at once does not overtake it.
+    cluster.edge_says(LEADER, edge, EdgeToStore::Credits { services: vec![("s".to_owned(), 1)] });
+    cluster.settle();
+    cluster.told(LEADER);
+    cluster.edge_says(LEADER, edge, append("m2", 10));
+    cluster.settle();
+    let told = outcomes(&cluster.told(LEADER));
+    assert!(matches!(told.as_slice(), [AppendOutcome::Accepted { lease: Some(_) }]), "{told:?}");
+}
--- a/crates/store/tests/policies.rs
+++ b/crates/store/tests/policies.rs
@@ -16,7 +16,7 @@
     assert!(cluster.run_until(3 * LIVENESS_MS, |cluster| cluster.leader() == Some(LEADER)));
     cluster.configure(LEADER, VERSION, CONFIGURATION);
     let edge = cluster.edge(LEADER, 7);
-    cluster.edge_says(LEADER, edge, EdgeToStore::Inventory { group: GROUP, items: Vec::new() });
+    cluster.takes_stock(LEADER, edge);
     cluster.run(LIVENESS_MS);
     let message = NewMessage { path: "/new/".to_owned(), ..message("m1", 10) };
     cluster.edge_says(
