Reads confirmed by a round to a quorum, without a clock (ReadIndex)

Cause: Config.Get and Retire.Get rest on a lease that is looked at when a turn of the event loop begins; a process may freeze between the look at the clock and the writing of the answer.

--- a/crates/consensus/src/body.rs
+++ b/crates/consensus/src/body.rs
@@ -57,6 +57,8 @@
     pub sent: u64,
     /// Counts how often the leader began anew with this follower: refusals of what it sent before are void.
     pub stream: u32,
+    /// The newest round of reads that the leader had begun when it sent it.
+    pub round: u64,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
--- a/crates/consensus/src/leadership.rs
+++ b/crates/consensus/src/leadership.rs
@@ -21,6 +21,10 @@
     since: u64,
     /// The newest time up to which a quorum answered what was sent; ms. `u64::MAX` if the leader alone is a quorum.
     quorum_answered: Option<u64>,
+    /// The newest round of reads; counted from 1 in each term.
+    read_round: u64,
+    /// Nothing that carries the newest round has been handed out.
+    read_round_unsent: bool,
     marks: CommitMarks,
 }
 
@@ -42,6 +46,8 @@
             transfer: None,
             since: now,
             quorum_answered: None,
+            read_round: 0,
+            read_round_unsent: false,
             marks: CommitMarks { older: first_index, newer: first_index, newer_at: now },
         };
         leadership.apply_membership(membership, first_index, now);
@@ -56,7 +62,11 @@
             let voter = membership.is_voter(id);
             match self.peers.iter_mut().find(|peer| peer.id == id) {
                 Some(peer) => peer.voter = voter,
-                None => self.peers.push(Progress::new(id, voter, next_index, now)),
+                None => {
+                    let mut peer = Progress::new(id, voter, next_index, now);
+                    peer.round = self.read_round;
+                    self.peers.push(peer);
+                }
             }
         }
         self.refresh_quorum_answered();
@@ -92,6 +102,28 @@
         self.quorum_answered.map(|answered| answered.min(now))
     }
 
+    /// The round for a read that is asked for now: one of which nothing has been sent yet.
+    pub(crate) fn begin_read_round(&mut self) -> u64 {
+        if !self.read_round_unsent {
+            self.read_round = self.read_round.saturating_add(1);
+            self.read_round_unsent = true;
+            for peer in &mut self.peers {
+                peer.round = self.read_round;
+            }
+        }
+        self.read_round
+    }
+
+    /// Whether followers have still to be asked for the newest round; from now on they have been.
+    pub(crate) fn take_unsent_round(&mut self) -> bool {
+        std::mem::take(&mut self.read_round_unsent)
+    }
+
+    /// The newest round that a quorum has answered.
+    pub(crate) fn quorum_answered_round(&self) -> Option<u64> {
+        self.quorum_value(self.read_round, |peer| peer.answered_round)
+    }
+
     /// When the leader has to step down if no quorum answers anew; ms.
     pub(crate) fn quorum_deadline(&self, timing: &Timing) -> u64 {
         let answered = self.quorum_answered.unwrap_or(0).max(self.since);
--- a/crates/consensus/src/lease.rs
+++ b/crates/consensus/src/lease.rs
@@ -5,6 +5,8 @@
 //! on, and the leader may trust in that for the shorter `lease_ms`. Only votes of a transfer are not refused, and a leader
 //! that has asked another to take over holds no lease for the rest of its term.
 
+use ruddervalve_protocol::ReplicaId;
+
 use crate::replica::{Replica, Role};
 
 impl Replica {
@@ -18,6 +20,14 @@
         now < answered.saturating_add(self.timing.lease_ms)
     }
 
+    /// The leader, if this replica leads or has heard from it within the longest election timeout: later somebody else
+    /// leads, or nobody. A replica without a vote never campaigns, so that only this tells it that a leader is lost.
+    pub fn recent_leader(&self, now: u64) -> Option<ReplicaId> {
+        let heard_until = self.heard_leader_at.map_or(0, |at| at.saturating_add(self.timing.election_max_ms));
+        let is_recent = self.role() == Role::Leader || now < heard_until;
+        self.leader().filter(|_| is_recent)
+    }
+
     /// Whether a leader may count on this replica's refusal of votes.
     pub(crate) fn refuses_votes(&self) -> bool {
         let heard_until = self.heard_leader_at.map_or(0, |at| at.saturating_add(self.timing.election_min_ms));
--- a/crates/consensus/src/output.rs
+++ b/crates/consensus/src/output.rs
@@ -21,6 +21,7 @@
     /// All output since the last call.
     pub fn take_ready(&mut self) -> Ready {
         self.replicate();
+        self.send_read_round();
         let writes = self.take_writes();
         let committed = self.take_committed();
         Ready {
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -49,6 +49,10 @@
     pub(crate) unreachable: bool,
     /// When the leader sent the newest of what the follower has answered; ms.
     pub(crate) answered_sent: Option<u64>,
+    /// The newest round of reads that the leader has begun, and that what it sends carries.
+    pub(crate) round: u64,
+    /// The newest round of reads that the follower has answered.
+    pub(crate) answered_round: u64,
     /// When the follower last said anything; ms.
     pub(crate) heard_at: Option<u64>,
     stream: u32,
@@ -70,6 +74,8 @@
             probing: true,
             unreachable: false,
             answered_sent: None,
+            round: 0,
+            answered_round: 0,
             heard_at: None,
             stream: 0,
             inflight: VecDeque::new(),
@@ -79,7 +85,7 @@
     }
 
     pub(crate) fn stamp(&self, now: u64) -> Stamp {
-        Stamp { sent: now, stream: self.stream }
+        Stamp { sent: now, stream: self.stream, round: self.round }
     }
 
     pub(crate) fn is_current(&self, stamp: Stamp) -> bool {
@@ -124,6 +130,7 @@
     pub(crate) fn answered(&mut self, stamp: Stamp, now: u64) {
         let sent = stamp.sent.min(now);
         self.answered_sent = Some(self.answered_sent.map_or(sent, |newest| newest.max(sent)));
+        self.answered_round = self.answered_round.max(stamp.round.min(self.round));
     }
 
     /// Notes how far its log agrees; whether that is news.
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -184,28 +184,39 @@
     }
 
     fn send_heartbeats(&mut self) {
-        let Some(leadership) = &mut self.leadership else { return };
-        for peer in &mut leadership.peers {
-            if self.now < peer.heartbeat_due(self.timing.heartbeat_ms) {
-                continue;
-            }
-            let sent_index = match peer.need {
-                Need::Log => peer.next_index.saturating_sub(1),
-                Need::Wanted { .. } | Need::Sending(_) => peer.matched,
-            };
-            // 0 stands for the begin of the log, on which all agree.
-            let check_index = if self.log.term(sent_index).is_some() { sent_index } else { 0 };
-            let heartbeat = Heartbeat {
-                stamp: peer.stamp(self.now),
-                check_index,
-                check_term: self.log.term(check_index).unwrap_or(0),
-                commit: self.commit,
-            };
-            peer.heartbeat_sent(self.now);
-            let message = Message { term: self.hard_state.term, body: Body::Heartbeat(heartbeat) };
-            self.output.messages.push((peer.id, message));
+        let Some(leadership) = &self.leadership else { return };
+        for place in 0..leadership.peers.len() {
+            self.send_heartbeat_if_due(place);
         }
     }
+
+    fn send_heartbeat_if_due(&mut self, place: usize) {
+        let peer = self.leadership.as_ref().and_then(|leadership| leadership.peers.get(place));
+        if peer.is_some_and(|peer| self.now >= peer.heartbeat_due(self.timing.heartbeat_ms)) {
+            self.send_heartbeat(place);
+        }
+    }
+
+    /// Sends a heartbeat to the follower at this place among the leader's peers.
+    pub(crate) fn send_heartbeat(&mut self, place: usize) {
+        let Some(leadership) = &mut self.leadership else { return };
+        let Some(peer) = leadership.peers.get_mut(place) else { return };
+        let sent_index = match peer.need {
+            Need::Log => peer.next_index.saturating_sub(1),
+            Need::Wanted { .. } | Need::Sending(_) => peer.matched,
+        };
+        // 0 stands for the begin of the log, on which all agree.
+        let check_index = if self.log.term(sent_index).is_some() { sent_index } else { 0 };
+        let heartbeat = Heartbeat {
+            stamp: peer.stamp(self.now),
+            check_index,
+            check_term: self.log.term(check_index).unwrap_or(0),
+            commit: self.commit,
+        };
+        peer.heartbeat_sent(self.now);
+        let message = Message { term: self.hard_state.term, body: Body::Heartbeat(heartbeat) };
+        self.output.messages.push((peer.id, message));
+    }
 }
 
 /// The entries to send next, and the last one's index.
