--- a/crates/consensus/tests/behaviour/reads.rs
+++ b/crates/consensus/tests/behaviour/reads.rs
@@ -177,3 +177,25 @@
     assert_eq!(group.replica(B).leader(), Some(A), "a learner never campaigns");
     assert_eq!(group.replica(B).recent_leader(now), None);
 }
+
+#[test]
+fn a_read_of_an_earlier_term_stays_lost_when_the_replica_leads_again() {
+    let mut group = Group::led_by_a(&[A, B, C]);
+    group.isolate(A);
+    let read = request(&mut group, A);
+    group.run(3 * TIMING.election_max_ms);
+    let leader = [B, C].into_iter().find(|id| group.replica(*id).role() == Role::Leader).expect("one leads");
+    let now = group.now;
+    group.replica(leader).propose(now, command("committed before A leads again")).expect("it leads");
+    group.settle();
+    group.cuts.clear();
+    group.run(2 * TIMING.heartbeat_ms);
+    let now = group.now;
+    assert!(group.replica(leader).transfer_leadership(now, Some(A)));
+    group.settle();
+    assert_eq!(group.replica(A).role(), Role::Leader);
+    let later = request(&mut group, A);
+    group.settle();
+    assert_eq!(progress(&mut group, A, &later), ReadProgress::Confirmed);
+    assert_eq!(progress(&mut group, A, &read), ReadProgress::Lost);
+}
--- a/crates/consensus/tests/simulation/checks.rs
+++ b/crates/consensus/tests/simulation/checks.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use ruddervalve_consensus::{Entry, HardState, Role};
+use ruddervalve_consensus::{Entry, HardState, ReadProgress, Role};
 use ruddervalve_protocol::ReplicaId;
 
 use crate::node::{Machine, Node, Running, payload_hash};
@@ -25,6 +25,7 @@
     terms: HashMap<ReplicaId, u64>,
     /// Of each entry by index and term: the term before it, and a hash of itself.
     entries: HashMap<(u64, u64), (u64, u64)>,
+    reads_confirmed: u64,
 }
 
 impl Checks {
@@ -96,6 +97,26 @@
         }
     }
 
+    /// How many reads were confirmed.
+    pub fn reads_confirmed(&self) -> u64 {
+        self.reads_confirmed
+    }
+
+    /// A read that is confirmed sees all that anyone had applied when it was asked for.
+    pub fn reads(&mut self, id: ReplicaId, running: &mut Running) {
+        let (replica, machine) = (&running.replica, &running.machine);
+        running.reads.retain(|(read, applied)| match replica.read_progress(read) {
+            ReadProgress::Waiting => true,
+            ReadProgress::Lost => false,
+            ReadProgress::Confirmed => {
+                let own = machine.index;
+                assert!(own >= *applied, "{id:?} reads at {own} what was at {applied} before it was asked");
+                self.reads_confirmed += 1;
+                false
+            }
+        });
+    }
+
     /// While a lease is valid nobody leads in a later term, with or without a lease.
     pub fn leases(&self, nodes: &[Node], now: u64) {
         let running = || nodes.iter().filter_map(|node| Some((node.id, node.running.as_ref()?)));
--- a/crates/consensus/tests/simulation/cluster.rs
+++ b/crates/consensus/tests/simulation/cluster.rs
@@ -22,6 +22,8 @@
 
 /// How long faults go on; ms.
 const STORM_MS: u64 = 2500;
+/// The part of reads after which the process is frozen at once.
+const FROZEN_READS: f64 = 0.02;
 /// How long the group has to mend afterwards; ms.
 const MENDING_MS: u64 = 6000;
 
@@ -40,6 +42,7 @@
 pub struct Outcome {
     pub committed: u64,
     pub term: u64,
+    pub reads: u64,
 }
 
 /// One replica takes the place of another.
@@ -106,6 +109,7 @@
             let due = self.next_event().min(next_command).min(next_fault).min(next_repair);
             self.advance_to(due);
             if self.now >= next_command {
+                self.read(FROZEN_READS);
                 self.propose();
                 let quiet = self.random.random_bool(self.quiet_times);
                 let longest = if quiet { 600 } else { 20 };
@@ -138,6 +142,7 @@
             let due = self.next_event().min(next_try);
             self.advance_to(due);
             if self.now >= next_try {
+                self.read(0.0);
                 self.propose();
                 self.administer();
                 next_try = self.now + 50;
@@ -146,7 +151,7 @@
         assert!(self.is_whole(), "the group did not mend; {}", self.describe());
     }
 
-    /// Whether a leader with a lease leads, no replacement is open, and all members have applied all.
+    /// Whether a leader with a lease leads, no replacement is open, all members have applied all, and reads are confirmed.
     fn is_whole(&self) -> bool {
         let Some(place) = self.leader() else { return false };
         let Some(leader) = &self.nodes[place].running else { return false };
@@ -155,6 +160,7 @@
             node.running.as_ref().is_some_and(|running| running.machine.index == self.checks.last_committed())
         };
         self.replacement.is_none()
+            && self.checks.reads_confirmed() > 0
             && leader.replica.lease_valid(self.now + leader.clock_offset)
             && leader.replica.membership_committed()
             && leader.replica.commit_index() == leader.replica.last_index()
@@ -164,7 +170,7 @@
     fn outcome(&self) -> Outcome {
         let running = self.nodes.iter().filter_map(|node| node.running.as_ref());
         let term = running.map(|running| running.replica.term()).max().unwrap_or(0);
-        Outcome { committed: self.checks.last_committed(), term }
+        Outcome { committed: self.checks.last_committed(), term, reads: self.checks.reads_confirmed() }
     }
 
     fn describe(&self) -> String {
@@ -292,6 +298,7 @@
             let Some(running) = &mut node.running else { return };
             let ready = running.replica.take_ready();
             if ready.is_empty() {
+                self.checks.reads(node.id, running);
                 return;
             }
             let Ready { ticket, writes, messages, messages_after_write, committed, restore, .. } = ready;
@@ -348,6 +355,22 @@
         self.checks.hard_state_written(id, self.nodes[place].disk.hard_state);
     }
 
+    /// Reads are asked of whoever believes to lead; a part of them is frozen before anything that it does then leaves.
+    fn read(&mut self, frozen_part: f64) {
+        let applied = self.checks.last_committed();
+        for place in 0..self.nodes.len() {
+            let now = self.now;
+            let Some(running) = awake(&mut self.nodes[place], now) else { continue };
+            let read = running.replica.request_read(now + running.clock_offset);
+            running.reads.extend(read.map(|read| (read, applied)));
+            if read.is_some() && self.random.random_bool(frozen_part) {
+                running.frozen_until = now + self.random.random_range(1..2 * TIMING.election_max_ms);
+            } else {
+                self.drain(place);
+            }
+        }
+    }
+
     /// Commands go to whoever believes to lead.
     fn propose(&mut self) {
         for place in 0..self.nodes.len() {
--- a/crates/consensus/tests/simulation/node.rs
+++ b/crates/consensus/tests/simulation/node.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use ruddervalve_consensus::{Entry, Payload, Replica, Role, Snapshot, Timing};
+use ruddervalve_consensus::{Entry, Payload, ReadRequest, Replica, Role, Snapshot, Timing};
 use ruddervalve_protocol::{Blob, ReplicaId};
 
 use crate::disk::{Disk, PendingQueue};
@@ -71,6 +71,8 @@
     /// Stopped until then: neither messages nor timers nor finished writes are noticed; ms of the world.
     pub frozen_until: u64,
     pub role: Role,
+    /// Reads that wait for a quorum, each with the newest entry that anyone had applied when it was asked for.
+    pub reads: Vec<(ReadRequest, u64)>,
 }
 
 impl Running {
@@ -119,6 +121,7 @@
             clock_offset,
             frozen_until: 0,
             role: Role::Follower,
+            reads: Vec::new(),
         });
         self.restart_at = None;
     }
