The operator's questions and refusals rest on a confirmed read, not on the lease of the turn's begin

Cause: Config.Get, Retire.Get and the refusals of Retire.Start (404, 409) were answered from the state under a lease that was looked at before; a leader that was frozen in between, or cut off, could answer with what others had replaced. A new leader refused all calls (503) until its lease began. 307 led to a lost leader for up to LivenessMs/3 (a voter believed what a leader had last told over the control link) or for good (a learner never gives its leader up). Change: core/reads.rs; orders are proposed by whoever leads and answered from the applied entry; 307 names a leader only as long as a voter may count on it; a call whose entry may be committed yet by another leader gets 504, not 503, at the latest when check-quorum ends the office (two election timeouts).

--- a/crates/coordinator/src/core/agreement.rs
+++ b/crates/coordinator/src/core/agreement.rs
@@ -20,16 +20,13 @@
         self.hand_over(now);
         loop {
             let changes = self.replicas.flush();
-            if changes.is_empty() {
-                let leads = self.leads(now);
-                if !(leads && self.lead(now)) {
-                    break;
-                }
-                continue;
-            }
+            let is_applied = changes.is_empty();
             for change in changes {
                 self.change(now, change)?;
             }
+            if is_applied && !self.answer_reads(now) && !(self.leads(now) && self.lead(now)) {
+                break;
+            }
         }
         if self.leads(now) {
             self.tell();
--- a/crates/coordinator/src/core/links.rs
+++ b/crates/coordinator/src/core/links.rs
@@ -48,11 +48,12 @@
         self.address_of(self.leader()?).map(|address| address.to_string())
     }
 
-    /// The `ControlPlane` address of the leader, if that is another: as consensus knows it, or, where this coordinator is no
-    /// member of the group, as the leader told lately.
+    /// The `ControlPlane` address of the leader, if that is another: as consensus heard of it lately, or, where this
+    /// coordinator has no vote, as the leader told lately. A voter that hears of no leader names none, as whoever told it
+    /// something is lost: a caller that is sent to a lost machine waits there in vain.
     pub(super) fn leader_control_address(&self, now: u64) -> Option<String> {
         let own = self.member.address.parse().ok();
-        let address = match self.leader() {
+        let address = match self.recent_leader(now) {
             Some(leader) => self.address_of(leader)?,
             None => self.told_leader(now)?,
         };
@@ -64,7 +65,15 @@
         told.map(|member| member.control_address.clone()).or_else(|| self.seed_at(address))
     }
 
+    fn recent_leader(&self, now: u64) -> Option<ReplicaId> {
+        self.replicas.host.replica(GroupId::CONTROL)?.recent_leader(now)
+    }
+
     fn told_leader(&self, now: u64) -> Option<SocketAddr> {
+        let replica = self.replicas.host.replica(GroupId::CONTROL);
+        if replica.is_some_and(|replica| replica.membership().is_voter(self.member.replica)) {
+            return None;
+        }
         let (address, at) = self.told_leader?;
         let is_fresh = now < at.saturating_add(link_settings(&self.settings).silence_ms);
         is_fresh.then_some(address)
--- a/crates/coordinator/src/core/mod.rs
+++ b/crates/coordinator/src/core/mod.rs
@@ -7,6 +7,7 @@
 mod agreement;
 mod links;
 mod operator;
+mod reads;
 mod sessions;
 
 use std::collections::BTreeMap;
@@ -28,6 +29,7 @@
 use crate::operator::Answer;
 use crate::sessions::Sessions;
 use crate::state::ControlState;
+use reads::WaitingRead;
 
 /// A call of the operator, counted by the owner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -47,7 +49,7 @@
 pub enum CoordinatorOutput {
     /// Answer a call of the operator.
     Reply(CallerNumber, OperatorReply),
-    /// A call gets no answer here: what became of it is not known.
+    /// What became of a call is not known: its entry may be committed yet, by another leader.
     NoReply(CallerNumber),
     /// Call the platform and tell its answer with [`CoordinatorCore::list_answered`].
     CallPlatform(ListCall),
@@ -78,6 +80,8 @@
     /// Coordinators that the log on disk named at the start, and those that have connected since.
     heard_of: Vec<CoordinatorMember>,
     pending: BTreeMap<u64, Pending>,
+    /// Calls that wait until this coordinator is confirmed to lead.
+    reads: Vec<WaitingRead>,
     /// The directory as the leader told it, for one that joins and has none of its own yet.
     told: Option<Directory>,
     /// The leader's internal address as its answers to heartbeats show it, and when the last came.
@@ -136,6 +140,7 @@
             duties: Duties::new(settings, !seed),
             heard_of: links::logged_members(recovered),
             pending: BTreeMap::new(),
+            reads: Vec::new(),
             told: None,
             told_leader: None,
             ending_since: None,
--- a/crates/coordinator/src/core/operator.rs
+++ b/crates/coordinator/src/core/operator.rs
@@ -1,7 +1,9 @@
-//! Calls of the operator.
+//! Calls of the operator. One that changes something is answered from its applied entry, one that asks or may be refused
+//! from the confirmed state ([`super::reads`]); never from what this coordinator only believes to be in force.
 
 use ruddervalve_protocol::GroupId;
 
+use super::reads::Question;
 use super::{CallerNumber, CoordinatorCore, CoordinatorOutput, OperatorReply, Pending};
 use crate::operator::{Answer, OperatorCall, answer_replace, answer_retire};
 use crate::state_command::{ControlCommand, ControlResult};
@@ -9,45 +11,47 @@
 impl CoordinatorCore {
     /// An operator calls; `caller` names the call in [`CoordinatorOutput::Reply`].
     pub fn operator(&mut self, now: u64, caller: CallerNumber, call: OperatorCall) {
-        if !self.leads(now) {
-            let reply = match self.leader_control_address(now) {
-                Some(address) => OperatorReply::Redirect(address),
-                None => {
-                    OperatorReply::Answer(Answer::unavailable("no coordinator leads at present: ask again"))
-                }
-            };
-            return self.reply(caller, reply);
+        // Whoever was frozen since its last turn has to learn first that its office may have ended.
+        self.replicas.host.tick(now);
+        if self.leader() != Some(self.member.replica) {
+            return self.refer(now, caller);
         }
         match call {
-            OperatorCall::GetConfiguration => {
-                let answer = Answer::configuration(self.state.configuration().as_ref());
-                self.reply(caller, OperatorReply::Answer(answer));
-            }
-            OperatorCall::GetRetire { node } => {
-                let answer = Answer::retirement(self.state.retirement(&node));
-                self.reply(caller, OperatorReply::Answer(answer));
-            }
+            OperatorCall::GetConfiguration => self.ask_state(now, caller, Question::Configuration),
+            OperatorCall::GetRetire { node } => self.ask_state(now, caller, Question::Retirement { node }),
+            OperatorCall::StartRetire(order) => self.ask_state(now, caller, Question::MayRetire(order)),
             OperatorCall::ReplaceConfiguration(order) => {
                 let command = ControlCommand::ReplaceConfiguration(order.replacement);
-                self.propose_for(now, command, false, caller);
+                self.propose_for(now, &command, false, caller);
             }
-            OperatorCall::StartRetire(order) => match self.duties.check_retire(&self.state, &order.node, now)
-            {
-                Ok(()) => self.propose_for(now, order.command(self.duties.replicas()), true, caller),
-                Err(fault) => self.reply(caller, OperatorReply::Answer(Answer::retire_fault(fault))),
-            },
         }
     }
 
-    fn propose_for(&mut self, now: u64, command: ControlCommand, is_retire: bool, caller: CallerNumber) {
-        match self.propose(now, &command) {
+    /// Sends a caller to the leader, if that was heard of lately. Nothing was or will be done about the call.
+    pub(super) fn refer(&mut self, now: u64, caller: CallerNumber) {
+        let reply = match self.leader_control_address(now) {
+            Some(address) => OperatorReply::Redirect(address),
+            None => OperatorReply::Answer(Answer::unavailable("no coordinator leads at present: ask again")),
+        };
+        self.reply(caller, reply);
+    }
+
+    /// Proposes a command, whose result will be the answer.
+    pub(super) fn propose_for(
+        &mut self,
+        now: u64,
+        command: &ControlCommand,
+        is_retire: bool,
+        caller: CallerNumber,
+    ) {
+        match self.propose(now, command) {
             Some(index) => {
                 let pending = Pending { term: self.term(), is_retire, caller };
                 self.pending.insert(index, pending);
             }
             None => {
                 let answer = Answer::unavailable("this coordinator is handing over: ask again");
-                self.reply(caller, OperatorReply::Answer(answer));
+                self.answer_caller(caller, answer);
             }
         }
     }
@@ -57,6 +61,10 @@
         replica.propose(now, command.to_blob()).ok()
     }
 
+    pub(super) fn answer_caller(&mut self, caller: CallerNumber, answer: Answer) {
+        self.reply(caller, OperatorReply::Answer(answer));
+    }
+
     fn reply(&mut self, caller: CallerNumber, reply: OperatorReply) {
         self.outputs.push(CoordinatorOutput::Reply(caller, reply));
     }
@@ -72,6 +80,6 @@
             tracing::info!(version, "configuration taken");
         }
         let answer = if pending.is_retire { answer_retire(result) } else { answer_replace(result) };
-        self.reply(pending.caller, OperatorReply::Answer(answer));
+        self.answer_caller(pending.caller, answer);
     }
 }
--- a/crates/coordinator/src/operator_answer.rs
+++ b/crates/coordinator/src/operator_answer.rs
@@ -24,8 +24,10 @@
     PreconditionFailed,
     /// 413: the body is too large.
     TooLarge,
-    /// 503: it cannot be decided here and now; the operator asks another coordinator.
+    /// 503: it cannot be decided here and now, and nothing was done; the operator asks another coordinator.
     Unavailable,
+    /// 504: what became of the call is not known here, as it may be in force yet; the operator sends it again.
+    OutcomeUnknown,
 }
 
 /// An answer.
@@ -51,6 +53,7 @@
             Self::PreconditionFailed => 412,
             Self::TooLarge => 413,
             Self::Unavailable => 503,
+            Self::OutcomeUnknown => 504,
         }
     }
 }
@@ -77,6 +80,12 @@
         Self::refusal(Status::Unavailable, reason, "")
     }
 
+    /// What became of the call is not known: it may take effect yet, through another leader.
+    pub fn outcome_unknown() -> Self {
+        let error = "what became of the call is not known here: send the same call again, to any coordinator";
+        Self::refusal(Status::OutcomeUnknown, error, "")
+    }
+
     /// A retirement that would leave too little, or of a store that is not known.
     pub fn retire_fault(fault: RetireFault) -> Self {
         match fault {
--- a/crates/coordinator/src/operator_server.rs
+++ b/crates/coordinator/src/operator_server.rs
@@ -92,9 +92,7 @@
     async fn ask(&self, call: OperatorCall) -> OperatorReply {
         let (reply, answer) = oneshot::channel();
         let _ = self.requests.send(OperatorRequest { call, reply });
-        let ended =
-            || OperatorReply::Answer(Answer::unavailable("this coordinator cannot tell: ask another one"));
-        answer.await.unwrap_or_else(|_| ended())
+        answer.await.unwrap_or_else(|_| OperatorReply::Answer(Answer::outcome_unknown()))
     }
 }
 
@@ -107,7 +105,7 @@
             if let Some(allow) = answer.allow {
                 headers.insert(header::ALLOW, header::HeaderValue::from_static(allow));
             }
-            if answer.status == Status::Unavailable {
+            if matches!(answer.status, Status::Unavailable | Status::OutcomeUnknown) {
                 let after = header::HeaderValue::from_static(RETRY_AFTER_SECONDS);
                 headers.insert(header::RETRY_AFTER, after);
             }
