--- a/crates/coordinator/src/operator_answer.rs
+++ b/crates/coordinator/src/operator_answer.rs
@@ -163,6 +163,7 @@
             Answer::version(*version)
         }
         ControlResult::Conflict { current } => Answer::other_version(*current),
+        ControlResult::TooOldToTell { .. } => Answer::outcome_unknown(),
         _ => unexpected(),
     }
 }
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -8,8 +8,10 @@
 use crate::state_command::{ControlCommand, ControlResult, ReplaceConfiguration};
 use crate::state_envelope::{Damaged, Kind, open, seal};
 
-/// How many configurations that were taken are known again. Far more than an operator can have under way at once.
-pub const REMEMBERED_CONFIGURATIONS: usize = 1_024;
+/// How many configurations that were taken are known again: three days of 5,400 changes, 32 bytes each. A repeat that may
+/// be of an older one gets no clear answer, as 'one that was taken is acknowledged again or left without a clear answer,
+/// never refused'; so the bound costs an answer, and never a refusal.
+pub const REMEMBERED_CONFIGURATIONS: usize = 16_384;
 /// How many disks that were replaced or retired are known again. Far more than machines that may still run with one.
 pub const REMEMBERED_DISKS: usize = 1_024;
 /// How many finished retirements are still told to the operator.
@@ -19,6 +21,7 @@
 #[derive(Debug, Clone, PartialEq, Default, SerBin, DeBin)]
 pub struct ControlState {
     configuration: Option<ConfigurationUpdate>,
+    /// The newest that were taken, by rising version: each builds on the one before.
     taken: Vec<TakenConfiguration>,
     pub(crate) directory_version: u64,
     pub(crate) stores: Vec<StoreMember>,
@@ -148,9 +151,12 @@
             version: replacement.version,
             digest: replacement.digest,
         };
-        if self.taken.contains(&taken) {
+        if self.was_taken(&taken) {
             return ControlResult::AlreadyTaken { version: replacement.version };
         }
+        if self.may_be_forgotten(&taken) {
+            return ControlResult::TooOldToTell { version: replacement.version };
+        }
         let current = self.configuration_version();
         if replacement.base_version != current || replacement.version <= current {
             return ControlResult::Conflict { current };
@@ -161,6 +167,18 @@
         ControlResult::Taken { version: replacement.version }
     }
 
+    fn was_taken(&self, taken: &TakenConfiguration) -> bool {
+        let place = self.taken.binary_search_by_key(&taken.version, |known| known.version);
+        place.is_ok_and(|place| self.taken.get(place) == Some(taken))
+    }
+
+    /// Whether a configuration may have been taken so long ago that it is not remembered: the oldest that is remembered
+    /// builds on a version at least as high.
+    fn may_be_forgotten(&self, taken: &TakenConfiguration) -> bool {
+        let forgotten_up_to = self.taken.first().map_or(0, |oldest| oldest.base_version);
+        taken.base_version < taken.version && taken.version <= forgotten_up_to
+    }
+
     pub(crate) fn directory_changed(&mut self) {
         self.directory_version = self.directory_version.saturating_add(1);
     }
--- a/crates/coordinator/src/state_command.rs
+++ b/crates/coordinator/src/state_command.rs
@@ -71,6 +71,11 @@
         /// Its version.
         version: u64,
     },
+    /// The configuration is older than all that are remembered: whether it was taken is not known. Nothing has changed.
+    TooOldToTell {
+        /// Its version.
+        version: u64,
+    },
     /// The configuration builds on another version than the current one, or is not higher. Nothing has changed.
     Conflict {
         /// The current version; 0: none yet.
