Edges and stores pass over a coordinator's sign of life of an earlier term

Cause: Alive names the leader's term and nobody looked at it. A leader that was frozen, or whose bytes a cut held back, could confirm a store's old configuration after a newer leader had spoken, and messages whose route the store did not know yet ended as dead letters; an edge took its count of edges. A repeated Configuration confirmed as well and names no term. Change: store/core/coordinators.rs and EdgeCore::coordinator_leads take Alive only of the newest term heard or a later one; a Configuration of the version in hand confirms nothing, the Alive that follows it does. Shown: two tests in store/policies.rs, one in edge/core.rs; all tests of both crates.

--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -77,6 +77,8 @@
     has_runners: bool,
     /// How many edges there are, as it was told last.
     edges_told: u32,
+    /// The newest term in which a coordinator has said that it leads.
+    coordinator_term: u64,
     leaving: bool,
     outputs: Vec<EdgeOutput>,
 }
@@ -104,6 +106,7 @@
             credits: Credits::default(),
             has_runners: false,
             edges_told: settings.other_edges.saturating_add(1),
+            coordinator_term: 0,
             leaving: false,
             outputs: Vec::new(),
             settings,
@@ -185,6 +188,15 @@
         is_newer
     }
 
+    /// A coordinator says that it leads in a term, and how many edges are registered there. One of an earlier term than
+    /// another has told is passed over: it may have been frozen or cut off since.
+    pub fn coordinator_leads(&mut self, now: u64, term: u64, edges: u32) {
+        if term >= self.coordinator_term {
+            self.coordinator_term = term;
+            self.set_edges(now, edges);
+        }
+    }
+
     /// A coordinator that leads tells how many edges are registered there, this one among them. Fewer than before count
     /// only when they are told twice in a row: after its start a coordinator does not know all of them yet.
     pub fn set_edges(&mut self, now: u64, edges: u32) {
--- a/crates/edge/src/role.rs
+++ b/crates/edge/src/role.rs
@@ -305,7 +305,9 @@
             Some(CoordinatorReply::Configuration(update)) => self.configure(now, &update),
             Some(CoordinatorReply::Directory(directory)) => self.connect(now, &directory),
             Some(CoordinatorReply::Runners(list)) => self.runners(now, &list),
-            Some(CoordinatorReply::Alive { edges, .. }) => self.core.set_edges(now, edges),
+            Some(CoordinatorReply::Alive { term, edges, .. }) => {
+                self.core.coordinator_leads(now, term, edges);
+            }
             _ => {}
         }
     }
--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -223,6 +223,22 @@
     assert_eq!(connections(1), 50);
 }
 
+#[test]
+fn a_coordinator_whose_office_ended_does_not_say_how_many_edges_there_are() {
+    let mut play = Play::serving();
+    for (term, edges) in [(2, 5), (1, 1), (1, 1)] {
+        play.core.coordinator_leads(play.now, term, edges);
+    }
+    play.post("/p/1", "m1", None);
+    let (to, request, _) = play.append();
+    play.says(to, StoreToEdge::Appended { request, outcome: accepted(Some(LEASE)) });
+    let orders = play.outputs().into_iter().filter_map(|output| match output {
+        EdgeOutput::Deliver(order) => Some(order.delivery.max_connections_here),
+        _ => None,
+    });
+    assert_eq!(orders.last(), Some(10), "50 for the five of term 2");
+}
+
 #[test]
 fn a_lease_with_the_promise_is_delivered_and_its_outcome_repeated_until_it_is_recorded() {
     let mut play = Play::serving();
--- a/crates/store/src/core/coordinators.rs
+++ b/crates/store/src/core/coordinators.rs
@@ -20,18 +20,28 @@
                 self.care_soon();
                 self.outputs.push(StoreOutput::Connect);
             }
-            CoordinatorReply::Alive { configuration, .. } if configuration == self.policy_version => {
-                self.confirm_policy(now);
+            CoordinatorReply::Alive { term, configuration, .. } => {
+                self.coordinator_leads(now, term, configuration);
             }
             _ => {}
         }
     }
 
-    fn configure(&mut self, now: u64, update: &ConfigurationUpdate) {
-        if update.version == self.policy_version {
-            return self.confirm_policy(now);
+    /// A coordinator says that it leads, and which configuration is in force. One of an earlier term than another has told
+    /// may have been frozen or cut off since, and what it takes for the newest may have been replaced.
+    fn coordinator_leads(&mut self, now: u64, term: u64, configuration: u64) {
+        if term < self.coordinator_term {
+            return;
+        }
+        self.coordinator_term = term;
+        if configuration == self.policy_version {
+            self.confirm_policy(now);
         }
-        if update.version < self.policy_version {
+    }
+
+    fn configure(&mut self, now: u64, update: &ConfigurationUpdate) {
+        // The same one again confirms nothing: it names no term, and the leader's next sign of life does.
+        if update.version <= self.policy_version {
             return;
         }
         match Configuration::parse(update.body.as_slice()) {
--- a/crates/store/src/core/mod.rs
+++ b/crates/store/src/core/mod.rs
@@ -62,6 +62,8 @@
     directory: Directory,
     policy: Option<SharedPolicy>,
     policy_version: u64,
+    /// The newest term in which a coordinator has said that it leads.
+    coordinator_term: u64,
     /// What edges were told last.
     leading: Vec<(GroupId, u64)>,
     /// When the members of all shards are told again.
@@ -137,6 +139,7 @@
             directory: Directory::default(),
             policy: None,
             policy_version: 0,
+            coordinator_term: 0,
             leading: Vec::new(),
             care_at: 0,
             step_at: u64::MAX,
--- a/crates/store/tests/policies.rs
+++ b/crates/store/tests/policies.rs
@@ -3,7 +3,7 @@
 mod cluster;
 
 use cluster::{CONFIGURATION, Cluster, GROUP, LIVENESS_MS, message};
-use ruddervalve_protocol::{CoordinatorReply, EdgeToStore, NewMessage, ReplicaId};
+use ruddervalve_protocol::{Blob, ConfigurationUpdate, CoordinatorReply, EdgeToStore, NewMessage, ReplicaId};
 
 const LEADER: ReplicaId = ReplicaId(1);
 /// The version of [`CONFIGURATION`].
@@ -12,6 +12,15 @@
 /// Messages that are pending after a while in which coordinators tell that this version is in force; the store has
 /// [`CONFIGURATION`], which has no route for the one message.
 fn pending_under(version: u64) -> usize {
+    pending_while_told(&[alive(1, version)])
+}
+
+fn alive(term: u64, configuration: u64) -> CoordinatorReply {
+    CoordinatorReply::Alive { term, configuration, edges: 1 }
+}
+
+/// The same, while coordinators tell all this again and again.
+fn pending_while_told(told: &[CoordinatorReply]) -> usize {
     let mut cluster = Cluster::of_three(["s1", "s2", "s3"]);
     assert!(cluster.run_until(3 * LIVENESS_MS, |cluster| cluster.leader() == Some(LEADER)));
     cluster.configure(LEADER, VERSION, CONFIGURATION);
@@ -28,8 +37,9 @@
         cluster.run(LIVENESS_MS);
         cluster.edge_says(LEADER, edge, EdgeToStore::Heartbeat);
         let now = cluster.now;
-        let alive = CoordinatorReply::Alive { term: 1, configuration: version, edges: 1 };
-        cluster.member(LEADER).core.coordinator_says(now, alive);
+        for reply in told {
+            cluster.member(LEADER).core.coordinator_says(now, reply.clone());
+        }
     }
     cluster.run(LIVENESS_MS);
     let shard = cluster.member(LEADER).core.shards().get(&GROUP).unwrap();
@@ -45,3 +55,18 @@
 fn a_store_that_has_the_newest_configuration_ends_messages_whose_route_was_dropped() {
     assert_eq!(pending_under(VERSION), 0);
 }
+
+#[test]
+fn a_coordinator_whose_office_ended_does_not_confirm_the_configuration() {
+    // The leader of term 2 has a newer one; the one of term 1 was frozen when it was replaced.
+    let told = [alive(2, VERSION + 1), alive(1, VERSION)];
+    assert_eq!(pending_while_told(&told), 1);
+    assert_eq!(pending_while_told(&[alive(1, VERSION + 1), alive(2, VERSION)]), 0);
+}
+
+#[test]
+fn a_configuration_that_comes_again_confirms_nothing() {
+    let update = ConfigurationUpdate { version: VERSION, body: Blob::from(CONFIGURATION.as_bytes()) };
+    let told = [alive(2, VERSION + 1), CoordinatorReply::Configuration(update)];
+    assert_eq!(pending_while_told(&told), 1);
+}
