Shard time follows the newest leader: a replica that leads again does not jump ahead

A replica kept the fastest command it had ever seen, of whatever leader. A new leader's time is late by what it knew too late of the one before; messages that it accepts are due by its time. A replica that had led before then led again by its own faster time, and delays ran early by the difference.

--- a/crates/queue/src/clock.rs
+++ b/crates/queue/src/clock.rs
@@ -25,14 +25,20 @@
 /// Turns the monotonic time of this process into shard time.
 ///
 /// Shard time is carried in each command. Between commands it goes on with monotonic time. It never runs ahead of what
-/// the fastest command seen allows, except after a restart of all replicas: then the gap is estimated from the time of
-/// day, within bounds. It never goes back below the last command applied.
+/// the fastest command of the newest term allows, except after a restart of all replicas: then the gap is estimated from
+/// the time of day, within bounds. It never goes back below the last command applied.
+///
+/// Each leader's time is late by what its knowledge of the leader before it was late. So what is known of an earlier
+/// leader's time is dropped with the first command of a later term: a replica that led before, and leads again, goes on
+/// from the time by which messages were accepted meanwhile. Otherwise its time would jump ahead, and delays run early.
 #[derive(Debug, Clone)]
 pub struct ShardClock {
     settings: ClockSettings,
     start_local_ms: u64,
     start_wall_ms: u64,
     last_shard_ms: u64,
+    /// The newest term of a command that was applied, or in which this replica led.
+    term: u64,
     anchor: Anchor,
 }
 
@@ -59,24 +65,37 @@
             start_local_ms: local_ms,
             start_wall_ms: wall_ms,
             last_shard_ms: 0,
+            term: 0,
             anchor: Anchor { shard_ms: 0, local_ms, live: false },
         }
     }
 
-    /// Must be told of each command as it is applied, and of a state that was restored from a snapshot (with
-    /// [`crate::ShardState::shard_ms`] and [`crate::ShardState::wall_ms`]).
-    pub fn applied(&mut self, local_ms: u64, shard_ms: u64, wall_ms: u64, proposed: Proposed) {
+    /// Must be told of each command as it is applied, with the term of its entry.
+    pub fn applied(&mut self, local_ms: u64, term: u64, command: &Command, proposed: Proposed) {
+        let Command { shard_ms, wall_ms, .. } = *command;
         self.last_shard_ms = self.last_shard_ms.max(shard_ms);
-        if proposed == Proposed::WhileRunning {
-            self.applied_live(local_ms, shard_ms);
-        } else if !self.anchor.live {
-            let gap = self.gap_ms(local_ms, wall_ms);
-            self.anchor = Anchor { shard_ms: shard_ms.saturating_add(gap), local_ms, live: false };
+        if proposed == Proposed::BeforeStart {
+            self.applied_before_start(local_ms, shard_ms, wall_ms);
+        } else if term > self.term || !self.anchor.live || shard_ms > self.anchor.at(local_ms) {
+            self.anchor = Anchor { shard_ms, local_ms, live: true };
         }
+        self.term = self.term.max(term);
     }
 
-    /// This replica leads from now on: its time is the shard's. Call it before a [`crate::ShardLeader`] is built.
-    pub fn lead(&mut self) {
+    /// Must be told of a state that was restored from a snapshot, with [`crate::ShardState::shard_ms`] and
+    /// [`crate::ShardState::wall_ms`]. Which leader's time that is, is not known: all that was known before is dropped.
+    pub fn restored(&mut self, local_ms: u64, shard_ms: u64, wall_ms: u64, proposed: Proposed) {
+        self.last_shard_ms = self.last_shard_ms.max(shard_ms);
+        match proposed {
+            Proposed::BeforeStart => self.applied_before_start(local_ms, shard_ms, wall_ms),
+            Proposed::WhileRunning => self.anchor = Anchor { shard_ms, local_ms, live: true },
+        }
+    }
+
+    /// This replica leads from now on, in this term: its time is the shard's. Call it before a [`crate::ShardLeader`] is
+    /// built.
+    pub fn lead(&mut self, term: u64) {
+        self.term = self.term.max(term);
         self.anchor.live = true;
     }
 
@@ -100,10 +119,11 @@
         Command { shard_ms: self.shard_ms(local_ms), wall_ms: self.wall_ms(local_ms), action }
     }
 
-    /// A command proposed while this process ran: the fastest one is nearest to the proposer's time.
-    fn applied_live(&mut self, local_ms: u64, shard_ms: u64) {
-        if !self.anchor.live || shard_ms > self.anchor.at(local_ms) {
-            self.anchor = Anchor { shard_ms, local_ms, live: true };
+    /// The time since is estimated, until a command proposed while this process ran tells better.
+    fn applied_before_start(&mut self, local_ms: u64, shard_ms: u64, wall_ms: u64) {
+        if !self.anchor.live {
+            let gap = self.gap_ms(local_ms, wall_ms);
+            self.anchor = Anchor { shard_ms: shard_ms.saturating_add(gap), local_ms, live: false };
         }
     }
 
--- a/crates/store/src/shard.rs
+++ b/crates/store/src/shard.rs
@@ -110,7 +110,7 @@
         self.applied = index;
         self.office = None;
         let (shard_ms, wall_ms) = (self.state.shard_ms(), self.state.wall_ms());
-        self.clock.applied(now, shard_ms, wall_ms, self.proposed(index));
+        self.clock.restored(now, shard_ms, wall_ms, self.proposed(index));
         Ok(())
     }
 
@@ -143,7 +143,7 @@
         seed: u64,
         edges: impl Iterator<Item = &'a EdgeSession>,
     ) {
-        self.clock.lead();
+        self.clock.lead(term);
         let shard_now = self.clock.shard_ms(now);
         let settings = LeaderSettings { seed, ..self.settings.leader.clone() };
         let mut leader = ShardLeader::new(term, shard_now, &self.state, policy, settings);
@@ -241,7 +241,7 @@
             let Payload::Command(bytes) = entry.payload else { continue };
             match Command::decode(bytes.as_slice()) {
                 Ok(command) => {
-                    let append = self.apply_command(now, entry.index, &command);
+                    let append = self.apply_command(now, entry.index, entry.term, &command);
                     if let Some(append) = append {
                         self.acknowledge(now, entry.term, &append, may_lease);
                     }
@@ -254,9 +254,9 @@
     }
 
     /// Applies a command; the append that waits for it.
-    fn apply_command(&mut self, now: u64, index: u64, command: &Command) -> Option<PendingAppend> {
+    fn apply_command(&mut self, now: u64, index: u64, term: u64, command: &Command) -> Option<PendingAppend> {
         let applied = self.state.apply(command);
-        self.clock.applied(now, command.shard_ms, command.wall_ms, self.proposed(index));
+        self.clock.applied(now, term, command, self.proposed(index));
         let shard_now = self.clock.shard_ms(now);
         let office = self.office.as_mut()?;
         office.leader.applied(shard_now, &command.action, &applied, &self.state);
