--- a/crates/consensus/src/following.rs
+++ b/crates/consensus/src/following.rs
@@ -74,6 +74,7 @@
 
     fn commit_up_to(&mut self, index: u64) {
         self.commit = self.commit.max(index.min(self.log.last_index()));
+        self.incoming = self.incoming.take().filter(|incoming| incoming.index() > self.commit);
     }
 }
 
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -23,6 +23,7 @@
 mod replica;
 mod replication;
 mod snapshot;
+mod snapshot_window;
 mod status;
 mod timing;
 mod transfer;
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -6,20 +6,29 @@
 
 use crate::entry::Snapshot;
 use crate::message::Stamp;
+use crate::snapshot_window::SnapshotWindow;
 use crate::timing::Timing;
 
+/// A snapshot on its way to a follower that says nothing is kept for so many of the longest election timeouts, and with it
+/// the entries that follow it: a process that freezes, or a link that is cut, for less goes on where it was.
+const KEPT_ELECTIONS: u64 = 10;
+
 /// A snapshot on its way to a follower.
 #[derive(Debug)]
 pub(crate) struct Sending {
     pub(crate) snapshot: Snapshot,
     /// Bytes that the follower has.
     pub(crate) acknowledged: u64,
+    /// When the newest part was sent whose answer told of these bytes; ms.
+    acknowledged_sent: u64,
     /// Where the next part begins; bytes.
     pub(crate) next_offset: u64,
     /// The last part, which may be empty, has been sent since the last rewind.
     pub(crate) end_sent: bool,
     /// When the follower last had more than before, or the leader began anew; ms.
     pub(crate) progressed_at: u64,
+    /// How much may be unanswered.
+    pub(crate) window: SnapshotWindow,
 }
 
 /// Whether a follower needs a snapshot.
@@ -120,6 +129,12 @@
         self.heard_at.is_none_or(|at| now >= at.saturating_add(timing.election_min_ms))
     }
 
+    /// Whether a snapshot on its way to it is given up: it has said nothing for long.
+    pub(crate) fn is_given_up(&self, now: u64, timing: &Timing) -> bool {
+        let kept_ms = timing.election_max_ms.saturating_mul(KEPT_ELECTIONS);
+        self.heard_at.is_none_or(|at| now >= at.saturating_add(kept_ms))
+    }
+
     /// Notes an answer.
     pub(crate) fn answered(&mut self, stamp: Stamp, now: u64) {
         let sent = stamp.sent.min(now);
@@ -158,18 +173,48 @@
 }
 
 impl Sending {
-    pub(crate) fn new(snapshot: Snapshot, now: u64) -> Self {
-        Self { snapshot, acknowledged: 0, next_offset: 0, end_sent: false, progressed_at: now }
+    pub(crate) fn new(snapshot: Snapshot, now: u64, timing: &Timing) -> Self {
+        Self {
+            snapshot,
+            acknowledged: 0,
+            acknowledged_sent: 0,
+            next_offset: 0,
+            end_sent: false,
+            progressed_at: now,
+            window: SnapshotWindow::new(timing),
+        }
     }
 
     pub(crate) fn total(&self) -> u64 {
         self.snapshot.data.len() as u64
     }
 
+    /// The follower had so many bytes when it answered what was sent at `sent`. Whether it has lost some that it had:
+    /// answers that came late or twice don't tell so.
+    pub(crate) fn answered(&mut self, received: u64, sent: u64, now: u64) -> bool {
+        if received < self.acknowledged {
+            let is_newer = sent > self.acknowledged_sent;
+            if is_newer {
+                self.acknowledged = received;
+            }
+            return is_newer;
+        }
+        self.acknowledged_sent = self.acknowledged_sent.max(sent);
+        let more = received.saturating_sub(self.acknowledged);
+        if more > 0 {
+            self.window.answered(more, sent, now);
+            self.acknowledged = received;
+            self.next_offset = self.next_offset.max(received);
+            self.progressed_at = now;
+        }
+        false
+    }
+
     /// Sends again all that is not acknowledged.
     pub(crate) fn rewind(&mut self, now: u64) {
         self.next_offset = self.acknowledged;
         self.end_sent = false;
         self.progressed_at = now;
+        self.window.lost(now);
     }
 }
--- a/crates/consensus/src/snapshot.rs
+++ b/crates/consensus/src/snapshot.rs
@@ -8,8 +8,10 @@
 use crate::message::{Body, Chunk, ChunkReply, Message};
 use crate::progress::{Need, Progress, Sending};
 use crate::replica::{HIGHEST_COUNT, Replica};
+use crate::timing::Timing;
 
-/// A snapshot of which parts have come. Dropped when the term changes: another leader's bytes may differ.
+/// A snapshot of which parts have come. Dropped when the term changes, as another leader's bytes may differ, and when the
+/// log has brought what it holds.
 #[derive(Debug)]
 pub(crate) struct Incoming {
     index: u64,
@@ -19,6 +21,11 @@
 }
 
 impl Incoming {
+    /// The last entry that the snapshot includes.
+    pub(crate) fn index(&self) -> u64 {
+        self.index
+    }
+
     fn is_of(&self, chunk: &Chunk) -> bool {
         self.index == chunk.index && self.term == chunk.term && self.total == chunk.total
     }
@@ -34,23 +41,24 @@
             return;
         };
         if useful && matches!(peer.need, Need::Wanted { .. }) {
-            peer.need = Need::Sending(Sending::new(snapshot, now));
+            peer.need = Need::Sending(Sending::new(snapshot, now, &self.timing));
             self.send_chunks(to);
         }
     }
 
-    /// The lowest index of the snapshots that are on their way to followers that answer.
+    /// The lowest index of the snapshots that are on their way: the entries that follow it are needed next.
     pub(crate) fn snapshots_on_their_way(&self) -> Option<u64> {
         let leadership = self.leadership.as_ref()?;
         let indexes = leadership.peers.iter().filter_map(|peer| match &peer.need {
-            Need::Sending(sending) if !peer.is_silent(self.now, &self.timing) => Some(sending.snapshot.index),
+            Need::Sending(sending) if !peer.is_given_up(self.now, &self.timing) => {
+                Some(sending.snapshot.index)
+            }
             _ => None,
         });
         indexes.min()
     }
 
-    /// Asks for, or sends, again what was not answered. For a follower that is silent nothing is kept: it is asked for anew
-    /// once it answers.
+    /// Asks for, or sends, again what was not answered.
     pub(crate) fn retry_snapshots(&mut self) {
         let Some(leadership) = &mut self.leadership else { return };
         let mut rewound = Vec::new();
@@ -59,8 +67,7 @@
                 continue;
             }
             if peer.is_silent(self.now, &self.timing) {
-                peer.need = Need::Log;
-                peer.disconnected(self.now);
+                wait_for_answer(peer, self.now, &self.timing);
                 continue;
             }
             match &mut peer.need {
@@ -106,19 +113,15 @@
         let Some(peer) = leadership.peer_mut(from) else { return };
         peer.answered(reply.stamp, self.now);
         let current = peer.is_current(reply.stamp);
-        if let Need::Sending(sending) = &mut peer.need {
-            let of_this =
-                current && sending.snapshot.index == reply.index && reply.received <= sending.total();
-            if of_this && reply.received > sending.acknowledged {
-                sending.acknowledged = reply.received;
-                sending.next_offset = sending.next_offset.max(reply.received);
-                sending.progressed_at = self.now;
-            } else if of_this && reply.received < sending.acknowledged {
-                sending.acknowledged = reply.received;
-                sending.rewind(self.now);
-                let next_index = peer.next_index;
-                peer.rewind(next_index);
-            }
+        if let Need::Sending(sending) = &mut peer.need
+            && current
+            && sending.snapshot.index == reply.index
+            && reply.received <= sending.total()
+            && sending.answered(reply.received, reply.stamp.sent, self.now)
+        {
+            sending.rewind(self.now);
+            let next_index = peer.next_index;
+            peer.rewind(next_index);
         }
         leadership.refresh_quorum_answered();
         self.send_chunks(from);
@@ -129,8 +132,7 @@
         let Some(peer) = self.leadership.as_mut().and_then(|leadership| leadership.peer_mut(to)) else {
             return;
         };
-        let window = self.timing.max_inflight.saturating_mul(self.timing.snapshot_chunk_bytes) as u64;
-        while let Some(chunk) = next_chunk(peer, window, self.timing.snapshot_chunk_bytes, self.now) {
+        while let Some(chunk) = next_chunk(peer, self.timing.snapshot_chunk_bytes, self.now) {
             peer.chunk_sent(self.now);
             let message = Message { term: self.hard_state.term, body: Body::Chunk(chunk) };
             self.output.messages.push((to, message));
@@ -140,7 +142,8 @@
     /// Takes a part in if it is the next one; how many bytes have come without a gap.
     fn collect(&mut self, chunk: &Chunk) -> u64 {
         if !self.incoming.as_ref().is_some_and(|incoming| incoming.is_of(chunk)) {
-            if chunk.offset > 0 {
+            let is_older = self.incoming.as_ref().is_some_and(|incoming| incoming.index > chunk.index);
+            if chunk.offset > 0 || is_older {
                 return 0;
             }
             let (index, term, total) = (chunk.index, chunk.term, chunk.total);
@@ -171,13 +174,23 @@
     }
 }
 
+/// Sends a follower that says nothing but heartbeats, until it answers. A snapshot on its way to it is kept for a while; a
+/// wanted one is asked for anew once it answers.
+fn wait_for_answer(peer: &mut Progress, now: u64, timing: &Timing) {
+    let is_kept = matches!(peer.need, Need::Sending(_)) && !peer.is_given_up(now, timing);
+    if !is_kept {
+        peer.need = Need::Log;
+    }
+    peer.disconnected(now);
+}
+
 /// The next part for a follower, if one may go out.
-fn next_chunk(peer: &mut Progress, window: u64, chunk_bytes: usize, now: u64) -> Option<Chunk> {
+fn next_chunk(peer: &mut Progress, chunk_bytes: usize, now: u64) -> Option<Chunk> {
     let stamp = peer.stamp(now);
     let unreachable = peer.unreachable;
     let Need::Sending(sending) = &mut peer.need else { return None };
     let unanswered = sending.next_offset.saturating_sub(sending.acknowledged);
-    if unreachable || sending.end_sent || unanswered >= window {
+    if unreachable || sending.end_sent || unanswered >= sending.window.bytes() {
         return None;
     }
     let offset = sending.next_offset;
