--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -76,6 +76,12 @@
         self.entries.truncate(usize::try_from(kept).unwrap_or(usize::MAX));
     }
 
+    /// About how many bytes the entries after `index` take; `None` if not all of them are here.
+    pub(crate) fn bytes_after(&self, index: u64) -> Option<u64> {
+        let bytes = if index == self.base_index { self.base_bytes } else { self.get(index)?.end_bytes };
+        Some(self.end_bytes().saturating_sub(bytes))
+    }
+
     /// Entries from `first` on: one, and as many more as `max_bytes` hold.
     pub(crate) fn batch(&self, first: u64, max_bytes: usize) -> Vec<Entry> {
         let Some(start) = self.position(first) else { return Vec::new() };
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -52,6 +52,8 @@
     /// The entry to send next.
     pub(crate) next_index: u64,
     pub(crate) need: Need,
+    /// Bytes of the newest snapshot that this leader sent to it; 0 for none.
+    pub(crate) snapshot_bytes: u64,
     /// Where its log agrees is not known: one append at a time.
     pub(crate) probing: bool,
     /// Its connection was lost, or it is silent and needs a snapshot: only heartbeats, until it answers.
@@ -76,6 +78,7 @@
             matched: 0,
             next_index,
             need: Need::Log,
+            snapshot_bytes: 0,
             probing: true,
             unreachable: false,
             answered_sent: None,
--- a/crates/consensus/src/snapshot.rs
+++ b/crates/consensus/src/snapshot.rs
@@ -41,21 +41,27 @@
             return;
         };
         if useful && matches!(peer.need, Need::Wanted { .. }) {
+            peer.snapshot_bytes = snapshot.data.len() as u64;
             peer.need = Need::Sending(Sending::new(snapshot, now, &self.timing));
             self.send_chunks(to);
         }
     }
 
-    /// The lowest index of the snapshots that are on their way: the entries that follow it are needed next.
+    /// The lowest index after which a follower needs the entries next, as a snapshot is on its way to it or has come. If
+    /// they were dropped, it would need another snapshot, and then perhaps the next.
     pub(crate) fn snapshots_on_their_way(&self) -> Option<u64> {
         let leadership = self.leadership.as_ref()?;
-        let indexes = leadership.peers.iter().filter_map(|peer| match &peer.need {
-            Need::Sending(sending) if !peer.is_given_up(self.now, &self.timing) => {
-                Some(sending.snapshot.index)
-            }
-            _ => None,
-        });
-        indexes.min()
+        let peers = leadership.peers.iter().filter(|peer| !peer.is_given_up(self.now, &self.timing));
+        peers.filter_map(|peer| self.needs_entries_after(peer)).min()
+    }
+
+    /// After a snapshot a follower gets the log as long as that is no more than the snapshot was.
+    fn needs_entries_after(&self, peer: &Progress) -> Option<u64> {
+        match &peer.need {
+            Need::Sending(sending) => Some(sending.snapshot.index),
+            Need::Log if self.log.bytes_after(peer.matched)? <= peer.snapshot_bytes => Some(peer.matched),
+            Need::Log | Need::Wanted { .. } => None,
+        }
     }
 
     /// Asks for, or sends, again what was not answered.
--- a/crates/consensus/src/snapshot_window.rs
+++ b/crates/consensus/src/snapshot_window.rs
@@ -9,6 +9,10 @@
 /// Parts that a transfer begins with.
 const FIRST_PARTS: u64 = 4;
 
+/// Doubling ends once parts wait on the way for this part of the longest time, as the answers to what doubled the window
+/// last are still to come then (as HyStart does).
+const DOUBLING_PART_OF_WAIT: u64 = 5;
+
 /// The window of one transfer. Sizes are bytes, times are ms.
 #[derive(Debug)]
 pub(crate) struct SnapshotWindow {
@@ -19,8 +23,10 @@
     wait_ms: u64,
     /// The shortest time that an answer took.
     shortest_ms: u64,
-    /// When the window last shrank; it grows slowly from then on.
-    shrunk_at: Option<u64>,
+    /// Whether it doubles with each round trip, or gains one part.
+    doubles: bool,
+    /// When the window last shrank; ms.
+    shrunk_at: u64,
 }
 
 impl SnapshotWindow {
@@ -33,7 +39,8 @@
             most_bytes,
             wait_ms: timing.heartbeat_ms,
             shortest_ms: u64::MAX,
-            shrunk_at: None,
+            doubles: true,
+            shrunk_at: 0,
         }
     }
 
@@ -46,7 +53,9 @@
     pub(crate) fn answered(&mut self, bytes: u64, sent: u64, now: u64) {
         let took_ms = now.saturating_sub(sent);
         self.shortest_ms = self.shortest_ms.min(took_ms);
-        if took_ms > self.shortest_ms.saturating_add(self.wait_ms) {
+        let waited_ms = took_ms - self.shortest_ms;
+        self.doubles &= waited_ms <= self.wait_ms / DOUBLING_PART_OF_WAIT;
+        if waited_ms > self.wait_ms {
             self.shrink(sent, now);
         } else {
             self.grow(bytes);
@@ -56,23 +65,22 @@
     /// What was sent is lost, or its answers are.
     pub(crate) fn lost(&mut self, now: u64) {
         self.bytes = self.part_bytes.min(self.most_bytes);
-        self.shrunk_at = Some(now);
+        self.doubles = false;
+        self.shrunk_at = now;
     }
 
-    /// Doubles with each round trip at first; once it has shrunk, gains one part with each.
+    /// Doubles with each round trip at first; later gains one part with each.
     fn grow(&mut self, bytes: u64) {
-        let gain = match self.shrunk_at {
-            None => bytes,
-            Some(_) => bytes.saturating_mul(self.part_bytes).div_ceil(self.bytes.max(1)),
-        };
+        let slow_gain = bytes.saturating_mul(self.part_bytes).div_ceil(self.bytes.max(1));
+        let gain = if self.doubles { bytes } else { slow_gain };
         self.bytes = self.bytes.saturating_add(gain).min(self.most_bytes);
     }
 
     /// Halves, but once only for all that was sent before it last did.
     fn shrink(&mut self, sent: u64, now: u64) {
-        if self.shrunk_at.is_none_or(|shrunk_at| sent >= shrunk_at) {
+        if sent >= self.shrunk_at {
             self.bytes = (self.bytes / 2).max(self.part_bytes);
-            self.shrunk_at = Some(now);
+            self.shrunk_at = now;
         }
     }
 }
--- a/crates/consensus/tests/behaviour/main.rs
+++ b/crates/consensus/tests/behaviour/main.rs
@@ -3,9 +3,12 @@
 mod durability;
 mod elections;
 mod group;
+mod link;
 mod memberships;
 mod nonsense;
 mod replication;
+mod slow_links;
+mod snapshot_phases;
 mod snapshots;
 mod timing;
 mod transfers;
