--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -51,6 +51,8 @@
     pub(crate) matched: u64,
     /// The entry to send next.
     pub(crate) next_index: u64,
+    /// The entry that was sent first since the leader last began anew.
+    first_sent: u64,
     pub(crate) need: Need,
     /// Bytes of the newest snapshot that this leader sent to it; 0 for none.
     pub(crate) snapshot_bytes: u64,
@@ -77,6 +79,7 @@
             voter,
             matched: 0,
             next_index,
+            first_sent: next_index,
             need: Need::Log,
             snapshot_bytes: 0,
             probing: true,
@@ -160,15 +163,17 @@
     /// Begins anew from `next_index`: what was sent before is taken as lost.
     pub(crate) fn rewind(&mut self, next_index: u64) {
         self.next_index = next_index.max(self.matched.saturating_add(1));
+        self.first_sent = self.next_index;
         self.inflight.clear();
         self.probing = true;
         self.stream = self.stream.wrapping_add(1);
     }
 
-    /// The connection is lost, and with it perhaps what was sent last.
+    /// The connection is lost, and with it perhaps what was sent last. While it is not known where the logs agree, the same
+    /// is asked again: that nothing is known to agree doesn't mean that the follower has nothing.
     pub(crate) fn disconnected(&mut self, now: u64) {
         self.unreachable = true;
-        self.rewind(self.matched.saturating_add(1));
+        self.rewind(if self.probing { self.first_sent } else { self.matched.saturating_add(1) });
         if let Need::Sending(sending) = &mut self.need {
             sending.rewind(now);
         }
--- a/crates/consensus/tests/behaviour/snapshot_phases.rs
+++ b/crates/consensus/tests/behaviour/snapshot_phases.rs
@@ -272,6 +272,7 @@
             group.held.extend(again.filter(|_| turn < 40));
         }
         group.release();
+        assert_eq!(group.count(MessageKind::SnapshotChunk), PARTS, "order {order}: none is sent again");
         group.run(3000);
         assert_eq!(group.member(C).restored.len(), 1, "order {order}");
         check_caught_up(&mut group, A, &format!("order {order}"));
@@ -406,8 +407,11 @@
 #[test]
 fn parts_of_an_older_snapshot_never_mix_with_a_newer_one() {
     for parts in 1..PARTS {
-        let mut group = after_parts(parts);
+        let mut group = lagging(20);
         let late = group.held.clone();
+        for _ in 0..parts {
+            group.release_one();
+        }
         group.isolate(C);
         group.held.clear();
         propose(&mut group, 5);
@@ -415,6 +419,7 @@
         compact(&mut group, A);
         group.cuts.clear();
         group.state = Blob::from((100..195).collect::<Vec<u8>>());
+        let before = group.count(MessageKind::SnapshotChunk);
         group.run(500);
         // Parts of the older one come in between.
         group.release_one();
@@ -422,7 +427,11 @@
             let now = group.now;
             group.replica(to).step(now, from, message);
         }
+        // Those that were held are counted once more.
+        let counted = PARTS + group.held.len();
         group.release();
+        let sent = group.count(MessageKind::SnapshotChunk) - before;
+        assert_eq!(sent, counted, "part {parts}: none is sent again");
         group.run(3000);
         assert_eq!(group.member(C).restored.len(), 1, "part {parts}");
         let restored = group.member(C).restored[0].data.clone();
@@ -430,3 +439,88 @@
         check_caught_up(&mut group, A, &format!("part {parts}"));
     }
 }
+
+/// Two leaders may encode the same state in other bytes: parts of one never complete those of the other.
+#[test]
+fn parts_of_two_leaders_never_mix() {
+    for parts in 1..PARTS {
+        let mut group = after_parts(parts);
+        group.held.clear();
+        let index = group.replica(B).applied_index();
+        group.isolate(A);
+        group.state = Blob::from((100..195).collect::<Vec<u8>>());
+        group.hold = None;
+        group.run(4 * TIMING.election_max_ms);
+        assert_eq!(group.replica(C).leader(), Some(B), "part {parts}");
+        let restored = group.member(C).restored[0].clone();
+        assert_eq!(restored.index, index, "part {parts}: both snapshots have the same index");
+        assert_eq!(restored.data, group.state, "part {parts}");
+        check_caught_up(&mut group, B, &format!("part {parts}"));
+    }
+}
+
+/// A snapshot that covers less than the log that agrees with it takes nothing away: what comes after may be acknowledged.
+#[test]
+fn a_snapshot_of_entries_that_are_there_takes_nothing_away() {
+    let empty = |index| Entry { term: 1, index, payload: Payload::Empty };
+    let hard_state = HardState { term: 1, vote: Some(A) };
+    let whole = || Restored { hard_state, entries: (1..=30).map(empty).collect(), ..founded(&[A, C]) };
+    let membership = whole().founding.unwrap_or_default();
+    let snapshot = Snapshot { index: 20, term: 1, membership, data: Blob::from(vec![5; 95]) };
+    let compacted = Restored { snapshot: Some(snapshot), entries: (21..=30).map(empty).collect(), ..whole() };
+    let mut group = Group::new(vec![(A, compacted), (C, whole())]);
+    group.state = Blob::from(vec![5; 95]);
+    group.run(TIMING.election_min_ms);
+    group.hold = Some(MessageKind::Append);
+    group.elect(A);
+    // An empty disk under the identity of C makes the leader send a snapshot.
+    group.members.retain(|member| member.replica.id() != C);
+    group.join(C, founded(&[A, C]));
+    group.hold = Some(MessageKind::SnapshotChunk);
+    for (from, to, message) in std::mem::take(&mut group.held) {
+        let now = group.now;
+        group.replica(to).step(now, from, message);
+    }
+    group.run(2 * TIMING.heartbeat_ms);
+    assert!(!group.held.is_empty(), "the leader sends a snapshot");
+    group.members.retain(|member| member.replica.id() != C);
+    let mut longer = whole();
+    longer.entries.extend((31..=40).map(empty));
+    group.join(C, longer);
+    let index = group.replica(A).applied_index();
+    let last = group.replica(C).last_index();
+    assert!(last > index);
+    while !group.held.is_empty() && group.replica(C).commit_index() < index {
+        group.release_one();
+    }
+    assert_eq!(group.replica(C).commit_index(), index);
+    assert!(group.replica(C).last_index() > index);
+    assert!(group.member(C).restored.is_empty());
+    assert!(!group.member(C).written.iter().any(|write| matches!(write, Write::Snapshot(_))));
+}
+
+/// A new leader knows of nobody where the logs agree. A connection that is lost right then does not make it send all.
+#[test]
+fn a_connection_that_is_lost_at_an_election_leads_to_no_snapshot() {
+    for lost in [MessageKind::Append, MessageKind::AppendReply] {
+        let mut group = Group::led_by_a(&[A, B, C]);
+        propose(&mut group, 50);
+        group.run(300);
+        compact(&mut group, B);
+        group.hold = Some(lost);
+        let now = group.now;
+        assert!(group.replica(A).transfer_leadership(now, Some(B)));
+        group.settle();
+        assert_eq!(group.replica(B).leader(), Some(B), "{lost:?}");
+        for _ in 0..3 {
+            let now = group.now;
+            group.replica(B).peer_unreachable(now, C);
+            group.run(100);
+        }
+        group.held.clear();
+        group.hold = None;
+        group.run(1000);
+        assert_eq!(group.count(MessageKind::SnapshotChunk), 0, "{lost:?}");
+        check_caught_up(&mut group, B, &format!("{lost:?}"));
+    }
+}
