--- a/crates/consensus/tests/behaviour/link.rs
+++ b/crates/consensus/tests/behaviour/link.rs
@@ -2,13 +2,13 @@
 
 use std::collections::VecDeque;
 
-use ruddervalve_consensus::{Message, MessageKind, Replica, Restored, Snapshot};
+use ruddervalve_consensus::{Message, MessageKind, Replica, Restored, Snapshot, Timing};
 use ruddervalve_protocol::{Blob, ReplicaId};
 
-use crate::group::{A, D, TIMING, founded};
+use crate::group::{A, D, founded};
 
 /// The times and limits of a deployment with a `LivenessMs` of 4,000.
-pub const DEPLOYED: ruddervalve_consensus::Timing = ruddervalve_consensus::Timing {
+pub const DEPLOYED: Timing = Timing {
     election_min_ms: 200,
     election_max_ms: 400,
     heartbeat_ms: 50,
@@ -16,7 +16,6 @@
     max_entries_bytes: 256 * 1_024,
     max_inflight: 64,
     snapshot_chunk_bytes: 128 * 1_024,
-    ..TIMING
 };
 
 const MICROS_PER_MS: u64 = 1_000;
--- a/crates/consensus/tests/behaviour/slow_links.rs
+++ b/crates/consensus/tests/behaviour/slow_links.rs
@@ -47,3 +47,27 @@
         }
     }
 }
+
+/// The figures of docs/control-under-faults/snapshots-and-restarts.md: `cargo test --release -p ruddervalve-consensus --test
+/// behaviour transfers_by_size -- --nocapture`.
+#[test]
+fn transfers_by_size_take_what_the_link_takes() {
+    println!("Mbit/s | way ms | MB | least ms | took ms | slowest heartbeat ms | bytes sent");
+    for (megabits, delay_ms) in [(600, 3), (86, 3)] {
+        for megabytes in [10, 100, 300] {
+            let bytes = megabytes * MEGABYTE;
+            let least = least_ms(megabits, bytes);
+            let transfer = Link::new(megabits, delay_ms, bytes).play(least * 2 + 1000).expect("it ends");
+            let (took_ms, heartbeat_ms) = (transfer.took_ms, transfer.slowest_heartbeat_ms);
+            let sent_bytes = transfer.sent_bytes;
+            println!(
+                "{megabits} | {delay_ms} | {megabytes} | {least} | {took_ms} | {heartbeat_ms} | {sent_bytes}"
+            );
+            assert!(took_ms <= least * 11 / 10 + 100, "{megabits} Mbit/s, {megabytes} MB: {transfer:?}");
+            assert!(
+                heartbeat_ms < DEPLOYED.election_min_ms,
+                "{megabits} Mbit/s, {megabytes} MB: {transfer:?}"
+            );
+        }
+    }
+}
