Recovery holds one slot in memory, not both

Both slots were read whole before the newer one was chosen, so that a start needed three times the state. Only headers are read for the choice now. Measured by crates/disk/examples/recovery_time.rs (both slots full).

--- a/crates/disk/examples/recovery_time.rs
+++ b/crates/disk/examples/recovery_time.rs
@@ -33,6 +33,9 @@
         measure(&path, &format!("snapshot of {megabytes} MB in a slot"), |folder| {
             write_slot(folder, megabytes)
         })?;
+        measure(&path, &format!("snapshot of {megabytes} MB in both slots"), |folder| {
+            write_slots(folder, megabytes)
+        })?;
         measure(&path, &format!("snapshot of {megabytes} MB in the log"), |folder| {
             write_snapshot(folder, megabytes)
         })?;
@@ -97,6 +100,15 @@
 }
 
 fn write_slot(folder: Arc<RealFolder>, megabytes: usize) -> Result<(), DiskError> {
+    write_checkpoints(folder, megabytes, 1)
+}
+
+/// As a process leaves it that has run for long.
+fn write_slots(folder: Arc<RealFolder>, megabytes: usize) -> Result<(), DiskError> {
+    write_checkpoints(folder, megabytes, 2)
+}
+
+fn write_checkpoints(folder: Arc<RealFolder>, megabytes: usize, count: usize) -> Result<(), DiskError> {
     let mut journal = open(folder, Options::default())?.found(IDENTITY)?;
     let group = GroupState {
         hard_state: StoredHardState { term: 3, vote: None },
@@ -104,8 +116,10 @@
         ..GroupState::default()
     };
     let state = ProcessState { identity: IDENTITY, groups: BTreeMap::from([(GROUP, group)]) };
-    let done = journal.begin_checkpoint(&state)?.run()?;
-    journal.finish_checkpoint(done);
+    for _ in 0..count {
+        let done = journal.begin_checkpoint(&state)?.run()?;
+        journal.finish_checkpoint(done);
+    }
     Ok(())
 }
 
--- a/crates/disk/src/folder.rs
+++ b/crates/disk/src/folder.rs
@@ -12,6 +12,15 @@
     /// All bytes of a file; `None` if there is none of that name.
     fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>>;
 
+    /// The first bytes of a file, `length` or as many as there are; `None` if there is none of that name.
+    fn read_start(&self, name: &str, length: usize) -> io::Result<Option<Vec<u8>>> {
+        let bytes = self.read(name)?;
+        Ok(bytes.map(|mut bytes| {
+            bytes.truncate(length);
+            bytes
+        }))
+    }
+
     /// Makes a file, or empties the one there is, and opens it for appending.
     fn create(&self, name: &str) -> io::Result<Box<dyn DataFile>>;
 
--- a/crates/disk/src/real.rs
+++ b/crates/disk/src/real.rs
@@ -1,7 +1,7 @@
 //! A folder of the file system.
 
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, ErrorKind, Seek, SeekFrom, Write};
+use std::io::{self, ErrorKind, Read, Seek, SeekFrom, Write};
 use std::path::PathBuf;
 
 use crate::folder::{DataFile, Folder};
@@ -39,6 +39,17 @@
         }
     }
 
+    fn read_start(&self, name: &str, length: usize) -> io::Result<Option<Vec<u8>>> {
+        let file = match File::open(self.path.join(name)) {
+            Ok(file) => file,
+            Err(error) if error.kind() == ErrorKind::NotFound => return Ok(None),
+            Err(error) => return Err(error),
+        };
+        let mut bytes = Vec::new();
+        file.take(length as u64).read_to_end(&mut bytes)?;
+        Ok(Some(bytes))
+    }
+
     fn create(&self, name: &str) -> io::Result<Box<dyn DataFile>> {
         let file = OpenOptions::new().write(true).create(true).truncate(true).open(self.path.join(name))?;
         Ok(Box::new(RealFile { file }))
--- a/crates/disk/src/recovery.rs
+++ b/crates/disk/src/recovery.rs
@@ -133,7 +133,6 @@
 struct SlotFile {
     position: SlotPosition,
     header: Header,
-    bytes: Vec<u8>,
 }
 
 /// A whole slot.
@@ -144,7 +143,8 @@
     groups: Groups,
 }
 
-/// The newest slot that is whole; what is wrong with the newer ones goes into the report.
+/// The newest slot that is whole; what is wrong with the newer ones goes into the report. Never more than one is in memory:
+/// each is as large as the state.
 fn newest_slot(
     folder: &dyn Folder,
     files: &FolderFiles,
@@ -153,14 +153,16 @@
     let mut candidates = Vec::new();
     for position in &files.slots {
         let name = position.file_name();
-        let bytes = read_file(folder, name)?;
-        match Header::read(name, FileKind::Slot, &bytes)? {
-            Ok(header) => candidates.push(SlotFile { position: *position, header, bytes }),
+        let start = folder.read_start(name, HEADER_LENGTH);
+        let start = start.map_err(|cause| DiskError::from_io(FileAction::Read, name, cause))?;
+        match Header::read(name, FileKind::Slot, &start.unwrap_or_default())? {
+            Ok(header) => candidates.push(SlotFile { position: *position, header }),
             Err(damage) => report.warnings.push(Warning { file: name.to_owned(), offset: 0, damage }),
         }
     }
     candidates.sort_unstable_by_key(|slot| slot.header.generation);
-    while let Some(SlotFile { position, header, bytes }) = candidates.pop() {
+    while let Some(SlotFile { position, header }) = candidates.pop() {
+        let bytes = read_file(folder, position.file_name())?;
         match read_slot(&header, &bytes) {
             Ok(groups) => {
                 return Ok(Some(WholeSlot { position, header, length: bytes.len() as u64, groups }));
