--- a/crates/consensus/tests/behaviour/main.rs
+++ b/crates/consensus/tests/behaviour/main.rs
@@ -3,10 +3,13 @@
 mod durability;
 mod elections;
 mod group;
+mod link;
 mod memberships;
 mod nonsense;
 mod reads;
 mod replication;
+mod slow_links;
+mod snapshot_phases;
 mod snapshots;
 mod timing;
 mod transfers;
