Durable mark of groups that were left; removed members are told, leave and may join again

Change: a leader with a valid lease, whose committed membership does not contain the asker, answers pre-votes and inquiries with the entry up to which that is so; other members pass the question on. A replica that no leader speaks to takes it if its own membership is not newer. Its host then keeps hard state and the end of its log in the record Left (in place of Removed, which nothing wrote) and drops the rest; votes need a log that reaches this floor. The store drops the shard, asks the wanted holders where no leader is heard, and founds nothing that it left. A group begins on the word of a leader only, and not before the mark is durable.

--- a/crates/consensus/src/body.rs
+++ b/crates/consensus/src/body.rs
@@ -2,7 +2,7 @@
 //! leaves the crate.
 
 use nanoserde::{DeBin, DeBinErr, SerBin};
-use ruddervalve_protocol::Blob;
+use ruddervalve_protocol::{Blob, ReplicaId};
 
 use crate::entry::Entry;
 use crate::membership::Membership;
@@ -22,6 +22,8 @@
     ChunkReply(ChunkReply),
     Stale,
     TimeoutNow,
+    Inquiry(Inquiry),
+    NotMember(NotMember),
 }
 
 /// How far the log of one that would lead goes.
@@ -141,3 +143,16 @@
     /// How much of it has come without a gap; bytes.
     pub received: u64,
 }
+
+/// Does a replica still belong to the group?
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub struct Inquiry {
+    pub about: ReplicaId,
+}
+
+/// The receiver does not belong to the group as of an entry that is committed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
+pub struct NotMember {
+    pub index: u64,
+    pub term: u64,
+}
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -2,7 +2,7 @@
 
 use ruddervalve_protocol::ReplicaId;
 
-use crate::entry::HardState;
+use crate::entry::{HardState, LogPosition};
 use crate::membership::Membership;
 use crate::message::{Body, Candidacy, PreVoteReply, VoteReply, VoteRequest};
 use crate::replica::{Replica, Role};
@@ -85,6 +85,7 @@
     pub(crate) fn on_pre_vote(&mut self, from: ReplicaId, term: u64, candidacy: Candidacy) {
         let granted = term >= self.hard_state.term && !self.refuses_votes() && self.is_up_to_date(candidacy);
         self.send(from, Body::PreVoteReply(PreVoteReply { asked_term: term, granted }));
+        self.ask_about_stranger(from);
     }
 
     pub(crate) fn on_pre_vote_reply(&mut self, from: ReplicaId, term: u64, reply: PreVoteReply) {
@@ -160,6 +161,7 @@
             self.become_follower(term, Some(from));
         }
         self.heard_leader_at = Some(self.now);
+        self.removed = false;
         self.reset_election_timer();
         true
     }
@@ -177,8 +179,11 @@
         Candidacy { last_index: self.log.last_index(), last_term: self.log.last_term() }
     }
 
+    /// Whether a candidate's log reaches as far as this replica's, and as far as the one that it had when it left the group:
+    /// see [`crate::ElectionRecord`] and the `removal` module.
     fn is_up_to_date(&self, candidacy: Candidacy) -> bool {
-        (candidacy.last_term, candidacy.last_index) >= (self.log.last_term(), self.log.last_index())
+        let Candidacy { last_term: term, last_index: index } = candidacy;
+        LogPosition { term, index } >= self.log_end().max(self.floor)
     }
 
     fn other_voters(&self) -> Vec<ReplicaId> {
--- a/crates/consensus/src/entry.rs
+++ b/crates/consensus/src/entry.rs
@@ -51,6 +51,24 @@
     pub vote: Option<ReplicaId>,
 }
 
+/// A place in the log, ordered as votes compare logs: by term first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct LogPosition {
+    /// The entry's term.
+    pub term: u64,
+    /// The entry's index.
+    pub index: u64,
+}
+
+/// What a replica that leaves its group must not forget, should it join again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ElectionRecord {
+    /// Term and vote.
+    pub hard_state: HardState,
+    /// The end of the newest log that it had.
+    pub floor: LogPosition,
+}
+
 /// The state machine after an entry, in place of the log up to it.
 #[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
 pub struct Snapshot {
@@ -76,4 +94,6 @@
     /// The group's founders: the membership before any entry or snapshot. `None` for a replica that joins and learns the
     /// membership from the leader.
     pub founding: Option<Membership>,
+    /// The end of the log that the replica had when it left the group, if it ever did; see [`ElectionRecord`].
+    pub floor: LogPosition,
 }
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -20,6 +20,7 @@
 mod output;
 mod progress;
 mod ready;
+mod removal;
 mod replica;
 mod replication;
 mod snapshot;
@@ -31,7 +32,7 @@
 
 pub use change::{MembershipChange, MembershipError};
 pub use checkpoint::CheckpointParts;
-pub use entry::{Entry, HardState, Payload, Restored, Snapshot};
+pub use entry::{ElectionRecord, Entry, HardState, LogPosition, Payload, Restored, Snapshot};
 pub use membership::Membership;
 pub use message::{Message, MessageKind};
 pub use ready::{Ready, Write};
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -30,6 +30,8 @@
             Body::ChunkReply(_) => MessageKind::SnapshotChunkReply,
             Body::Stale => MessageKind::Stale,
             Body::TimeoutNow => MessageKind::TimeoutNow,
+            Body::Inquiry(_) => MessageKind::Inquiry,
+            Body::NotMember(_) => MessageKind::NotMember,
         }
     }
 
@@ -72,6 +74,17 @@
     Stale,
     /// A leader asks a voter to take over at once.
     TimeoutNow,
+    /// Does a replica still belong to the group?
+    Inquiry,
+    /// The receiver belongs to the group no more.
+    NotMember,
+}
+
+impl MessageKind {
+    /// Whether a leader sends it to a member, so that a process without the group begins it on that word.
+    pub fn is_replication(self) -> bool {
+        matches!(self, Self::Append | Self::Heartbeat | Self::SnapshotChunk)
+    }
 }
 
 /// A message and whom it is for.
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -147,6 +147,13 @@
         self.stream = self.stream.wrapping_add(1);
     }
 
+    /// It has less than it acknowledged: a learner that has left the group and joined it again.
+    pub(crate) fn lost_log_after(&mut self, index: u64) {
+        if !self.voter {
+            self.matched = self.matched.min(index);
+        }
+    }
+
     /// The connection is lost, and with it perhaps what was sent last.
     pub(crate) fn disconnected(&mut self, now: u64) {
         self.unreachable = true;
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -5,7 +5,7 @@
 use ruddervalve_protocol::ReplicaId;
 
 use crate::election::Ballot;
-use crate::entry::{Entry, HardState, Payload, Restored};
+use crate::entry::{Entry, HardState, LogPosition, Payload, Restored};
 use crate::leadership::Leadership;
 use crate::log::Log;
 use crate::membership::MembershipHistory;
@@ -51,6 +51,10 @@
     pub(crate) leadership: Option<Leadership>,
     pub(crate) ballot: Ballot,
     pub(crate) incoming: Option<Incoming>,
+    /// The end of the log that it had when it left the group, if it ever did: what it votes by, beside its own log.
+    pub(crate) floor: LogPosition,
+    /// A leader told that it belongs to the group no more, and none has said otherwise since.
+    pub(crate) removed: bool,
     /// When a leader was last heard; it may count on this replica's refusal of votes for `election_min_ms` from then on,
     /// whatever term comes: never cleared.
     pub(crate) heard_leader_at: Option<u64>,
@@ -67,7 +71,7 @@
     /// `election_min_ms`, as it may have forgotten hearing from a leader whose lease runs. Use only a timing that
     /// [`Timing::validate`] accepts.
     pub fn new(id: ReplicaId, timing: Timing, seed: u64, restored: Restored, now: u64) -> Self {
-        let Restored { hard_state, snapshot, entries, founding } = restored;
+        let Restored { hard_state, snapshot, entries, founding, floor } = restored;
         let (base_index, base_term, membership) = match snapshot {
             Some(snapshot) => (snapshot.index, snapshot.term, snapshot.membership),
             None => (0, 0, founding.unwrap_or_default()),
@@ -95,6 +99,8 @@
             leadership: None,
             ballot: Ballot::default(),
             incoming: None,
+            floor,
+            removed: false,
             heard_leader_at: None,
             no_votes_before,
             election_timeout_ms: 0,
@@ -166,6 +172,8 @@
                     self.on_chunk_reply(from, reply);
                 }
             }
+            Body::Inquiry(inquiry) => self.on_inquiry(from, inquiry),
+            Body::NotMember(notice) => self.on_not_member(notice),
             Body::Stale => {
                 self.accept_answer(from, term);
             }
@@ -198,9 +206,16 @@
     }
 
     /// Whether it may campaign: it is a voter as far as it knows, or its removal is not known to be committed. The others
-    /// may need it until then, as it may be the only one that has the removal in its log.
+    /// may need it until then, as it may be the only one that has the removal in its log. One that was told of its removal
+    /// may not, nor one whose log does not reach as far again as when it left.
     pub(crate) fn is_promotable(&self) -> bool {
-        self.memberships.is_voter_since(self.commit, self.id)
+        let reaches_floor = self.log_end() >= self.floor;
+        reaches_floor && !self.removed && self.memberships.is_voter_since(self.commit, self.id)
+    }
+
+    /// The newest entry's place.
+    pub(crate) fn log_end(&self) -> LogPosition {
+        LogPosition { term: self.log.last_term(), index: self.log.last_index() }
     }
 
     pub(crate) fn set_role(&mut self, role: Role, leader: Option<ReplicaId>) {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -168,6 +168,7 @@
         if peer.is_current(stamp) {
             match rejection {
                 Some(hint) if matches!(peer.need, Need::Log) => {
+                    peer.lost_log_after(hint.index);
                     let agreed = self.log.last_index_up_to(hint.index, hint.term);
                     peer.rewind(agreed.saturating_add(1).min(last_index.saturating_add(1)));
                 }
--- a/crates/consensus/tests/behaviour/main.rs
+++ b/crates/consensus/tests/behaviour/main.rs
@@ -5,6 +5,7 @@
 mod group;
 mod memberships;
 mod nonsense;
+mod removals;
 mod replication;
 mod snapshots;
 mod timing;
--- a/crates/consensus/tests/behaviour/nonsense.rs
+++ b/crates/consensus/tests/behaviour/nonsense.rs
@@ -6,7 +6,7 @@
 use crate::group::{A, B, C, Group};
 
 /// The kinds of messages, as the encoding numbers them.
-const KINDS: u16 = 12;
+const KINDS: u16 = 14;
 
 /// A message of a kind, with anything after it.
 fn message(kind: u16, term: u64, rest: &[u8]) -> Option<Message> {
--- a/crates/consensus/tests/behaviour/snapshots.rs
+++ b/crates/consensus/tests/behaviour/snapshots.rs
@@ -91,7 +91,7 @@
     let parts = group.replica(C).checkpoint(u64::MAX);
     group.members.retain(|member| member.replica.id() != C);
     let founding = Some(voters(&[A, B, C]));
-    group.join(C, Restored { hard_state: parts.hard_state, snapshot: None, entries: Vec::new(), founding });
+    group.join(C, Restored { hard_state: parts.hard_state, founding, ..Restored::default() });
     group.release();
     group.run(5000);
     assert_eq!(group.member(C).restored.len(), 1);
--- a/crates/consensus/tests/simulation/disk.rs
+++ b/crates/consensus/tests/simulation/disk.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use ruddervalve_consensus::{
-    CheckpointParts, Entry, HardState, Membership, Message, Restored, Snapshot, Write,
+    CheckpointParts, Entry, HardState, LogPosition, Membership, Message, Restored, Snapshot, Write,
 };
 use ruddervalve_protocol::{Blob, ReplicaId};
 
@@ -48,6 +48,7 @@
             snapshot: self.snapshot.clone(),
             entries: self.entries.clone(),
             founding: self.founding.clone(),
+            floor: LogPosition::default(),
         }
     }
 }
--- a/crates/coordinator/src/core/agreement.rs
+++ b/crates/coordinator/src/core/agreement.rs
@@ -48,6 +48,7 @@
             }
             GroupChange::Committed(_, entries) => self.apply(entries),
             GroupChange::RoleChanged(_) => self.role_changed(now),
+            GroupChange::Left(_) => self.forget_state(),
             GroupChange::SnapshotWanted(group, to) => {
                 let snapshot = GroupSnapshot { applied: self.applied, data: self.state.snapshot() };
                 self.replicas.host.send_snapshot(now, group, to, snapshot);
@@ -56,6 +57,14 @@
         Ok(())
     }
 
+    /// The control group goes on without this coordinator; should it join again, it learns all anew.
+    fn forget_state(&mut self) {
+        let known = self.state.coordinators().to_vec();
+        known.iter().for_each(|member| self.hear_of(member));
+        self.state = ControlState::default();
+        self.applied = 0;
+    }
+
     fn apply(&mut self, entries: Vec<Entry>) {
         let before = self.state.directory_version();
         for entry in entries {
--- a/crates/disk/src/inspection.rs
+++ b/crates/disk/src/inspection.rs
@@ -54,6 +54,8 @@
     pub group: GroupId,
     /// Whether this replica founded it.
     pub founded: bool,
+    /// Whether the replica has left the group and holds nothing of it since.
+    pub left: bool,
     /// The newest term that the replica knows.
     pub term: u64,
     /// Whom it voted for in that term.
@@ -195,6 +197,7 @@
     GroupInspection {
         group,
         founded: state.founded.is_some(),
+        left: state.is_left(),
         term: state.hard_state.term,
         vote: state.hard_state.vote,
         snapshot_index: snapshot.map(|snapshot| snapshot.index),
--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -35,7 +35,7 @@
 pub use opened::{Opened, open};
 pub use options::{Options, RetryIntervals};
 pub use real::RealFolder;
-pub use record::{Record, StoredEntry, StoredHardState, StoredSnapshot};
+pub use record::{Record, StoredEntry, StoredHardState, StoredLogPosition, StoredSnapshot};
 pub use recovery::{RecoveryReport, Warning};
 pub use state::{CheckpointState, GroupState, ProcessState};
 pub use worker::{Completion, DiskWorker};
--- a/crates/disk/src/record.rs
+++ b/crates/disk/src/record.rs
@@ -38,6 +38,15 @@
     pub vote: Option<ReplicaId>,
 }
 
+/// A place in a group's log, as votes compare logs: by term first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, SerBin, DeBin)]
+pub struct StoredLogPosition {
+    /// The entry's term.
+    pub term: u64,
+    /// The entry's index.
+    pub index: u64,
+}
+
 /// A change of the durable state of a group.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Record {
@@ -69,10 +78,15 @@
         /// Its first members, in the owner's encoding.
         membership: Blob,
     },
-    /// Forgets all about the group.
-    Removed {
+    /// Leaves the group: forgets its founding, its snapshot and its entries, but not what it must remember about
+    /// elections, should the replica join the group again.
+    Left {
         /// The group.
         group: GroupId,
+        /// The hard state.
+        state: StoredHardState,
+        /// The end of the newest log that the replica had.
+        floor: StoredLogPosition,
     },
 }
 
@@ -80,7 +94,7 @@
 const ENTRIES_TAG: u8 = 2;
 const SNAPSHOT_TAG: u8 = 3;
 const FOUNDED_TAG: u8 = 4;
-const REMOVED_TAG: u8 = 5;
+const LEFT_TAG: u8 = 6;
 
 impl SerBin for Record {
     fn ser_bin(&self, output: &mut Vec<u8>) {
@@ -89,10 +103,7 @@
             Self::Entries { group, entries } => encode_entries(*group, entries, output),
             Self::Snapshot { group, snapshot } => encode_snapshot(*group, snapshot, output),
             Self::Founded { group, membership } => encode_founded(*group, membership, output),
-            Self::Removed { group } => {
-                REMOVED_TAG.ser_bin(output);
-                group.ser_bin(output);
-            }
+            Self::Left { group, state, floor } => encode_left(*group, state, *floor, output),
         }
     }
 }
@@ -128,6 +139,19 @@
     membership.ser_bin(output);
 }
 
+/// Encodes a [`Record::Left`].
+pub(crate) fn encode_left(
+    group: GroupId,
+    state: &StoredHardState,
+    floor: StoredLogPosition,
+    output: &mut Vec<u8>,
+) {
+    LEFT_TAG.ser_bin(output);
+    group.ser_bin(output);
+    state.ser_bin(output);
+    floor.ser_bin(output);
+}
+
 impl DeBin for Record {
     fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Self, DeBinErr> {
         let tag_offset = *offset;
@@ -138,7 +162,11 @@
             ENTRIES_TAG => Ok(Self::Entries { group, entries: decode_entries(offset, bytes)? }),
             SNAPSHOT_TAG => Ok(Self::Snapshot { group, snapshot: DeBin::de_bin(offset, bytes)? }),
             FOUNDED_TAG => Ok(Self::Founded { group, membership: DeBin::de_bin(offset, bytes)? }),
-            REMOVED_TAG => Ok(Self::Removed { group }),
+            LEFT_TAG => {
+                let state = DeBin::de_bin(offset, bytes)?;
+                let floor = DeBin::de_bin(offset, bytes)?;
+                Ok(Self::Left { group, state, floor })
+            }
             _ => Err(DeBinErr::new(tag_offset, 1, bytes.len())),
         }
     }
--- a/crates/disk/src/slot.rs
+++ b/crates/disk/src/slot.rs
@@ -9,7 +9,9 @@
 use crate::folder::DataFile;
 use crate::frame::{FramePlace, FrameSeed};
 use crate::header::{HEADER_LENGTH, Header};
-use crate::record::{StoredEntry, encode_entries, encode_founded, encode_hard_state, encode_snapshot};
+use crate::record::{
+    StoredEntry, encode_entries, encode_founded, encode_hard_state, encode_left, encode_snapshot,
+};
 use crate::state::{GroupState, Groups, ProcessState, apply_payload};
 
 /// The first byte of the closing frame's payload, which is no record's tag; the count of frames before it follows.
@@ -87,6 +89,10 @@
     }
 
     fn group(&mut self, group: GroupId, state: &GroupState) -> Result<(), DiskError> {
+        // First, as it stands for all that came before.
+        if let Some(floor) = state.floor {
+            encode_left(group, &state.hard_state, floor, &mut self.payload);
+        }
         if let Some(membership) = &state.founded {
             encode_founded(group, membership, &mut self.payload);
         }
--- a/crates/disk/src/state.rs
+++ b/crates/disk/src/state.rs
@@ -6,7 +6,7 @@
 use ruddervalve_protocol::{Blob, GroupId, ReplicaId};
 
 use crate::error::Damage;
-use crate::record::{Record, StoredEntry, StoredHardState, StoredSnapshot};
+use crate::record::{Record, StoredEntry, StoredHardState, StoredLogPosition, StoredSnapshot};
 
 /// The durable state of a group.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -15,12 +15,21 @@
     pub founded: Option<Blob>,
     /// What must not be forgotten about elections.
     pub hard_state: StoredHardState,
+    /// The end of the newest log that the replica had when it last left the group, if it ever did.
+    pub floor: Option<StoredLogPosition>,
     /// The newest snapshot.
     pub snapshot: Option<StoredSnapshot>,
     /// The entries that are kept, of rising indices without gaps.
     pub entries: Vec<StoredEntry>,
 }
 
+impl GroupState {
+    /// Whether the replica has left the group and holds nothing of it since.
+    pub fn is_left(&self) -> bool {
+        self.floor.is_some() && self.founded.is_none() && self.snapshot.is_none() && self.entries.is_empty()
+    }
+}
+
 /// The durable state of a process.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ProcessState {
@@ -59,8 +68,9 @@
             state.snapshot = Some(snapshot);
         }
         Record::Founded { group, membership } => groups.entry(group).or_default().founded = Some(membership),
-        Record::Removed { group } => {
-            groups.remove(&group);
+        Record::Left { group, state, floor } => {
+            let left = GroupState { hard_state: state, floor: Some(floor), ..GroupState::default() };
+            groups.insert(group, left);
         }
     }
     Ok(())
--- a/crates/disk/tests/common/mod.rs
+++ b/crates/disk/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use ruddervalve_disk::testing::FaultyFolder;
 use ruddervalve_disk::{
     CheckpointDone, CheckpointJob, DiskError, Folder, GroupState, Journal, Opened, Options, ProcessState,
-    Record, StoredEntry, StoredHardState, StoredSnapshot, open,
+    Record, StoredEntry, StoredHardState, StoredLogPosition, StoredSnapshot, open,
 };
 use ruddervalve_protocol::{Blob, GroupId, ReplicaId};
 
@@ -56,8 +56,11 @@
     Record::Snapshot { group: GroupId(group), snapshot }
 }
 
-pub fn removed(group: u32) -> Record {
-    Record::Removed { group: GroupId(group) }
+/// The replica leaves a group in a term, having voted for `vote`, with a log up to an index of the term before.
+pub fn left(group: u32, term: u64, vote: Option<u64>, index: u64) -> Record {
+    let state = StoredHardState { term, vote: vote.map(ReplicaId) };
+    let floor = StoredLogPosition { term: term - 1, index };
+    Record::Left { group: GroupId(group), state, floor }
 }
 
 /// What records make of a state, written down apart from the crate's own code.
@@ -80,8 +83,13 @@
                 group_state.entries = Vec::new();
             }
             Record::Founded { group, membership } => group_state(state, group).founded = Some(membership),
-            Record::Removed { group } => {
-                state.groups.remove(&group);
+            Record::Left { group, state: hard_state, floor } => {
+                let left = group_state(state, group);
+                left.founded = None;
+                left.hard_state = hard_state;
+                left.floor = Some(floor);
+                left.snapshot = None;
+                left.entries = Vec::new();
             }
         }
     }
@@ -121,17 +129,19 @@
         Append(vec![snapshot(2, 40, 3, 1700)]),
         Append(vec![entries(2, 41..44, 3, 200), hard_state(2, 3, None)]),
         Sync,
-        Append(vec![removed(1)]),
+        Append(vec![left(1, 3, Some(5), 3)]),
         Begin,
         Run,
         Finish,
         Append(vec![entries(0, 6..8, 2, 40)]),
         Sync,
         Begin,
-        Append(vec![founded(1)]),
+        // The replica joins the group that it had left again.
+        Append(vec![hard_state(1, 4, None), snapshot(1, 9, 4, 500), entries(1, 10..12, 4, 100)]),
         Sync,
         Append(vec![snapshot(0, 7, 2, 900), entries(0, 8..9, 3, 30)]),
         Run,
+        Append(vec![left(1, 6, Some(7), 11)]),
         Sync,
         Finish,
         Append(vec![entries(2, 43..46, 4, 600)]),
--- a/crates/disk/tests/damage.rs
+++ b/crates/disk/tests/damage.rs
@@ -220,7 +220,7 @@
     driver.append(&[common::entries(1, 1..4, 1, 10)]);
     driver.sync().unwrap();
     let before = folder.copy();
-    driver.append(&[common::removed(1)]);
+    driver.append(&[common::left(1, 2, None, 3)]);
     driver.checkpoint().unwrap();
     transplant(&before, &folder, "log-1", "log-1");
     let opened = open_folder(&folder).unwrap();
--- a/crates/disk/tests/round_trip.rs
+++ b/crates/disk/tests/round_trip.rs
@@ -5,10 +5,13 @@
 use std::sync::Arc;
 
 use common::{
-    Driver, IDENTITY, empty_state, entries, founded, open_folder, options, played, script, snapshot,
+    Driver, IDENTITY, empty_state, entries, founded, hard_state, left, open_folder, options, played, script,
+    snapshot,
 };
 use ruddervalve_disk::testing::FaultyFolder;
-use ruddervalve_disk::{DiskError, Folder, Options, ProcessState, RealFolder, inspect, open};
+use ruddervalve_disk::{
+    DiskError, Folder, Options, ProcessState, RealFolder, StoredHardState, StoredLogPosition, inspect, open,
+};
 use ruddervalve_protocol::{GroupId, ReplicaId};
 
 #[test]
@@ -247,3 +250,42 @@
     assert_eq!(opened.state.as_ref(), Some(resumed.history.newest()));
     std::fs::remove_dir_all(&path).unwrap();
 }
+
+#[test]
+fn a_group_that_was_left_keeps_its_vote_and_the_end_of_its_log() {
+    let folder = FaultyFolder::new();
+    let mut driver = Driver::start(&folder).unwrap();
+    driver.append(&[founded(1), hard_state(1, 4, Some(7)), entries(1, 1..9, 4, 100)]);
+    driver.append(&[left(1, 5, Some(8), 8)]);
+    driver.sync().unwrap();
+    for checkpoint in [false, true] {
+        if checkpoint {
+            driver.checkpoint().unwrap();
+        }
+        let state = open_folder(&folder).unwrap().state.unwrap();
+        let group = state.groups.get(&GroupId(1)).unwrap();
+        assert_eq!(group.hard_state, StoredHardState { term: 5, vote: Some(ReplicaId(8)) });
+        assert_eq!(group.floor, Some(StoredLogPosition { term: 4, index: 8 }));
+        assert!(group.is_left());
+        assert!(inspect(&folder).groups.iter().all(|group| group.left && group.entries == 0));
+    }
+}
+
+#[test]
+fn a_group_that_was_left_and_joined_again_keeps_the_end_of_its_earlier_log() {
+    let folder = FaultyFolder::new();
+    let mut driver = Driver::start(&folder).unwrap();
+    driver.append(&[left(1, 5, Some(8), 8), hard_state(1, 6, None), snapshot(1, 20, 6, 50)]);
+    driver.sync().unwrap();
+    for checkpoint in [false, true] {
+        if checkpoint {
+            driver.checkpoint().unwrap();
+        }
+        let state = open_folder(&folder).unwrap().state.unwrap();
+        let group = state.groups.get(&GroupId(1)).unwrap();
+        assert_eq!(group.hard_state, StoredHardState { term: 6, vote: None });
+        assert_eq!(group.floor, Some(StoredLogPosition { term: 4, index: 8 }));
+        assert_eq!(group.snapshot.as_ref().map(|snapshot| snapshot.index), Some(20));
+        assert!(!group.is_left());
+    }
+}
--- a/crates/replication/src/host.rs
+++ b/crates/replication/src/host.rs
@@ -3,13 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use nanoserde::{DeBin, SerBin};
-use ruddervalve_consensus::{Entry, Membership, Message, Ready, Replica, Restored, Snapshot, Timing};
-use ruddervalve_disk::{GroupState, ProcessState, Record};
+use ruddervalve_consensus::{
+    ElectionRecord, Entry, LogPosition, Membership, Message, Ready, Replica, Restored, Snapshot, Timing,
+};
+use ruddervalve_disk::{GroupState, ProcessState, Record, StoredLogPosition};
 use ruddervalve_protocol::{Blob, GroupId, ReplicaId};
 
 use crate::records::{
-    RestoreError, encode_membership, restored, stored_entry, stored_hard_state, stored_snapshot,
-    write_records,
+    RestoreError, election_record, encode_membership, left_record, left_state, restored, stored_entry,
+    stored_hard_state, stored_position, stored_snapshot, write_records,
 };
 
 /// Spreads seeds: the odd number nearest to 2^64 over the golden ratio.
@@ -37,6 +39,8 @@
     Committed(GroupId, Vec<Entry>),
     /// The replica's role or the leader that it knows changed.
     RoleChanged(GroupId),
+    /// The group was left: its state machine is to be dropped.
+    Left(GroupId),
     /// A follower needs the state machine: answer with [`ReplicaHost::send_snapshot`].
     SnapshotWanted(GroupId, ReplicaId),
 }
@@ -64,13 +68,30 @@
 }
 
 /// Messages that wait for a write.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Unwritten {
     ticket: u64,
     replicas: Vec<(GroupId, u64)>,
+    left: Vec<GroupId>,
     envelopes: Vec<Envelope>,
 }
 
+impl Unwritten {
+    /// Drops what a replica that has left its group waits for: what it would say holds no more.
+    fn forget(&mut self, group: GroupId) {
+        self.replicas.retain(|(written, _)| *written != group);
+        self.envelopes.retain(|envelope| envelope.group != group);
+    }
+}
+
+/// A group that was left.
+#[derive(Debug, Clone, Copy)]
+struct LeftGroup {
+    record: ElectionRecord,
+    /// Whether the record is on disk; before, the group is not joined again, as the replica would take it for durable.
+    durable: bool,
+}
+
 /// The replicas of one process.
 #[derive(Debug)]
 pub struct ReplicaHost {
@@ -79,6 +100,7 @@
     seed: u64,
     replicas: BTreeMap<GroupId, Replica>,
     founded: BTreeMap<GroupId, Blob>,
+    left: BTreeMap<GroupId, LeftGroup>,
     /// Groups that may have output.
     touched: BTreeSet<GroupId>,
     records: Vec<Record>,
@@ -95,6 +117,7 @@
             seed,
             replicas: BTreeMap::new(),
             founded: BTreeMap::new(),
+            left: BTreeMap::new(),
             touched: BTreeSet::new(),
             records: Vec::new(),
             last_ticket: 0,
@@ -107,11 +130,15 @@
         self.identity
     }
 
-    /// Goes on with a group that was found on disk.
+    /// Goes on with a group that was found on disk; one that was left stays left.
     ///
     /// # Errors
     /// Something on disk cannot be read.
     pub fn restore(&mut self, now: u64, group: GroupId, state: &GroupState) -> Result<(), RestoreError> {
+        if state.is_left() {
+            self.left.insert(group, LeftGroup { record: election_record(state), durable: true });
+            return Ok(());
+        }
         let restored = restored(group, state)?;
         if let Some(founded) = &state.founded {
             self.founded.insert(group, founded.clone());
@@ -121,9 +148,9 @@
     }
 
     /// Begins a group whose founding members are known to be these, this process among them. Nothing happens if the
-    /// group is there already.
+    /// group is there already, or was left.
     pub fn found(&mut self, now: u64, group: GroupId, founders: Membership) {
-        if self.replicas.contains_key(&group) {
+        if self.replicas.contains_key(&group) || self.left.contains_key(&group) {
             return;
         }
         let membership = encode_membership(&founders);
@@ -132,13 +159,22 @@
         self.insert(now, group, Restored { founding: Some(founders), ..Restored::default() });
     }
 
-    /// Leaves a group and forgets all about it.
-    pub fn remove(&mut self, group: GroupId) {
-        if self.replicas.remove(&group).is_some() {
-            self.founded.remove(&group);
-            self.touched.remove(&group);
-            self.records.push(Record::Removed { group });
-        }
+    /// Leaves a group whose leader told that this replica does not belong to it; what elections need stays.
+    fn leave(
+        &mut self,
+        group: GroupId,
+        record: ElectionRecord,
+        output: &mut HostOutput,
+        held: &mut Unwritten,
+    ) {
+        self.replicas.remove(&group);
+        self.founded.remove(&group);
+        self.unwritten.iter_mut().for_each(|unwritten| unwritten.forget(group));
+        self.left.insert(group, LeftGroup { record, durable: false });
+        held.left.push(group);
+        output.records.push(left_record(group, record));
+        output.changes.push(GroupChange::Left(group));
+        tracing::info!(group = group.0, floor = ?record.floor, "left a group");
     }
 
     fn insert(&mut self, now: u64, group: GroupId, restored: Restored) {
@@ -164,20 +200,40 @@
         Some(replica)
     }
 
-    /// Takes a message from a peer. A group that is not known begins here as one that joins.
+    /// Asks others whether this replica still belongs to a group, unless a leader was heard of late. If it does not, the
+    /// group is left: [`GroupChange::Left`] tells.
+    pub fn inquire(&mut self, now: u64, group: GroupId, others: impl IntoIterator<Item = ReplicaId>) {
+        if let Some(replica) = self.replica_mut(group) {
+            others.into_iter().for_each(|other| replica.inquire(now, other));
+        }
+    }
+
+    /// Takes a message from a peer. A group that is not known, or was left, begins here as one that joins when a leader
+    /// says so.
     pub fn receive(&mut self, now: u64, envelope: Envelope) {
         let Envelope { group, from, to, message } = envelope;
         if to != self.identity {
             return;
         }
-        if !self.replicas.contains_key(&group) {
-            self.insert(now, group, Restored::default());
+        if !self.replicas.contains_key(&group) && message.kind().is_replication() {
+            self.join(now, group);
         }
         if let Some(replica) = self.replica_mut(group) {
             replica.step(now, from, message);
         }
     }
 
+    /// Begins a group with an empty log, but with what elections need of the time before it was left.
+    fn join(&mut self, now: u64, group: GroupId) {
+        let left = self.left.get(&group).copied();
+        if left.is_some_and(|left| !left.durable) {
+            return;
+        }
+        self.left.remove(&group);
+        let ElectionRecord { hard_state, floor } = left.map(|left| left.record).unwrap_or_default();
+        self.insert(now, group, Restored { hard_state, floor, ..Restored::default() });
+    }
+
     /// The connection to a peer is lost.
     pub fn peer_unreachable(&mut self, now: u64, peer: ReplicaId) {
         for replica in self.replicas.values_mut() {
@@ -210,6 +266,11 @@
                     replica.written(now, replica_ticket);
                 }
             }
+            for group in unwritten.left {
+                if let Some(left) = self.left.get_mut(&group) {
+                    left.durable = true;
+                }
+            }
             released.extend(unwritten.envelopes);
         }
         released
@@ -229,9 +290,14 @@
     /// All output since the last call. It has to be carried out whole.
     pub fn drain(&mut self) -> HostOutput {
         let mut output = HostOutput { records: std::mem::take(&mut self.records), ..HostOutput::default() };
-        let mut held = Unwritten { ticket: 0, replicas: Vec::new(), envelopes: Vec::new() };
+        let mut held = Unwritten::default();
         while let Some(group) = self.touched.pop_first() {
             let Some(replica) = self.replicas.get_mut(&group) else { continue };
+            if replica.is_removed() {
+                let record = replica.election_record();
+                self.leave(group, record, &mut output, &mut held);
+                continue;
+            }
             let ready = replica.take_ready();
             self.take(group, ready, &mut output, &mut held);
         }
@@ -278,7 +344,8 @@
     /// The state of all groups for a checkpoint. It covers what was drained: call it right after a drain whose records
     /// were handed to the disk, and all changes applied.
     pub fn checkpoint(&self, mut machine: impl FnMut(GroupId) -> GroupSnapshot) -> Checkpoint {
-        let mut groups = BTreeMap::new();
+        let left = self.left.iter().map(|(group, left)| (*group, left_state(left.record)));
+        let mut groups: BTreeMap<GroupId, GroupState> = left.collect();
         let mut covered = Vec::new();
         for (group, replica) in &self.replicas {
             let state = machine(*group);
@@ -293,6 +360,7 @@
             let stored = GroupState {
                 founded: self.founded.get(group).cloned(),
                 hard_state: stored_hard_state(parts.hard_state),
+                floor: floor_on_disk(replica.floor()),
                 snapshot,
                 entries: parts.entries.into_iter().map(stored_entry).collect(),
             };
@@ -319,6 +387,11 @@
     }
 }
 
+/// The floor as it is stored: none if the group was never left.
+fn floor_on_disk(floor: LogPosition) -> Option<StoredLogPosition> {
+    (floor != LogPosition::default()).then(|| stored_position(floor))
+}
+
 /// The state of all groups, and up to where it covers their logs.
 #[derive(Debug)]
 pub struct Checkpoint {
--- a/crates/replication/src/records.rs
+++ b/crates/replication/src/records.rs
@@ -2,8 +2,10 @@
 
 use displaydoc::Display;
 use nanoserde::{DeBin as _, SerBin as _};
-use ruddervalve_consensus::{Entry, HardState, Membership, Payload, Restored, Snapshot, Write};
-use ruddervalve_disk::{GroupState, Record, StoredEntry, StoredHardState, StoredSnapshot};
+use ruddervalve_consensus::{
+    ElectionRecord, Entry, HardState, LogPosition, Membership, Payload, Restored, Snapshot, Write,
+};
+use ruddervalve_disk::{GroupState, Record, StoredEntry, StoredHardState, StoredLogPosition, StoredSnapshot};
 use ruddervalve_protocol::{Blob, GroupId};
 
 const EMPTY: u8 = 0;
@@ -35,6 +37,34 @@
     StoredHardState { term: state.term, vote: state.vote }
 }
 
+pub fn left_record(group: GroupId, left: ElectionRecord) -> Record {
+    let ElectionRecord { hard_state, floor } = left;
+    Record::Left { group, state: stored_hard_state(hard_state), floor: stored_position(floor) }
+}
+
+/// The state of a group that was left.
+pub fn left_state(left: ElectionRecord) -> GroupState {
+    let ElectionRecord { hard_state, floor } = left;
+    GroupState {
+        hard_state: stored_hard_state(hard_state),
+        floor: Some(stored_position(floor)),
+        ..GroupState::default()
+    }
+}
+
+/// What a replica must not forget about elections.
+pub fn election_record(state: &GroupState) -> ElectionRecord {
+    let StoredLogPosition { term, index } = state.floor.unwrap_or_default();
+    ElectionRecord {
+        hard_state: HardState { term: state.hard_state.term, vote: state.hard_state.vote },
+        floor: LogPosition { term, index },
+    }
+}
+
+pub fn stored_position(position: LogPosition) -> StoredLogPosition {
+    StoredLogPosition { term: position.term, index: position.index }
+}
+
 pub fn stored_entry(entry: Entry) -> StoredEntry {
     let Entry { term, index, payload } = entry;
     let (kind, payload) = match payload {
@@ -63,11 +93,13 @@
     let entry = |stored: &StoredEntry| restored_entry(group, stored);
     let snapshot = state.snapshot.as_ref().map(|snapshot| restored_snapshot(group, snapshot));
     let founding = state.founded.as_ref().map(|bytes| decode_membership(group, bytes));
+    let ElectionRecord { hard_state, floor } = election_record(state);
     Ok(Restored {
-        hard_state: HardState { term: state.hard_state.term, vote: state.hard_state.vote },
+        hard_state,
         snapshot: snapshot.transpose()?,
         entries: state.entries.iter().map(entry).collect::<Result<_, _>>()?,
         founding: founding.transpose()?,
+        floor,
     })
 }
 
--- a/crates/store/src/core/coordinators.rs
+++ b/crates/store/src/core/coordinators.rs
@@ -52,7 +52,7 @@
         self.shards.values_mut().for_each(|shard| shard.set_policy(now, None));
     }
 
-    /// Begins the shards that are founded on this disk.
+    /// Begins the shards that are founded on this disk, but none that it has left.
     fn found(&mut self, now: u64) {
         let identity = self.replicas.identity();
         for placement in &self.directory.shards {
--- a/crates/store/src/core/mod.rs
+++ b/crates/store/src/core/mod.rs
@@ -68,6 +68,8 @@
     care_at: u64,
     /// When the next step of a membership is to be tried.
     step_at: u64,
+    /// When stores are next asked about shards whose leader is silent.
+    inquire_at: u64,
     /// Who holds each led shard, as the coordinators were told last.
     members_told: BTreeMap<GroupId, ShardMembers>,
     /// Shards that are being handed over, until when that may last.
@@ -119,7 +121,8 @@
         let replicas = Replicas::restore(recovered, timing, retained, seeds.next(), now);
         let replicas = replicas.map_err(NodeError::Restore)?;
         let mut shards = BTreeMap::new();
-        for (group, state) in &recovered.groups {
+        let held = recovered.groups.iter().filter(|(_, state)| !state.is_left());
+        for (group, state) in held {
             let last_on_disk = replicas.host.replica(*group).map_or(0, Replica::last_index);
             let mut shard = Shard::new(*group, shard_settings(settings), now, wall, last_on_disk);
             if let Some(snapshot) = &state.snapshot {
@@ -140,6 +143,7 @@
             leading: Vec::new(),
             care_at: 0,
             step_at: u64::MAX,
+            inquire_at: 0,
             members_told: BTreeMap::new(),
             handing_over: BTreeMap::new(),
             steady: BTreeMap::new(),
@@ -184,7 +188,7 @@
     pub fn next_wake(&self, now: u64) -> u64 {
         let replicas = self.replicas.host.next_wake().unwrap_or(u64::MAX);
         let shards = self.shards.values().filter_map(|shard| shard.next_wake(now)).min().unwrap_or(u64::MAX);
-        replicas.min(shards).min(self.care_at).min(self.step_at)
+        replicas.min(shards).min(self.care_at).min(self.step_at).min(self.inquire_at)
     }
 
     /// Disk or peers have something for the replicas.
--- a/crates/store/src/core/shards.rs
+++ b/crates/store/src/core/shards.rs
@@ -8,6 +8,9 @@
 use crate::error::StoreError;
 use crate::shard::{Shard, ShardOutput};
 
+/// Whether a shard still belongs to this store is asked again after this part of `LivenessMs`.
+const INQUIRIES_PER_LIVENESS: u64 = 2;
+
 impl StoreCore {
     /// Works out all that events led to.
     ///
@@ -22,6 +25,7 @@
                 self.change(now, wall, change)?;
             }
             self.offices(now);
+            self.inquire(now);
             let polled = self.poll(now);
             let cared = self.care(now);
             if idle && !polled && !cared {
@@ -47,6 +51,7 @@
             GroupChange::RoleChanged(group) => {
                 self.shard(group, now, wall);
             }
+            GroupChange::Left(group) => self.drop_shard(group),
             GroupChange::SnapshotWanted(group, to) => {
                 let snapshot = self.shard(group, now, wall).snapshot();
                 self.replicas.host.send_snapshot(now, group, to, snapshot);
@@ -62,6 +67,36 @@
         self.shards.entry(group).or_insert_with(new)
     }
 
+    /// Forgets a shard that this store holds no more.
+    fn drop_shard(&mut self, group: GroupId) {
+        self.steady.remove(&group);
+        self.members_told.remove(&group);
+        self.handing_over.remove(&group);
+        let Some(mut shard) = self.shards.remove(&group) else { return };
+        shard.leave_office();
+        self.send_outputs(shard.outputs());
+        if self.leading.iter().any(|(led, _)| *led == group) {
+            self.leading.retain(|(led, _)| *led != group);
+            self.send_all(&StoreToEdge::Leading { groups: self.leading.clone() });
+        }
+        tracing::info!(group = group.0, "a shard that is held elsewhere is dropped");
+    }
+
+    /// Asks the stores that are to hold a shard whether this one still does, where no leader was heard of late: it may have
+    /// been removed while it was away, and those that it knows as members may have been, too.
+    fn inquire(&mut self, now: u64) {
+        if now < self.inquire_at {
+            return;
+        }
+        self.inquire_at = now + (self.settings.bounds.liveness_ms / INQUIRIES_PER_LIVENESS).max(1);
+        for placement in &self.directory.shards {
+            let stores = self.directory.stores.iter();
+            let holders = stores.filter(|store| placement.wanted.contains(&store.node));
+            let holders = holders.map(|store| store.replica);
+            self.replicas.host.inquire(now, placement.group, holders);
+        }
+    }
+
     /// Takes and leaves offices as consensus says.
     fn offices(&mut self, now: u64) {
         let mut changed = false;
@@ -98,6 +133,7 @@
     /// Polls all shards that are led; true if something was proposed.
     fn poll(&mut self, now: u64) -> bool {
         let mut proposed = false;
+        let mut outputs = Vec::new();
         for (group, shard) in &mut self.shards {
             let replica = self.replicas.host.replica(*group);
             if replica.is_some_and(|replica| replica.lease_valid(now)) {
@@ -108,12 +144,17 @@
                     Some(index)
                 });
             }
-            for ShardOutput::Send(edge, message) in shard.outputs() {
-                if let Some(number) = self.edges.newest(edge) {
-                    self.outputs.push(StoreOutput::Edge(number, message));
-                }
-            }
+            outputs.extend(shard.outputs());
         }
+        self.send_outputs(outputs);
         proposed
     }
+
+    fn send_outputs(&mut self, outputs: Vec<ShardOutput>) {
+        for ShardOutput::Send(edge, message) in outputs {
+            if let Some(number) = self.edges.newest(edge) {
+                self.outputs.push(StoreOutput::Edge(number, message));
+            }
+        }
+    }
 }
--- a/crates/store/tests/cluster/mod.rs
+++ b/crates/store/tests/cluster/mod.rs
@@ -90,6 +90,17 @@
         self.directory.stores.push(member(node, replica));
     }
 
+    /// The process ends and starts again with what its disk holds.
+    pub fn restart(&mut self, replica: ReplicaId) {
+        let member = self.members.remove(&replica).unwrap();
+        let disk = member.core.checkpoint().state;
+        self.seeds += 1;
+        let wall = WALL + self.now;
+        let settings = settings(&member.node, 256);
+        let core = StoreCore::start(&settings, &disk, self.seeds, self.now, wall).unwrap();
+        self.members.insert(replica, Member { core, requests: Vec::new(), to_edges: Vec::new(), ..member });
+    }
+
     /// The process ends; its links end with it.
     pub fn lose(&mut self, replica: ReplicaId) {
         self.members.remove(&replica);
