--- a/crates/coordinator/tests/group/mod.rs
+++ b/crates/coordinator/tests/group/mod.rs
@@ -70,11 +70,17 @@
             true => founder_identity(internal),
             false => ReplicaId(u64::from(number)),
         };
-        let empty = ProcessState { identity, groups: BTreeMap::new() };
+        self.start_on(number, &ProcessState { identity, groups: BTreeMap::new() }, true);
+    }
+
+    /// Starts a coordinator on what a disk holds.
+    pub fn start_on(&mut self, number: u8, disk: &ProcessState, is_new: bool) {
+        let settings = settings(number);
+        let internal = internal_address(&settings, settings.ip, InternalPort::Coordinator);
         let control = settings.listen.control_plane.unwrap();
         let seed = u64::from(number);
         let core =
-            CoordinatorCore::start(&settings, &empty, true, internal, control, seed, self.now).unwrap();
+            CoordinatorCore::start(&settings, disk, is_new, internal, control, seed, self.now).unwrap();
         let (peers, told, answers) = (BTreeMap::new(), Vec::new(), BTreeMap::new());
         let mut new = Member { core, peers, told, answers };
         for (other, member) in &mut self.members {
