--- a/crates/consensus/tests/simulation/checks.rs
+++ b/crates/consensus/tests/simulation/checks.rs
@@ -20,6 +20,8 @@
 #[derive(Debug, Default)]
 pub struct Checks {
     committed: Vec<Committed>,
+    /// How often a replica left the group.
+    pub left: u64,
     leaders: HashMap<u64, ReplicaId>,
     votes: HashMap<(ReplicaId, u64), ReplicaId>,
     terms: HashMap<ReplicaId, u64>,
--- a/crates/consensus/tests/simulation/cluster.rs
+++ b/crates/consensus/tests/simulation/cluster.rs
@@ -33,6 +33,8 @@
     pub losses: bool,
     /// Replicas are replaced by others on empty disks, some after their disk was lost.
     pub replacements: bool,
+    /// One replacement follows the other, and replicas without a leader ask whether they still belong to the group.
+    pub leavings: bool,
 }
 
 /// What was played, to compare runs.
@@ -40,6 +42,8 @@
 pub struct Outcome {
     pub committed: u64,
     pub term: u64,
+    /// How often a replica left the group.
+    pub left: u64,
 }
 
 /// One replica takes the place of another.
@@ -58,7 +62,7 @@
     pub longest_write_ms: u64,
     /// How often no commands come for a while; share of the pauses between them.
     quiet_times: f64,
-    checks: Checks,
+    pub checks: Checks,
     replacement: Option<Replacement>,
     next_id: u64,
     next_command: u64,
@@ -117,6 +121,7 @@
             }
             if self.now >= next_repair {
                 self.administer();
+                self.press_replacements();
                 next_repair = self.now + 20;
             }
         }
@@ -164,7 +169,7 @@
     fn outcome(&self) -> Outcome {
         let running = self.nodes.iter().filter_map(|node| node.running.as_ref());
         let term = running.map(|running| running.replica.term()).max().unwrap_or(0);
-        Outcome { committed: self.checks.last_committed(), term }
+        Outcome { committed: self.checks.last_committed(), term, left: self.checks.left }
     }
 
     fn describe(&self) -> String {
@@ -290,6 +295,9 @@
         loop {
             let node = &mut self.nodes[place];
             let Some(running) = &mut node.running else { return };
+            if running.replica.is_removed() {
+                return self.leave(place);
+            }
             let ready = running.replica.take_ready();
             if ready.is_empty() {
                 return;
@@ -381,11 +389,8 @@
         }
         let voters = leader.replica.membership().voters.clone();
         let old = voters[self.random.random_range(0..voters.len())];
-        let new = ReplicaId(self.next_id);
-        self.next_id += 1;
-        let mut node = Node::new(new, Disk::default());
-        node.restart_at = Some(self.now + 1);
-        self.nodes.push(node);
+        let members: Vec<ReplicaId> = leader.replica.membership().members().collect();
+        let new = self.former_member(&members).unwrap_or_else(|| self.newcomer());
         self.replacement = Some(Replacement { old, new });
         if voters.len() > 2 && self.random.random_bool(0.5) {
             for node in self.nodes.iter_mut().filter(|node| node.id == old) {
@@ -394,6 +399,16 @@
         }
     }
 
+    /// A replica on an empty disk.
+    fn newcomer(&mut self) -> ReplicaId {
+        let new = ReplicaId(self.next_id);
+        self.next_id += 1;
+        let mut node = Node::new(new, Disk::default());
+        node.restart_at = Some(self.now + 1);
+        self.nodes.push(node);
+        new
+    }
+
     /// Brings an open replacement a step further.
     fn administer(&mut self) {
         let Some(Replacement { old, new }) = self.replacement else { return };
@@ -429,6 +444,6 @@
 }
 
 /// The replica of a node, unless its process is down or frozen.
-fn awake(node: &mut Node, now: u64) -> Option<&mut Running> {
+pub fn awake(node: &mut Node, now: u64) -> Option<&mut Running> {
     node.running.as_mut().filter(|running| running.frozen_until <= now)
 }
--- a/crates/consensus/tests/simulation/disk.rs
+++ b/crates/consensus/tests/simulation/disk.rs
@@ -3,7 +3,8 @@
 use std::collections::VecDeque;
 
 use ruddervalve_consensus::{
-    CheckpointParts, Entry, HardState, LogPosition, Membership, Message, Restored, Snapshot, Write,
+    CheckpointParts, ElectionRecord, Entry, HardState, LogPosition, Membership, Message, Restored, Snapshot,
+    Write,
 };
 use ruddervalve_protocol::{Blob, ReplicaId};
 
@@ -14,6 +15,8 @@
     pub snapshot: Option<Snapshot>,
     pub entries: Vec<Entry>,
     pub founding: Option<Membership>,
+    /// The end of the log when the group was left.
+    pub floor: LogPosition,
 }
 
 impl Disk {
@@ -42,13 +45,19 @@
         self.entries = entries;
     }
 
+    /// Keeps of the group what elections need.
+    pub fn leave(&mut self, record: ElectionRecord) {
+        let ElectionRecord { hard_state, floor } = record;
+        *self = Self { hard_state, floor, ..Self::default() };
+    }
+
     pub fn restored(&self) -> Restored {
         Restored {
             hard_state: self.hard_state,
             snapshot: self.snapshot.clone(),
             entries: self.entries.clone(),
             founding: self.founding.clone(),
-            floor: LogPosition::default(),
+            floor: self.floor,
         }
     }
 }
