Tests of removals: a notice that comes after a later membership, and a later membership that is void

The first was cut off and so proved nothing: a build without the rule passed it. Now it fails, as one without the rule for void memberships does.

--- a/crates/consensus/tests/behaviour/removals.rs
+++ b/crates/consensus/tests/behaviour/removals.rs
@@ -105,9 +105,11 @@
     change(&mut group, MembershipChange::AddLearner(C));
     group.run(300);
     assert!(group.replica(C).membership().is_learner(C));
+    let notice = std::mem::take(&mut group.held).remove(0);
     group.isolate(C);
     group.run(LONG_MS);
-    group.release();
+    let now = group.now;
+    group.replica(C).step(now, notice.0, notice.2);
     assert!(!group.replica(C).is_removed(), "it knows of an entry after the notice's that has it as member");
 }
 
@@ -230,3 +232,23 @@
     assert!(group.replica(C).is_removed());
     assert_eq!(group.replica(A).role(), Role::Leader);
 }
+
+#[test]
+fn a_removal_counts_also_where_the_replica_has_a_later_membership_that_can_never_be_committed() {
+    let mut group = Group::led_by_a(&[A, B, C]);
+    group.isolate(A);
+    let now = group.now;
+    for _ in 0..20 {
+        group.replica(A).propose(now, command("lost")).expect("A still leads");
+    }
+    change(&mut group, MembershipChange::AddLearner(D));
+    group.run(LONG_MS);
+    let leader = [B, C].into_iter().find(|id| group.replica(*id).role() == Role::Leader).expect("a leader");
+    let now = group.now;
+    group.replica(leader).change_membership(now, MembershipChange::Remove(A)).expect("it leads");
+    group.run(300);
+    assert!(group.replica(leader).commit_index() < group.replica(A).last_index());
+    group.cuts.clear();
+    group.run(2 * TIMING.election_max_ms);
+    assert!(group.replica(A).is_removed());
+}
