--- a/crates/disk/src/worker/tests.rs
+++ b/crates/disk/src/worker/tests.rs
@@ -23,14 +23,14 @@
 
 /// A completion without its error.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Told {
+enum CompletionKind {
     Written(u64),
     CheckpointDone(u64),
     Full(u64),
     Failed,
 }
 
-impl From<Completion> for Told {
+impl From<Completion> for CompletionKind {
     fn from(completion: Completion) -> Self {
         match completion {
             Completion::Written { ticket } => Self::Written(ticket),
@@ -41,25 +41,25 @@
     }
 }
 
-/// What the worker told, in order.
+/// The completions that the worker reported, in order.
 #[derive(Default)]
 struct Log {
-    told: Mutex<Vec<Told>>,
+    completions: Mutex<Vec<CompletionKind>>,
     more: Condvar,
 }
 
 impl Log {
-    fn add(&self, told: Told) {
-        lock(&self.told).push(told);
+    fn add(&self, completion: CompletionKind) {
+        lock(&self.completions).push(completion);
         self.more.notify_all();
     }
 
-    fn wait_for(&self, expected: Told) {
-        drop(wait_while(&self.more, lock(&self.told), |told| !told.contains(&expected)));
+    fn wait_for(&self, expected: CompletionKind) {
+        drop(wait_while(&self.more, lock(&self.completions), |completions| !completions.contains(&expected)));
     }
 
-    fn all(&self) -> Vec<Told> {
-        lock(&self.told).clone()
+    fn all(&self) -> Vec<CompletionKind> {
+        lock(&self.completions).clone()
     }
 }
 
@@ -91,24 +91,24 @@
     let journal = open(Arc::new(folder.clone()), Options::default()).unwrap().found(IDENTITY).unwrap();
     let (folder, log) = (folder.clone(), Arc::clone(log));
     DiskWorker::start(journal, move |completion| {
-        let told = Told::from(completion);
-        if let Told::Written(ticket) = told {
+        let completion = CompletionKind::from(completion);
+        if let CompletionKind::Written(ticket) = completion {
             assert!(durable_index(&folder) >= ticket);
         }
-        log.add(told);
+        log.add(completion);
     })
 }
 
-fn written(told: &[Told]) -> Vec<u64> {
-    let tickets = told.iter().filter_map(|told| match told {
-        Told::Written(ticket) => Some(*ticket),
+fn written(completions: &[CompletionKind]) -> Vec<u64> {
+    let tickets = completions.iter().filter_map(|completion| match completion {
+        CompletionKind::Written(ticket) => Some(*ticket),
         _ => None,
     });
     tickets.collect()
 }
 
-fn count(told: &[Told], wanted: Told) -> usize {
-    told.iter().filter(|told| **told == wanted).count()
+fn count(completions: &[CompletionKind], wanted: CompletionKind) -> usize {
+    completions.iter().filter(|completion| **completion == wanted).count()
 }
 
 /// Submits up to 8 with two checkpoints between.
@@ -129,12 +129,21 @@
             let worker = start(&folder, &log);
             submit_all(&worker);
             worker.shutdown();
-            let told = log.all();
-            assert_eq!(written(&told), (1..=8).collect::<Vec<u64>>());
-            let done: Vec<Told> =
-                told.iter().copied().filter(|told| matches!(told, Told::CheckpointDone(_))).collect();
-            assert_eq!(done, [Told::CheckpointDone(CHECKPOINT + 3), Told::CheckpointDone(CHECKPOINT + 6)]);
-            assert_eq!(told.len(), 10);
+            let completions = log.all();
+            assert_eq!(written(&completions), (1..=8).collect::<Vec<u64>>());
+            let done: Vec<CompletionKind> = completions
+                .iter()
+                .copied()
+                .filter(|completion| matches!(completion, CompletionKind::CheckpointDone(_)))
+                .collect();
+            assert_eq!(
+                done,
+                [
+                    CompletionKind::CheckpointDone(CHECKPOINT + 3),
+                    CompletionKind::CheckpointDone(CHECKPOINT + 6)
+                ]
+            );
+            assert_eq!(completions.len(), 10);
             assert_eq!(durable_index(&folder), 8);
         },
         INTERLEAVINGS,
@@ -168,7 +177,7 @@
             worker.checkpoint(state_after(1), CHECKPOINT);
             let running = worker.checkpoint_running();
             assert!(running || crate::Folder::list(&folder).unwrap().contains(&"slot-1".to_owned()));
-            log.wait_for(Told::CheckpointDone(CHECKPOINT));
+            log.wait_for(CompletionKind::CheckpointDone(CHECKPOINT));
             assert!(!worker.checkpoint_running());
             assert!(worker.bytes_since_checkpoint() < 200);
             worker.shutdown();
@@ -185,14 +194,14 @@
             let worker = start(&folder, &log);
             folder.set_capacity(Some(folder.used_bytes() + 300));
             submit_all(&worker);
-            log.wait_for(Told::Full(8));
+            log.wait_for(CompletionKind::Full(8));
             folder.set_capacity(None);
-            log.wait_for(Told::Written(8));
+            log.wait_for(CompletionKind::Written(8));
             worker.shutdown();
-            let told = log.all();
-            assert_eq!(written(&told), (1..=8).collect::<Vec<u64>>());
-            assert!((1..=8).all(|ticket| count(&told, Told::Full(ticket)) <= 1));
-            assert_eq!(count(&told, Told::CheckpointDone(CHECKPOINT + 6)), 1);
+            let completions = log.all();
+            assert_eq!(written(&completions), (1..=8).collect::<Vec<u64>>());
+            assert!((1..=8).all(|ticket| count(&completions, CompletionKind::Full(ticket)) <= 1));
+            assert_eq!(count(&completions, CompletionKind::CheckpointDone(CHECKPOINT + 6)), 1);
             assert_eq!(durable_index(&folder), 8);
         },
         INTERLEAVINGS,
@@ -206,16 +215,16 @@
             let (folder, log) = (FaultyFolder::new(), Arc::new(Log::default()));
             let worker = start(&folder, &log);
             worker.submit(vec![record(1)], 1);
-            log.wait_for(Told::Written(1));
+            log.wait_for(CompletionKind::Written(1));
             // The new log fits, the slot does not.
             folder.set_capacity(Some(folder.used_bytes() + 100));
             worker.checkpoint(state_after(1), CHECKPOINT);
-            log.wait_for(Told::Full(CHECKPOINT));
+            log.wait_for(CompletionKind::Full(CHECKPOINT));
             folder.set_capacity(None);
             worker.submit(vec![record(2)], 2);
-            log.wait_for(Told::CheckpointDone(CHECKPOINT));
+            log.wait_for(CompletionKind::CheckpointDone(CHECKPOINT));
             worker.shutdown();
-            assert_eq!(count(&log.all(), Told::Full(CHECKPOINT)), 1);
+            assert_eq!(count(&log.all(), CompletionKind::Full(CHECKPOINT)), 1);
             assert_eq!(written(&log.all()), [1, 2]);
             assert_eq!(durable_index(&folder), 2);
         },
@@ -251,10 +260,10 @@
             folder.fail_at(folder.operations() + operation, ErrorKind::Other);
             submit_all(&worker);
             worker.shutdown();
-            let told = log.all();
-            let failed = count(&told, Told::Failed);
-            let written = written(&told);
-            assert!(failed == 1 || (failed == 0 && written.len() == 8), "{told:?}");
+            let completions = log.all();
+            let failed = count(&completions, CompletionKind::Failed);
+            let written = written(&completions);
+            assert!(failed == 1 || (failed == 0 && written.len() == 8), "{completions:?}");
             assert!(written.iter().copied().eq(1..=written.len() as u64));
             assert!(durable_index(&folder) >= written.len() as u64);
         },
@@ -272,7 +281,7 @@
             worker.checkpoint(foreign, CHECKPOINT);
             worker.submit(vec![record(1)], 1);
             worker.shutdown();
-            assert_eq!(log.all(), [Told::Failed]);
+            assert_eq!(log.all(), [CompletionKind::Failed]);
         },
         INTERLEAVINGS,
     );
--- a/crates/disk/tests/round_trip.rs
+++ b/crates/disk/tests/round_trip.rs
@@ -10,7 +10,8 @@
 };
 use ruddervalve_disk::testing::FaultyFolder;
 use ruddervalve_disk::{
-    DiskError, Folder, Options, ProcessState, RealFolder, StoredHardState, StoredLogPosition, inspect, open,
+    DiskError, Folder, GroupState, Options, ProcessState, RealFolder, StoredHardState, StoredLogPosition,
+    inspect, open,
 };
 use ruddervalve_protocol::{GroupId, ReplicaId};
 
@@ -251,6 +252,14 @@
     std::fs::remove_dir_all(&path).unwrap();
 }
 
+/// Group 1 as it is recovered from the log, and then from a checkpoint.
+fn from_log_and_slot(folder: &FaultyFolder, driver: &mut Driver) -> [GroupState; 2] {
+    let recovered = || open_folder(folder).unwrap().state.unwrap().groups.remove(&GroupId(1)).unwrap();
+    let from_log = recovered();
+    driver.checkpoint().unwrap();
+    [from_log, recovered()]
+}
+
 #[test]
 fn a_group_that_was_left_keeps_its_vote_and_the_end_of_its_log() {
     let folder = FaultyFolder::new();
@@ -258,12 +267,7 @@
     driver.append(&[founded(1), hard_state(1, 4, Some(7)), entries(1, 1..9, 4, 100)]);
     driver.append(&[left(1, 5, Some(8), 8)]);
     driver.sync().unwrap();
-    for checkpoint in [false, true] {
-        if checkpoint {
-            driver.checkpoint().unwrap();
-        }
-        let state = open_folder(&folder).unwrap().state.unwrap();
-        let group = state.groups.get(&GroupId(1)).unwrap();
+    for group in from_log_and_slot(&folder, &mut driver) {
         assert_eq!(group.hard_state, StoredHardState { term: 5, vote: Some(ReplicaId(8)) });
         assert_eq!(group.floor, Some(StoredLogPosition { term: 4, index: 8 }));
         assert!(group.is_left());
@@ -277,12 +281,7 @@
     let mut driver = Driver::start(&folder).unwrap();
     driver.append(&[left(1, 5, Some(8), 8), hard_state(1, 6, None), snapshot(1, 20, 6, 50)]);
     driver.sync().unwrap();
-    for checkpoint in [false, true] {
-        if checkpoint {
-            driver.checkpoint().unwrap();
-        }
-        let state = open_folder(&folder).unwrap().state.unwrap();
-        let group = state.groups.get(&GroupId(1)).unwrap();
+    for group in from_log_and_slot(&folder, &mut driver) {
         assert_eq!(group.hard_state, StoredHardState { term: 6, vote: None });
         assert_eq!(group.floor, Some(StoredLogPosition { term: 4, index: 8 }));
         assert_eq!(group.snapshot.as_ref().map(|snapshot| snapshot.index), Some(20));
--- a/crates/runtime/src/ports.rs
+++ b/crates/runtime/src/ports.rs
@@ -37,9 +37,9 @@
 }
 
 /// The internal addresses of all coordinators that are known: the seeds, and those that a directory names.
-pub fn coordinator_addresses(settings: &Settings, told: &[CoordinatorMember]) -> Vec<SocketAddr> {
+pub fn coordinator_addresses(settings: &Settings, listed: &[CoordinatorMember]) -> Vec<SocketAddr> {
     let mut addresses = seed_addresses(settings);
-    addresses.extend(told.iter().filter_map(|member| member.address.parse::<SocketAddr>().ok()));
+    addresses.extend(listed.iter().filter_map(|member| member.address.parse::<SocketAddr>().ok()));
     addresses.sort_unstable();
     addresses.dedup();
     addresses
--- a/crates/store/src/core/shards.rs
+++ b/crates/store/src/core/shards.rs
@@ -22,20 +22,20 @@
             let changes = self.replicas.flush();
             let idle = changes.is_empty();
             for change in changes {
-                self.change(now, wall, change)?;
+                self.apply_change(now, wall, change)?;
             }
-            self.offices(now);
+            self.update_leaderships(now);
             self.inquire(now);
-            let polled = self.poll(now);
-            let cared = self.care(now);
-            if idle && !polled && !cared {
+            let proposed = self.poll(now);
+            let membership_changed = self.care(now);
+            if idle && !proposed && !membership_changed {
                 break;
             }
         }
         Ok(())
     }
 
-    fn change(&mut self, now: u64, wall: u64, change: GroupChange) -> Result<(), StoreError> {
+    fn apply_change(&mut self, now: u64, wall: u64, change: GroupChange) -> Result<(), StoreError> {
         match change {
             GroupChange::Restored(group, snapshot) => {
                 let restored = self.shard(group, now, wall).restore(now, snapshot.index, &snapshot.data);
@@ -97,14 +97,14 @@
         }
     }
 
-    /// Takes and leaves offices as consensus says.
-    fn offices(&mut self, now: u64) {
+    /// Begins and ends the leadership of shards as consensus says.
+    fn update_leaderships(&mut self, now: u64) {
         let mut changed = false;
         for (group, shard) in &mut self.shards {
             let Some(replica) = self.replicas.host.replica(*group) else { continue };
             let leads = replica.role() == Role::Leader;
             let term = replica.term();
-            if shard.office().is_some_and(|office| !leads || office != term) {
+            if shard.office().is_some_and(|led_term| !leads || led_term != term) {
                 shard.leave_office();
                 self.steady.remove(group);
                 self.members_told.remove(group);
@@ -124,8 +124,8 @@
         }
         if changed {
             self.care_soon();
-            let offices = self.shards.iter().filter_map(|(group, shard)| Some((*group, shard.office()?)));
-            self.leading = offices.collect();
+            let led = self.shards.iter().filter_map(|(group, shard)| Some((*group, shard.office()?)));
+            self.leading = led.collect();
             self.send_all(&StoreToEdge::Leading { groups: self.leading.clone() });
         }
     }
