--- a/crates/replication/tests/leaving.rs
+++ b/crates/replication/tests/leaving.rs
@@ -249,7 +249,11 @@
     assert_eq!((replica.floor().term, replica.floor().index), (floor.term, floor.index));
     assert!(replica.membership().is_learner(C));
     let stored = checkpoint(world.process(C)).groups.remove(&GROUP).expect("it has the group");
-    assert_eq!((stored.hard_state, stored.floor), (hard_state, Some(floor)), "term and vote are those from before");
+    assert_eq!(
+        (stored.hard_state, stored.floor),
+        (hard_state, Some(floor)),
+        "term and vote are those from before"
+    );
     world.change(MembershipChange::PromoteLearner(C));
     world.run(300);
     assert!(world.replica(C).membership().is_voter(C));
