--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -21,6 +21,7 @@
 mod progress;
 mod reads;
 mod ready;
+mod removal;
 mod replica;
 mod replication;
 mod snapshot;
@@ -33,7 +34,7 @@
 
 pub use change::{MembershipChange, MembershipError};
 pub use checkpoint::CheckpointParts;
-pub use entry::{Entry, HardState, Payload, Restored, Snapshot};
+pub use entry::{ElectionRecord, Entry, HardState, LogPosition, Payload, Restored, Snapshot};
 pub use membership::Membership;
 pub use message::{Message, MessageKind};
 pub use reads::{ReadProgress, ReadRequest};
--- a/crates/consensus/tests/behaviour/main.rs
+++ b/crates/consensus/tests/behaviour/main.rs
@@ -7,6 +7,7 @@
 mod memberships;
 mod nonsense;
 mod reads;
+mod removals;
 mod replication;
 mod slow_links;
 mod snapshot_phases;
--- a/crates/store/src/core/shards.rs
+++ b/crates/store/src/core/shards.rs
@@ -8,6 +8,9 @@
 use crate::error::StoreError;
 use crate::shard::{Shard, ShardOutput};
 
+/// Whether a shard still belongs to this store is asked again after this part of `LivenessMs`.
+const INQUIRIES_PER_LIVENESS: u64 = 2;
+
 impl StoreCore {
     /// Works out all that events led to.
     ///
@@ -19,19 +22,20 @@
             let changes = self.replicas.flush();
             let idle = changes.is_empty();
             for change in changes {
-                self.change(now, wall, change)?;
+                self.apply_change(now, wall, change)?;
             }
-            self.offices(now);
-            let polled = self.poll(now);
-            let cared = self.care(now);
-            if idle && !polled && !cared {
+            self.update_leaderships(now);
+            self.inquire(now);
+            let proposed = self.poll(now);
+            let membership_changed = self.care(now);
+            if idle && !proposed && !membership_changed {
                 break;
             }
         }
         Ok(())
     }
 
-    fn change(&mut self, now: u64, wall: u64, change: GroupChange) -> Result<(), StoreError> {
+    fn apply_change(&mut self, now: u64, wall: u64, change: GroupChange) -> Result<(), StoreError> {
         match change {
             GroupChange::Restored(group, snapshot) => {
                 let restored = self.shard(group, now, wall).restore(now, snapshot.index, &snapshot.data);
@@ -47,6 +51,7 @@
             GroupChange::RoleChanged(group) => {
                 self.shard(group, now, wall);
             }
+            GroupChange::Left(group) => self.drop_shard(group),
             GroupChange::SnapshotWanted(group, to) => {
                 let snapshot = self.shard(group, now, wall).snapshot();
                 self.replicas.host.send_snapshot(now, group, to, snapshot);
@@ -62,14 +67,44 @@
         self.shards.entry(group).or_insert_with(new)
     }
 
-    /// Takes and leaves offices as consensus says.
-    fn offices(&mut self, now: u64) {
+    /// Forgets a shard that this store holds no more.
+    fn drop_shard(&mut self, group: GroupId) {
+        self.steady.remove(&group);
+        self.members_told.remove(&group);
+        self.handing_over.remove(&group);
+        let Some(mut shard) = self.shards.remove(&group) else { return };
+        shard.leave_office();
+        self.send_outputs(shard.outputs());
+        if self.leading.iter().any(|(led, _)| *led == group) {
+            self.leading.retain(|(led, _)| *led != group);
+            self.send_all(&StoreToEdge::Leading { groups: self.leading.clone() });
+        }
+        tracing::info!(group = group.0, "a shard that is held elsewhere is dropped");
+    }
+
+    /// Asks the stores that are to hold a shard whether this one still does, where no leader was heard of late: it may have
+    /// been removed while it was away, and those that it knows as members may have been, too.
+    fn inquire(&mut self, now: u64) {
+        if now < self.inquire_at {
+            return;
+        }
+        self.inquire_at = now + (self.settings.bounds.liveness_ms / INQUIRIES_PER_LIVENESS).max(1);
+        for placement in &self.directory.shards {
+            let stores = self.directory.stores.iter();
+            let holders = stores.filter(|store| placement.wanted.contains(&store.node));
+            let holders = holders.map(|store| store.replica);
+            self.replicas.host.inquire(now, placement.group, holders);
+        }
+    }
+
+    /// Begins and ends the leadership of shards as consensus says.
+    fn update_leaderships(&mut self, now: u64) {
         let mut changed = false;
         for (group, shard) in &mut self.shards {
             let Some(replica) = self.replicas.host.replica(*group) else { continue };
             let leads = replica.role() == Role::Leader;
             let term = replica.term();
-            if shard.office().is_some_and(|office| !leads || office != term) {
+            if shard.office().is_some_and(|led_term| !leads || led_term != term) {
                 shard.leave_office();
                 self.steady.remove(group);
                 self.members_told.remove(group);
@@ -89,8 +124,8 @@
         }
         if changed {
             self.care_soon();
-            let offices = self.shards.iter().filter_map(|(group, shard)| Some((*group, shard.office()?)));
-            self.leading = offices.collect();
+            let led = self.shards.iter().filter_map(|(group, shard)| Some((*group, shard.office()?)));
+            self.leading = led.collect();
             self.send_all(&StoreToEdge::Leading { groups: self.leading.clone() });
         }
     }
@@ -98,6 +133,7 @@
     /// Polls all shards that are led; true if something was proposed.
     fn poll(&mut self, now: u64) -> bool {
         let mut proposed = false;
+        let mut outputs = Vec::new();
         for (group, shard) in &mut self.shards {
             let replica = self.replicas.host.replica(*group);
             if replica.is_some_and(|replica| replica.lease_valid(now)) {
@@ -108,12 +144,17 @@
                     Some(index)
                 });
             }
-            for ShardOutput::Send(edge, message) in shard.outputs() {
-                if let Some(number) = self.edges.newest(edge) {
-                    self.outputs.push(StoreOutput::Edge(number, message));
-                }
-            }
+            outputs.extend(shard.outputs());
         }
+        self.send_outputs(outputs);
         proposed
     }
+
+    fn send_outputs(&mut self, outputs: Vec<ShardOutput>) {
+        for ShardOutput::Send(edge, message) in outputs {
+            if let Some(number) = self.edges.newest(edge) {
+                self.outputs.push(StoreOutput::Edge(number, message));
+            }
+        }
+    }
 }
