--- a/crates/simulation/src/delivery.rs
+++ b/crates/simulation/src/delivery.rs
@@ -104,8 +104,17 @@
         self.checks.run_ended(now, &run.id, number, outcome);
         let is_lost = self.traffic_random.random_bool(self.scenario.traffic.answer_lost_part);
         let load = self.load(uid);
+        let spoilt_part = self.scenario.traffic.spoilt_part;
+        let is_spoilt = spoilt_part > 0.0 && self.traffic_random.random_bool(spoilt_part);
         if is_lost {
             self.answer(run, unclear(UnclearReason::Reset), None, false);
+        } else if is_spoilt {
+            let reason = match self.traffic_random.random_range(0..3) {
+                0 => UnclearReason::Closed,
+                1 => UnclearReason::Garbled,
+                _ => UnclearReason::UnexpectedStatus(502),
+            };
+            self.answer(run, unclear(reason), None, false);
         } else {
             let is_success = matches!(answer, RunnerAnswer::Succeeded { .. });
             self.answer(run, answer, load, is_success);
--- a/crates/simulation/src/effects.rs
+++ b/crates/simulation/src/effects.rs
@@ -14,6 +14,8 @@
 
 /// A slot takes so many syncs longer than a log.
 const SLOT_SYNCS: u64 = 3;
+/// A full disk is tried again after this, in milliseconds.
+const FULL_RETRY_MS: u64 = 100;
 
 impl World {
     pub fn carry_out(&mut self, process: Life, effects: Vec<Effect>) {
@@ -28,6 +30,7 @@
         match effect {
             Effect::Send(connection, payload) => {
                 self.look_at(process, &payload, connection);
+                self.look_for_phase(process, &payload, connection);
                 self.send(process, connection, payload);
             }
             Effect::Close(connection) => self.close(process, connection),
@@ -57,6 +60,13 @@
         }
     }
 
+    fn look_for_phase(&mut self, process: Life, payload: &Payload, id: crate::process::ConnectionId) {
+        let Some(connection) = self.network.connections.get(&id) else { return };
+        let (opener, acceptor) = (connection.opener.process, connection.acceptor.process);
+        let receiver = if opener == process { acceptor } else { opener };
+        self.look_for_snapshot(process, receiver, payload);
+    }
+
     /// From a machine to something outside, one way.
     pub fn outside_way(&mut self) -> u64 {
         1 + self.network_random.random_range(0..=self.scenario.jitter_ms)
@@ -65,14 +75,20 @@
     pub fn begin_sync(&mut self, process: Life) {
         let sync = self.scenario.sync_ms;
         let wait = self.network_random.random_range(sync / 2..=sync + sync / 2).max(1);
-        self.after(wait, Event::Synced(process));
+        let slowness = self.hosts.get(process.machine).map_or(1, |host| host.disk.slowness);
+        self.after(wait * slowness, Event::Synced(process));
     }
 
     pub fn synced(&mut self, process: Life) {
         if !self.is_running(process) {
             return;
         }
+        let now = self.now;
         let Some(host) = self.hosts.get_mut(process.machine) else { return };
+        if host.disk.stalls_until > now {
+            let until = host.disk.stalls_until;
+            return self.at(until, Event::Synced(process));
+        }
         match host.disk.synced() {
             Ok((ticket, begins)) => {
                 if begins {
@@ -82,6 +98,7 @@
                     self.hand(process, Input::Written(ticket));
                 }
             }
+            Err(error) if error.is_full() => self.after(FULL_RETRY_MS, Event::Synced(process)),
             Err(error) => self.fails(process, &error.to_string()),
         }
     }
@@ -113,6 +130,7 @@
         match host.disk.write_checkpoint() {
             Ok(Some(covered)) => self.hand(process, Input::CheckpointDone(covered)),
             Ok(None) => {}
+            Err(error) if error.is_full() => self.after(FULL_RETRY_MS, Event::WriteCheckpoint(process)),
             Err(error) => self.fails(process, &error.to_string()),
         }
     }
--- a/crates/simulation/src/event.rs
+++ b/crates/simulation/src/event.rs
@@ -68,6 +68,7 @@
     },
     // The operator.
     NextChange,
+    NextStormChange,
     OrderCalls(u64),
     OrderArrives {
         order: u64,
@@ -130,6 +131,7 @@
             Event::RunnerUnlisted { uid } => self.runner_unlisted(&uid),
             Event::RunnerComes { service, address, zone } => self.runner_comes(service, address, zone),
             Event::NextChange => self.next_change(),
+            Event::NextStormChange => self.next_storm_change(),
             Event::OrderCalls(order) => self.order_calls(order),
             Event::OrderArrives { order, call, process } => self.order_arrives(order, call, process),
             Event::OrderAnswered { order, call, answer } => self.order_answered(order, call, answer),
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -8,9 +8,11 @@
 mod checks;
 mod clients;
 mod coordinator_process;
+mod cuts;
 mod delivery;
 mod dialing;
 mod disk;
+mod disk_troubles;
 mod edge_process;
 mod effects;
 mod ending;
@@ -27,15 +29,18 @@
 pub mod mutants;
 mod network;
 mod operator;
+mod phases;
 mod places;
 mod process;
 mod questions;
 mod repairs;
 mod replacements;
 mod replica_links;
+mod retirements;
 mod runners;
 mod scenario;
 mod store_process;
+mod storms;
 mod trace;
 mod troubles;
 mod wires;
@@ -44,7 +49,9 @@
 pub use checks::Broken;
 pub use hunt::hunt;
 pub use repairs::Repairs;
-pub use scenario::{Faults, LastFault, Replacements, Scenario, ScenarioError, Traffic};
+pub use scenario::{
+    Cuts, Disks, Faults, Fleet, LastFault, Orders, Phases, Replacements, Scenario, ScenarioError, Traffic,
+};
 pub use world::Report;
 
 /// Plays one history. With `keeps_trace` the report has a line for each thing that happened.
--- a/crates/simulation/src/process.rs
+++ b/crates/simulation/src/process.rs
@@ -101,6 +101,9 @@
     /// When it wants [`Input::Wake`] at the latest.
     fn next_wake(&self, now: u64) -> u64;
 
+    /// The time of day jumps.
+    fn step_clock(&mut self, _by_ms: i64) {}
+
     /// Whether it has ended as asked.
     fn ended(&self, now: u64) -> bool;
 
--- a/crates/simulation/src/replacements.rs
+++ b/crates/simulation/src/replacements.rs
@@ -7,7 +7,7 @@
 use crate::faults::{Fault, SHORTEST_MS};
 use crate::host::Host;
 use crate::network::Machine;
-use crate::places::{GRACE_MS, LOSS_SLACK_MS, Place, seeds, settings};
+use crate::places::{GRACE_MS, LOSS_SLACK_MS, Place, SYNC_MS, seeds, settings};
 use crate::world::World;
 
 /// Machines that were told to end and are to be removed.
@@ -52,7 +52,7 @@
         self.newcomers_start(replaced, true);
         replaced.iter().for_each(|machine| self.lose_until(*machine, now));
         self.checks.trouble_ends(trouble, now);
-        self.watch_repair();
+        self.watch_repair(now);
         replaced.first().into_iter().for_each(|machine| self.plan_second_loss(*machine));
     }
 
@@ -80,7 +80,7 @@
             self.lost_until.insert(site, ending.successor_bound.max(self.now));
         }
         self.checks.trouble_ends(ending.trouble, self.now);
-        self.watch_repair();
+        self.watch_repair(ending.successor_bound.saturating_sub(SYNC_MS));
         self.plan_second_loss(first);
     }
 
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -5,8 +5,10 @@
 use displaydoc::Display;
 use serde::Deserialize;
 
+mod kinds;
 mod replacements;
 
+pub use kinds::{Cuts, Disks, Fleet, Orders, Phases};
 pub use replacements::Replacements;
 
 /// A scenario. All fields have defaults; unknown ones are refused.
@@ -43,6 +45,16 @@
     pub faults: Faults,
     /// Machines that are replaced.
     pub replacements: Replacements,
+    /// Machines that are added and retired.
+    pub fleet: Fleet,
+    /// Long cuts, and faults that come together.
+    pub cuts: Cuts,
+    /// How changes are ordered.
+    pub orders: Orders,
+    /// Disks in trouble, and steps of the time of day.
+    pub disks: Disks,
+    /// Faults that follow phases.
+    pub phases: Phases,
 }
 
 /// What clients, runners, operator and platform do.
@@ -69,6 +81,8 @@
     pub failed_part: f64,
     /// The part of answers of runners that are lost.
     pub answer_lost_part: f64,
+    /// The part of answers of runners that are spoilt: cut short, garbled or of a status that says nothing.
+    pub spoilt_part: f64,
     /// How long a run takes, in milliseconds; half to one and a half times that is drawn.
     pub work_ms: u64,
     /// Runners of each service on the list.
@@ -156,6 +170,11 @@
             traffic: Traffic::default(),
             faults: Faults::default(),
             replacements: Replacements::default(),
+            fleet: Fleet::default(),
+            cuts: Cuts::default(),
+            orders: Orders::default(),
+            disks: Disks::default(),
+            phases: Phases::default(),
         }
     }
 }
@@ -173,6 +192,7 @@
             poison_part: 0.02,
             failed_part: 0.03,
             answer_lost_part: 0.03,
+            spoilt_part: 0.0,
             work_ms: 60,
             runners: 4,
             slots: 3,
--- a/crates/simulation/src/store_process.rs
+++ b/crates/simulation/src/store_process.rs
@@ -123,6 +123,10 @@
         self.core.next_wake(now)
     }
 
+    fn step_clock(&mut self, by_ms: i64) {
+        self.wall = self.wall.saturating_add_signed(by_ms);
+    }
+
     fn ended(&self, now: u64) -> bool {
         self.core.ended(now)
     }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -47,6 +47,8 @@
     /// Machines that came during the day.
     pub newcomers: u8,
     pub repairs: Repairs,
+    /// Retirements that have succeeded.
+    pub retirements: u32,
 }
 
 /// What came of a history.
@@ -70,6 +72,10 @@
     pub unended: usize,
     /// What came of repairs after replacements.
     pub repairs: Repairs,
+    /// Retirements that have succeeded.
+    pub retirements: u32,
+    /// Changes of the configuration that were acknowledged.
+    pub changes: usize,
 }
 
 fn stream(seed: u64, number: u64) -> ChaCha8Rng {
@@ -116,6 +122,7 @@
             instances,
             newcomers: 0,
             repairs: Repairs::default(),
+            retirements: 0,
         };
         world.begin();
         Some(world)
@@ -172,6 +179,8 @@
             lines: self.trace.into_lines(),
             steps: self.steps,
             repairs: self.repairs,
+            retirements: self.retirements,
+            changes: self.operator.acknowledged.len(),
             broken: self.checks.broken,
         }
     }
