--- a/crates/simulation/src/edge_process.rs
+++ b/crates/simulation/src/edge_process.rs
@@ -128,7 +128,10 @@
                     self.core.store_says(now, *store, message);
                 }
             }
-            Input::Message(_, Payload::Reply(reply)) => self.control(now, reply, effects),
+            Input::Message(_, Payload::Reply(reply)) => {
+                self.links.hear(&reply, effects);
+                self.control(now, reply, effects);
+            }
             Input::Client(client, request) => {
                 self.clients.insert(client);
                 self.core.request(now, client, *request);
--- a/crates/simulation/src/replica_links.rs
+++ b/crates/simulation/src/replica_links.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use ruddervalve_protocol::{CoordinatorRequest, Registration, ReplicaId};
+use ruddervalve_protocol::{CoordinatorReply, CoordinatorRequest, Registration, ReplicaId};
 use ruddervalve_runtime::{ReplicaInput, ReplicaOutput};
 
 use crate::process::{ConnectionId, Effect, Input, Link, Payload, batches};
@@ -14,12 +14,24 @@
     registration: Registration,
     replicas: BTreeMap<ReplicaId, ConnectionId>,
     control: BTreeMap<SocketAddr, ConnectionId>,
+    /// What the owner wants.
+    asked: Vec<Link>,
+    /// What is kept: that, and the leader's.
     wanted: Vec<Link>,
+    /// The leader that coordinators name, whether the owner knows its address or not.
+    leader: Option<SocketAddr>,
 }
 
 impl RoleLinks {
     pub fn new(registration: Registration) -> Self {
-        Self { registration, replicas: BTreeMap::new(), control: BTreeMap::new(), wanted: Vec::new() }
+        Self {
+            registration,
+            replicas: BTreeMap::new(),
+            control: BTreeMap::new(),
+            asked: Vec::new(),
+            wanted: Vec::new(),
+            leader: None,
+        }
     }
 
     /// Keeps links to these peers and coordinators, and these others.
@@ -33,7 +45,24 @@
     ) {
         let peers = peers.iter().filter(|(id, _)| Some(*id) != own).map(|(id, at)| Link::Replica(*id, *at));
         let control = coordinators.iter().map(|address| Link::Control(*address));
-        let mut wanted: Vec<Link> = peers.chain(control).chain(others.iter().copied()).collect();
+        self.asked = peers.chain(control).chain(others.iter().copied()).collect();
+        self.keep(effects);
+    }
+
+    /// Keeps a link to the leader that a coordinator names, as the links of a role do: right after its start a process
+    /// knows the seeds alone.
+    pub fn hear(&mut self, reply: &CoordinatorReply, effects: &mut Vec<Effect>) {
+        let CoordinatorReply::NotLeader { leader: Some(leader) } = reply else { return };
+        let Ok(leader) = leader.parse() else { return };
+        if self.leader != Some(leader) {
+            self.leader = Some(leader);
+            self.keep(effects);
+        }
+    }
+
+    fn keep(&mut self, effects: &mut Vec<Effect>) {
+        let mut wanted = self.asked.clone();
+        wanted.extend(self.leader.map(Link::Control));
         wanted.sort_unstable();
         wanted.dedup();
         if wanted != self.wanted {
--- a/crates/simulation/src/store_process.rs
+++ b/crates/simulation/src/store_process.rs
@@ -103,7 +103,10 @@
                     self.core.edge_says(now, *number, message);
                 }
             }
-            Input::Message(_, Payload::Reply(reply)) => self.core.coordinator_says(now, reply),
+            Input::Message(_, Payload::Reply(reply)) => {
+                self.links.hear(&reply, effects);
+                self.core.coordinator_says(now, reply);
+            }
             Input::Terminate => self.core.terminate(now),
             _ => {}
         }
