--- a/crates/simulation/src/retirements.rs
+++ b/crates/simulation/src/retirements.rs
@@ -72,16 +72,14 @@
         }
     }
 
-    /// A retirement has succeeded: the machine is removed at once with its disk, which is no loss. Maybe others lose theirs
-    /// right after.
+    /// A retirement has succeeded: the machine is removed at once with its disk, which is no loss; if it was lost before, it
+    /// counts as lost for as long as it did. Maybe others lose their disks right after.
     fn retired(&mut self, machine: Machine) {
         let machines = self.mates(machine);
         self.line(|| format!("machines {machines:?} are retired and removed"));
         self.retirements += 1;
         let trouble = self.trouble(true);
         machines.iter().for_each(|machine| self.remove(*machine));
-        let site = self.site(machine);
-        self.lost_until.remove(&site);
         self.after(SHORTEST_MS, Event::Fault(Fault::TroubleOver(trouble)));
         let wipes = self.fault_random.random_bool(self.scenario.fleet.wipe_part);
         if !wipes || !self.faults_go_on() {
