--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -8,30 +8,39 @@
 mod checks;
 mod clients;
 mod coordinator_process;
+mod cuts;
 mod delivery;
 mod dialing;
 mod disk;
+mod disk_troubles;
 mod edge_process;
 mod effects;
 mod ending;
 mod event;
 mod faults;
 mod fleet;
+mod host;
 mod hunt;
 mod invariants;
 mod judging;
 mod lives;
+mod losses;
 #[cfg(feature = "mutants")]
 pub mod mutants;
 mod network;
 mod operator;
+mod phases;
 mod places;
 mod process;
 mod questions;
+mod repairs;
+mod replacements;
 mod replica_links;
+mod retirements;
 mod runners;
 mod scenario;
 mod store_process;
+mod storms;
 mod trace;
 mod troubles;
 mod wires;
@@ -39,7 +48,10 @@
 
 pub use checks::Broken;
 pub use hunt::hunt;
-pub use scenario::{Faults, LastFault, Scenario, ScenarioError, Traffic};
+pub use repairs::Repairs;
+pub use scenario::{
+    Cuts, Disks, Faults, Fleet, LastFault, Orders, Phases, Replacements, Scenario, ScenarioError, Traffic,
+};
 pub use world::Report;
 
 /// Plays one history. With `keeps_trace` the report has a line for each thing that happened.
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -5,6 +5,12 @@
 use displaydoc::Display;
 use serde::Deserialize;
 
+mod kinds;
+mod replacements;
+
+pub use kinds::{Cuts, Disks, Fleet, Orders, Phases};
+pub use replacements::Replacements;
+
 /// A scenario. All fields have defaults; unknown ones are refused.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -21,6 +27,8 @@
     pub stores: u32,
     /// Whether the first coordinator is on the first store's machine, and so on: they are lost together.
     pub coordinators_on_stores: bool,
+    /// Machines with a disk that may be lost at once.
+    pub tolerance: u32,
     /// How long clients send, in milliseconds. Faults happen in the same time.
     pub traffic_ms: u64,
     /// One way between zones, in milliseconds.
@@ -35,6 +43,18 @@
     pub traffic: Traffic,
     /// What goes wrong.
     pub faults: Faults,
+    /// Machines that are replaced.
+    pub replacements: Replacements,
+    /// Machines that are added and retired.
+    pub fleet: Fleet,
+    /// Long cuts, and faults that come together.
+    pub cuts: Cuts,
+    /// How changes are ordered.
+    pub orders: Orders,
+    /// Disks in trouble, and steps of the time of day.
+    pub disks: Disks,
+    /// Faults that follow phases.
+    pub phases: Phases,
 }
 
 /// What clients, runners, operator and platform do.
@@ -61,6 +81,8 @@
     pub failed_part: f64,
     /// The part of answers of runners that are lost.
     pub answer_lost_part: f64,
+    /// The part of answers of runners that are spoilt: cut short, garbled or of a status that says nothing.
+    pub spoilt_part: f64,
     /// How long a run takes, in milliseconds; half to one and a half times that is drawn.
     pub work_ms: u64,
     /// Runners of each service on the list.
@@ -139,6 +161,7 @@
             coordinators: 3,
             stores: 3,
             coordinators_on_stores: false,
+            tolerance: 1,
             traffic_ms: 40_000,
             delay_ms: 1,
             jitter_ms: 2,
@@ -146,6 +169,12 @@
             checkpoint_bytes: 60_000,
             traffic: Traffic::default(),
             faults: Faults::default(),
+            replacements: Replacements::default(),
+            fleet: Fleet::default(),
+            cuts: Cuts::default(),
+            orders: Orders::default(),
+            disks: Disks::default(),
+            phases: Phases::default(),
         }
     }
 }
@@ -163,6 +192,7 @@
             poison_part: 0.02,
             failed_part: 0.03,
             answer_lost_part: 0.03,
+            spoilt_part: 0.0,
             work_ms: 60,
             runners: 4,
             slots: 3,
--- a/crates/simulation/src/store_process.rs
+++ b/crates/simulation/src/store_process.rs
@@ -103,7 +103,10 @@
                     self.core.edge_says(now, *number, message);
                 }
             }
-            Input::Message(_, Payload::Reply(reply)) => self.core.coordinator_says(now, reply),
+            Input::Message(_, Payload::Reply(reply)) => {
+                self.links.hear(&reply, effects);
+                self.core.coordinator_says(now, reply);
+            }
             Input::Terminate => self.core.terminate(now),
             _ => {}
         }
@@ -123,6 +126,10 @@
         self.core.next_wake(now)
     }
 
+    fn step_clock(&mut self, by_ms: i64) {
+        self.wall = self.wall.saturating_add_signed(by_ms);
+    }
+
     fn ended(&self, now: u64) -> bool {
         self.core.ended(now)
     }
