Switches for deliberate faults in the protocol code, and checks over all replicas

The simulation compares replicas with each other now: SAME-ENTRY, COMMIT-BACK, COPIES, LEADER-LOG, OWN-TERM, LEASE-READ, MEMBERS, ONE-CHANGE, CAUGHT-UP.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -1,5 +1,6 @@
 //! Elections: pre-votes, votes, and following whoever leads.
 
+use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::ReplicaId;
 
 use crate::entry::HardState;
@@ -110,7 +111,7 @@
         if term > self.hard_state.term {
             self.become_follower(term, None);
         }
-        let free = self.hard_state.vote.is_none_or(|vote| vote == from);
+        let free = self.hard_state.vote.is_none_or(|vote| vote == from) || is_active(Mutation::SecondVote);
         let granted = term == self.hard_state.term && free && self.is_up_to_date(request.candidacy);
         if granted {
             if self.hard_state.vote.is_none() {
@@ -178,7 +179,8 @@
     }
 
     fn is_up_to_date(&self, candidacy: Candidacy) -> bool {
-        (candidacy.last_term, candidacy.last_index) >= (self.log.last_term(), self.log.last_index())
+        is_active(Mutation::VoteForShorterLog)
+            || (candidacy.last_term, candidacy.last_index) >= (self.log.last_term(), self.log.last_index())
     }
 
     fn other_voters(&self) -> Vec<ReplicaId> {
--- a/crates/consensus/src/following.rs
+++ b/crates/consensus/src/following.rs
@@ -1,5 +1,6 @@
 //! The follower's side of replication.
 
+use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::ReplicaId;
 
 use crate::entry::Entry;
@@ -39,7 +40,11 @@
 
     /// Tells the leader, once it is on disk, that the logs agree up to `matched`.
     pub(crate) fn acknowledge(&mut self, to: ReplicaId, stamp: Stamp, matched: u64) {
-        self.send_after_write(to, Body::AppendReply(AppendReply { stamp, matched, rejection: None }));
+        let reply = Body::AppendReply(AppendReply { stamp, matched, rejection: None });
+        if is_active(Mutation::AcknowledgedBeforeWrite) {
+            return self.send(to, reply);
+        }
+        self.send_after_write(to, reply);
     }
 
     /// Whether the log agrees with the leader's up to an entry: committed ones always do.
--- a/crates/consensus/src/lease.rs
+++ b/crates/consensus/src/lease.rs
@@ -5,21 +5,30 @@
 //! on, and the leader may trust in that for the shorter `lease_ms`. Only votes of a transfer are not refused, and a leader
 //! that has asked another to take over holds no lease for the rest of its term.
 
+use ruddervalve_mutation::{Mutation, is_active};
+
 use crate::replica::{Replica, Role};
 
 impl Replica {
     /// Whether this replica leads and nobody else can, until `now` and a little longer: it may answer from its own state.
     pub fn lease_valid(&self, now: u64) -> bool {
         let Some(leadership) = &self.leadership else { return false };
-        if leadership.lease_given_up() || self.commit < leadership.first_index {
+        let given_up = leadership.lease_given_up() && !is_active(Mutation::LeaseKeptInTransfer);
+        let own_term = self.commit >= leadership.first_index || is_active(Mutation::LeaseBeforeOwnTerm);
+        if given_up || !own_term {
             return false;
         }
         let Some(answered) = leadership.quorum_answered_sent(now) else { return false };
-        now < answered.saturating_add(self.timing.lease_ms)
+        let too_long = is_active(Mutation::LeaseOutlastsRefusal);
+        let lease_ms = if too_long { 2 * self.timing.election_max_ms } else { self.timing.lease_ms };
+        now < answered.saturating_add(lease_ms)
     }
 
     /// Whether a leader may count on this replica's refusal of votes.
     pub(crate) fn refuses_votes(&self) -> bool {
+        if is_active(Mutation::VoteDespiteLeader) {
+            return false;
+        }
         let heard_until = self.heard_leader_at.map_or(0, |at| at.saturating_add(self.timing.election_min_ms));
         self.role() == Role::Leader || self.now < heard_until || self.now < self.no_votes_before
     }
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -48,6 +48,11 @@
         self.get(index).map(|stored| stored.entry.term)
     }
 
+    /// The entry at `index`, if it is here.
+    pub(crate) fn entry(&self, index: u64) -> Option<&Entry> {
+        self.get(index).map(|stored| &stored.entry)
+    }
+
     /// The highest index up to `index` whose term is at most `term`; below the base where no known entry is.
     pub(crate) fn last_index_up_to(&self, index: u64, term: u64) -> u64 {
         if index < self.base_index {
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -2,6 +2,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::ReplicaId;
 
 use crate::election::Ballot;
@@ -76,7 +77,9 @@
         let mut memberships = MembershipHistory::new(base_index, membership);
         restore_entries(&mut log, &mut memberships, entries);
         let hard_state = not_behind(hard_state, log.last_term());
-        let was_in_use = hard_state.term > 0;
+        let forgotten = HardState { vote: None, ..hard_state };
+        let hard_state = if is_active(Mutation::VoteForgotten) { forgotten } else { hard_state };
+        let was_in_use = hard_state.term > 0 && !is_active(Mutation::VoteForgotten);
         let no_votes_before = if was_in_use { now.saturating_add(timing.election_min_ms) } else { now };
         let mut replica = Self {
             id,
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -1,6 +1,7 @@
 //! The leader's side of replication: proposals, appends, heartbeats and commits.
 
 use displaydoc::Display;
+use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::{Blob, ReplicaId};
 
 use crate::entry::{Entry, Payload};
@@ -62,7 +63,8 @@
     pub fn is_caught_up(&self, peer: ReplicaId) -> bool {
         let Some(leadership) = &self.leadership else { return false };
         let Some(progress) = leadership.peer(peer) else { return false };
-        self.recently_active(peer, self.now) && leadership.has_what_was_committed(progress)
+        let has_committed = leadership.has_what_was_committed(progress);
+        self.recently_active(peer, self.now) && (has_committed || is_active(Mutation::VoteBeforeCaughtUp))
     }
 
     /// Whether a peer of this leader said anything in the last `election_min_ms`.
@@ -151,7 +153,8 @@
         let durable = self.writes.durable_index();
         let Some(leadership) = &self.leadership else { return };
         let Some(reached) = leadership.quorum_value(durable, |peer| peer.matched) else { return };
-        if reached <= self.commit || self.log.term(reached) != Some(self.hard_state.term) {
+        let own_term = self.log.term(reached) == Some(self.hard_state.term);
+        if reached <= self.commit || !(own_term || is_active(Mutation::EarlierTermCommitted)) {
             return;
         }
         self.commit = reached;
--- a/crates/consensus/src/snapshot.rs
+++ b/crates/consensus/src/snapshot.rs
@@ -1,5 +1,6 @@
 //! Snapshots in parts: sending, receiving, and taking one up.
 
+use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::{Blob, ReplicaId};
 
 use crate::entry::Snapshot;
@@ -20,7 +21,8 @@
 
 impl Incoming {
     fn is_of(&self, chunk: &Chunk) -> bool {
-        self.index == chunk.index && self.term == chunk.term && self.total == chunk.total
+        is_active(Mutation::SnapshotPartsMixed)
+            || self.index == chunk.index && self.term == chunk.term && self.total == chunk.total
     }
 }
 
@@ -163,7 +165,9 @@
             return;
         }
         self.log = crate::log::Log::new(snapshot.index, snapshot.term);
-        self.memberships = MembershipHistory::new(snapshot.index, snapshot.membership.clone());
+        if !is_active(Mutation::SnapshotWithoutMembership) {
+            self.memberships = MembershipHistory::new(snapshot.index, snapshot.membership.clone());
+        }
         self.commit = snapshot.index;
         self.applied = snapshot.index;
         self.output.restore = Some(snapshot.clone());
--- a/crates/consensus/src/status.rs
+++ b/crates/consensus/src/status.rs
@@ -1,7 +1,9 @@
 //! What a replica tells of itself.
 
+use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::ReplicaId;
 
+use crate::entry::Entry;
 use crate::membership::Membership;
 use crate::replica::{Replica, Role};
 
@@ -36,6 +38,21 @@
         self.applied
     }
 
+    /// Up to here the log is known to be on this replica's disk.
+    pub fn durable_index(&self) -> u64 {
+        self.writes.durable_index()
+    }
+
+    /// The entry at `index`, while it is in memory.
+    pub fn entry(&self, index: u64) -> Option<&Entry> {
+        self.log.entry(index)
+    }
+
+    /// The term of the entry at `index`, as far as it is known.
+    pub fn entry_term(&self, index: u64) -> Option<u64> {
+        self.log.term(index)
+    }
+
     /// The newest entry; it may still be replaced.
     pub fn last_index(&self) -> u64 {
         self.log.last_index()
@@ -48,6 +65,6 @@
 
     /// Whether the membership in force is committed.
     pub fn membership_committed(&self) -> bool {
-        self.memberships.latest_index() <= self.commit
+        self.memberships.latest_index() <= self.commit || is_active(Mutation::ChangeWhilePending)
     }
 }
--- a/crates/consensus/tests/simulation/cluster.rs
+++ b/crates/consensus/tests/simulation/cluster.rs
@@ -300,6 +300,8 @@
                 running.role = running.replica.role();
             }
             if let Some(snapshot) = restore {
+                let applied = running.machine.index;
+                assert!(snapshot.index > applied, "a snapshot of entry {} after {applied}", snapshot.index);
                 running.machine = Machine::decode(&snapshot.data);
                 assert_eq!(running.machine.index, snapshot.index);
                 self.checks.restored(&running.machine, snapshot.term);
--- a/crates/consensus/tests/simulation/main.rs
+++ b/crates/consensus/tests/simulation/main.rs
@@ -5,6 +5,8 @@
 mod cluster;
 mod disk;
 mod faults;
+#[cfg(feature = "mutants")]
+mod mutants;
 mod network;
 mod node;
 
--- a/crates/coordinator/src/core/agreement.rs
+++ b/crates/coordinator/src/core/agreement.rs
@@ -1,6 +1,7 @@
 //! The agreed state between consensus, and the leader's duties.
 
 use ruddervalve_consensus::{Entry, Payload};
+use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::GroupId;
 use ruddervalve_replication::{GroupChange, GroupSnapshot};
 
@@ -31,7 +32,7 @@
                 self.change(now, change)?;
             }
         }
-        if self.leads(now) {
+        if self.leads(now) || is_active(Mutation::LowerVersionTaken) {
             self.tell();
         }
         self.answer_heartbeats(now);
--- a/crates/coordinator/src/core/operator.rs
+++ b/crates/coordinator/src/core/operator.rs
@@ -1,5 +1,6 @@
 //! Calls of the operator.
 
+use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::GroupId;
 
 use super::{CallerNumber, CoordinatorCore, CoordinatorOutput, OperatorReply, Pending};
@@ -63,6 +64,8 @@
 
     /// A call's entry was applied.
     pub(super) fn answer(&mut self, index: u64, term: u64, result: &ControlResult) {
+        let newest = || self.pending.keys().next_back().copied().unwrap_or(index);
+        let index = if is_active(Mutation::CallsCrossed) { newest() } else { index };
         let Some(pending) = self.pending.remove(&index) else { return };
         if pending.term != term {
             // The place in the log was taken by another leader's entry: what became of the call is not known.
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -1,6 +1,7 @@
 //! The replicated state of the control group. Deterministic: no clock, no chance, no I/O.
 
 use nanoserde::{DeBin, SerBin};
+use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::{
     Blob, ConfigurationUpdate, CoordinatorMember, Directory, ReplicaId, ShardPlacement, StoreMember,
 };
@@ -148,11 +149,12 @@
             version: replacement.version,
             digest: replacement.digest,
         };
-        if self.taken.contains(&taken) {
+        if self.taken.contains(&taken) && !is_active(Mutation::TakenForgotten) {
             return ControlResult::AlreadyTaken { version: replacement.version };
         }
         let current = self.configuration_version();
-        if replacement.base_version != current || replacement.version <= current {
+        let other_base = replacement.base_version != current && !is_active(Mutation::BaseVersionIgnored);
+        if other_base || replacement.version <= current {
             return ControlResult::Conflict { current };
         }
         self.configuration =
--- a/crates/edge/src/core/appends.rs
+++ b/crates/edge/src/core/appends.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
+use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::{AppendOutcome, EdgeToStore, GroupId, LeaseId, MessageId, NewMessage, ReplicaId};
 
 use super::EdgeCore;
@@ -267,6 +268,8 @@
 
     /// A store answered.
     pub(super) fn appended(&mut self, number: u64, outcome: AppendOutcome) {
+        let oldest = || self.appends.appends.keys().next().copied().unwrap_or(number);
+        let number = if is_active(Mutation::AppendsAnsweredInOrder) { oldest() } else { number };
         if let Some(store) = self.appends.appends.get(&number).and_then(|append| append.sent_to) {
             self.health.answered(store);
         }
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -19,6 +19,7 @@
 use std::sync::Arc;
 
 use ruddervalve_configuration::{Configuration, RouteTable};
+use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::{
     ConfigurationUpdate, Directory, EdgeToStore, GroupId, InventoryItem, ReplicaId, RunnerList, StoreToEdge,
 };
@@ -155,7 +156,7 @@
     pub fn set_configuration(&mut self, now: u64, update: &ConfigurationUpdate) -> bool {
         self.now = now;
         let current = self.configuration.as_ref().map_or(0, |configuration| configuration.version());
-        if update.version <= current {
+        if update.version <= current && !is_active(Mutation::LowerVersionTaken) {
             return false;
         }
         match Configuration::parse(update.body.as_slice()) {
--- a/crates/queue/src/leader/gate.rs
+++ b/crates/queue/src/leader/gate.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::Incarnation;
 
 use crate::ShardState;
@@ -21,7 +22,7 @@
     pub(super) fn new(now_ms: u64, visibility_timeout_ms: u64, state: &ShardState) -> Self {
         let awaited: BTreeSet<Incarnation> =
             state.attached_edges().map(|AttachedEdge { edge, .. }| *edge).collect();
-        let released = awaited.is_empty();
+        let released = awaited.is_empty() || is_active(Mutation::HoldersNotAwaited);
         Self { awaited, opens_ms: now_ms.saturating_add(visibility_timeout_ms), released }
     }
 
--- a/crates/queue/src/leases.rs
+++ b/crates/queue/src/leases.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 
+use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::{Incarnation, LeaseId};
 
 use crate::records::Sequence;
@@ -17,6 +18,7 @@
 impl LeaseTable {
     /// No leases; new ones carry the term.
     pub(crate) fn new(term: u64) -> Self {
+        let term = if is_active(Mutation::LeaseNumberedAnew) { 0 } else { term };
         Self { term, granted: 0, held: HashMap::new() }
     }
 
--- a/crates/simulation/src/checks.rs
+++ b/crates/simulation/src/checks.rs
@@ -6,6 +6,7 @@
     DRAIN_TIMEOUT_MS, EARLY_SLACK_MS, ENDPOINT_RATE_PER_S, Kind, LIVENESS_MS, MAX_LAG_MS, MAX_RETRIES,
     ORIGIN_OVERSHOOT, ORIGIN_WINDOW_MS,
 };
+use crate::protocol_checks::ProtocolChecks;
 
 /// A rule that was broken, and how.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -89,6 +90,7 @@
     votes: BTreeMap<(u64, u32, u64), u64>,
     leases: BTreeMap<(u32, u64, u64), (u64, String)>,
     identities: BTreeMap<u64, u64>,
+    pub protocol: ProtocolChecks,
     pub broken: Vec<Broken>,
 }
 
--- a/crates/simulation/src/invariants.rs
+++ b/crates/simulation/src/invariants.rs
@@ -66,6 +66,7 @@
             }
         }
         self.check_leases();
+        self.check_protocol(process);
     }
 
     /// At most one process holds a leader's lease of a group.
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -27,6 +27,7 @@
 mod operator;
 mod places;
 mod process;
+mod protocol_checks;
 mod questions;
 mod replica_links;
 mod runners;
