--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -1,5 +1,6 @@
 //! Elections: pre-votes, votes, and following whoever leads.
 
+use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::ReplicaId;
 
 use crate::entry::{HardState, LogPosition};
@@ -111,7 +112,7 @@
         if term > self.hard_state.term {
             self.become_follower(term, None);
         }
-        let free = self.hard_state.vote.is_none_or(|vote| vote == from);
+        let free = self.hard_state.vote.is_none_or(|vote| vote == from) || is_active(Mutation::SecondVote);
         let granted = term == self.hard_state.term && free && self.is_up_to_date(request.candidacy);
         if granted {
             if self.hard_state.vote.is_none() {
@@ -184,6 +185,7 @@
     fn is_up_to_date(&self, candidacy: Candidacy) -> bool {
         let Candidacy { last_term: term, last_index: index } = candidacy;
         LogPosition { term, index } >= self.log_end().max(self.floor)
+            || is_active(Mutation::VoteForShorterLog)
     }
 
     fn other_voters(&self) -> Vec<ReplicaId> {
--- a/crates/consensus/tests/simulation/main.rs
+++ b/crates/consensus/tests/simulation/main.rs
@@ -6,6 +6,8 @@
 mod disk;
 mod faults;
 mod leaving;
+#[cfg(feature = "mutants")]
+mod mutants;
 mod network;
 mod node;
 
--- a/crates/coordinator/src/core/operator.rs
+++ b/crates/coordinator/src/core/operator.rs
@@ -1,6 +1,7 @@
 //! Calls of the operator. One that changes something is answered from its applied entry, one that asks or may be refused
 //! from the confirmed state ([`super::reads`]); never from what this coordinator only believes to be in force.
 
+use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::GroupId;
 
 use super::reads::Question;
@@ -71,6 +72,8 @@
 
     /// A call's entry was applied.
     pub(super) fn answer(&mut self, index: u64, term: u64, result: &ControlResult) {
+        let newest = || self.pending.keys().next_back().copied().unwrap_or(index);
+        let index = if is_active(Mutation::CallsCrossed) { newest() } else { index };
         let Some(pending) = self.pending.remove(&index) else { return };
         if pending.term != term {
             // The place in the log was taken by another leader's entry: what became of the call is not known.
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -1,6 +1,7 @@
 //! The replicated state of the control group. Deterministic: no clock, no chance, no I/O.
 
 use nanoserde::{DeBin, SerBin};
+use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::{
     Blob, ConfigurationUpdate, CoordinatorMember, Directory, ReplicaId, ShardPlacement, StoreMember,
 };
@@ -151,14 +152,15 @@
             version: replacement.version,
             digest: replacement.digest,
         };
-        if self.was_taken(&taken) {
+        if self.was_taken(&taken) && !is_active(Mutation::TakenForgotten) {
             return ControlResult::AlreadyTaken { version: replacement.version };
         }
         if self.may_be_forgotten(&taken) {
             return ControlResult::TooOldToTell { version: replacement.version };
         }
         let current = self.configuration_version();
-        if replacement.base_version != current || replacement.version <= current {
+        let other_base = replacement.base_version != current && !is_active(Mutation::BaseVersionIgnored);
+        if other_base || replacement.version <= current {
             return ControlResult::Conflict { current };
         }
         self.configuration =
--- a/crates/coordinator/tests/world/disk.rs
+++ b/crates/coordinator/tests/world/disk.rs
@@ -38,8 +38,9 @@
                     state.snapshot = Some(snapshot);
                 }
                 Record::Founded { group, membership } => self.group(group).founded = Some(membership),
-                Record::Removed { group } => {
-                    self.state.groups.remove(&group);
+                Record::Left { group, state, floor } => {
+                    let left = GroupState { hard_state: state, floor: Some(floor), ..GroupState::default() };
+                    self.state.groups.insert(group, left);
                 }
             }
         }
--- a/crates/edge/src/core/appends.rs
+++ b/crates/edge/src/core/appends.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
+use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::{AppendOutcome, EdgeToStore, GroupId, LeaseId, MessageId, NewMessage, ReplicaId};
 
 use super::EdgeCore;
@@ -275,6 +276,8 @@
     /// A store answered. An append may have been sent to several leaders of its shard in turn: that one of them has kept
     /// it counts whoever says so, and all else only from the one that is waited for.
     pub(super) fn appended(&mut self, store: ReplicaId, number: u64, outcome: AppendOutcome) {
+        let oldest = || self.appends.appends.keys().next().copied().unwrap_or(number);
+        let number = if is_active(Mutation::AppendsAnsweredInOrder) { oldest() } else { number };
         let awaited = self.appends.appends.get(&number).and_then(|append| append.sent_to);
         let is_awaited = awaited == Some(store);
         match outcome {
--- a/crates/simulation/src/checks.rs
+++ b/crates/simulation/src/checks.rs
@@ -6,6 +6,7 @@
     DRAIN_TIMEOUT_MS, EARLY_SLACK_MS, ENDPOINT_RATE_PER_S, Kind, LIVENESS_MS, MAX_LAG_MS, MAX_RETRIES,
     ORIGIN_OVERSHOOT, ORIGIN_WINDOW_MS,
 };
+use crate::protocol_checks::ProtocolChecks;
 
 /// A rule that was broken, and how.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -91,6 +92,7 @@
     identities: BTreeMap<u64, u64>,
     /// Whether a time of day has jumped: no rule says then when a delayed message may run.
     pub clocks_jump: bool,
+    pub protocol: ProtocolChecks,
     pub broken: Vec<Broken>,
 }
 
--- a/crates/simulation/src/invariants.rs
+++ b/crates/simulation/src/invariants.rs
@@ -74,6 +74,7 @@
         for _ in 0..steps {
             self.membership_changes(process.machine);
         }
+        self.check_protocol(process);
     }
 
     /// At most one process holds a leader's lease of a group.
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -32,6 +32,7 @@
 mod phases;
 mod places;
 mod process;
+mod protocol_checks;
 mod questions;
 mod repairs;
 mod replacements;
