--- a/crates/disk/src/worker/log_thread.rs
+++ b/crates/disk/src/worker/log_thread.rs
@@ -123,6 +123,8 @@
     /// Makes all that the journal was handed durable and tells the owner.
     fn commit(&mut self) -> Result<(), DiskError> {
         self.journal.sync()?;
+        // The owner may ask for the length as soon as it is told.
+        self.shared.set_log_bytes(self.journal.log_bytes());
         for Buffered { ticket, .. } in self.buffered.drain(..) {
             self.shared.complete(Completion::Written { ticket });
         }
