--- a/crates/edge/tests/core.rs
+++ b/crates/edge/tests/core.rs
@@ -223,6 +223,16 @@
     assert_eq!(connections(1), 50);
 }
 
+#[test]
+fn a_directory_and_a_configuration_that_are_no_newer_are_passed_over() {
+    let mut play = Play::serving();
+    assert!(!play.core.set_directory(play.now, &Directory { version: 1, ..Directory::default() }));
+    assert!(play.core.set_directory(play.now, &Directory { version: 3, ..Directory::default() }));
+    assert!(!play.core.set_directory(play.now, &Directory { version: 2, ..Directory::default() }));
+    let body = Blob::from(CONFIGURATION.replace("/p/", "/q/").as_bytes());
+    assert!(!play.core.set_configuration(play.now, &ConfigurationUpdate { version: 1, body }));
+}
+
 #[test]
 fn a_coordinator_whose_office_ended_does_not_say_how_many_edges_there_are() {
     let mut play = Play::serving();
--- a/crates/edge/tests/dispatch_failures.rs
+++ b/crates/edge/tests/dispatch_failures.rs
@@ -6,6 +6,7 @@
 
 use dispatch_common::*;
 use ruddervalve_edge::dispatch::{Dispatch, DispatchOutcome, DispatchStep};
+use ruddervalve_protocol::RunnerList;
 
 const SERVICE: &str = "service";
 
@@ -29,6 +30,15 @@
     assert_eq!(delivered(&steps, 14), Some(wrong));
 }
 
+#[test]
+fn a_list_of_an_earlier_term_is_passed_over_whatever_its_sequence() {
+    let mut edge = edge_with(1, SERVICE, &runners(SERVICE, 2, 4));
+    edge.set_runners(2, &RunnerList { term: 3, ..list(1, &runners(SERVICE, 1, 4)) });
+    assert_eq!(edge.startable(2, SERVICE), 4);
+    edge.set_runners(3, &RunnerList { term: 2, ..list(9, &runners(SERVICE, 2, 4)) });
+    assert_eq!(edge.startable(3, SERVICE), 4);
+}
+
 #[test]
 fn other_jobs_at_a_runner_that_is_out_still_end() {
     let mut edge = edge_with(1, SERVICE, &runners(SERVICE, 1, 4));
