--- a/crates/coordinator/tests/operator.rs
+++ b/crates/coordinator/tests/operator.rs
@@ -144,3 +144,11 @@
         }
     }
 }
+
+#[test]
+fn a_call_whose_outcome_is_not_known_is_no_refusal_and_says_so() {
+    let unknown = Answer::outcome_unknown();
+    assert_eq!((unknown.status, unknown.status.code()), (Status::OutcomeUnknown, 504));
+    assert!(told(&unknown).contains("send the same call again"));
+    assert_eq!(answer_replace(&ControlResult::TooOldToTell { version: 3 }), unknown);
+}
--- a/crates/coordinator/tests/orders.rs
+++ b/crates/coordinator/tests/orders.rs
@@ -3,10 +3,10 @@
 mod group;
 mod world;
 
-use ruddervalve_coordinator::operator::OperatorCall;
+use ruddervalve_coordinator::operator::{OperatorCall, RetireOrder};
 use ruddervalve_coordinator::state::{ControlState, REMEMBERED_CONFIGURATIONS};
 use ruddervalve_coordinator::state_command::{ControlCommand, ControlResult, ReplaceConfiguration};
-use ruddervalve_protocol::Blob;
+use ruddervalve_protocol::{Blob, Registration, ReplicaId, StoreMember};
 use world::history::{body, long_body, machine_at, replace};
 use world::{CallEnd, MACHINES, World};
 
@@ -266,3 +266,37 @@
     }
     assert!(state.snapshot().as_slice().len() < 1_024 * 1_024, "{}", state.snapshot().as_slice().len());
 }
+
+#[test]
+fn a_retirement_is_acknowledged_again_after_its_leader_is_lost_and_refused_only_from_the_agreed_state() {
+    for seed in 0..5 {
+        let (mut world, leader) = World::led(seed);
+        for number in 1..=4 {
+            world.session(leader, store(number));
+        }
+        let all_known = |world: &World| world.core(leader).state().stores().len() == 4;
+        assert!(world.run_until(ACK_TIMEOUT_MS, all_known));
+        assert_eq!(order(&mut world, leader, &retire("s9")), 404);
+        assert_eq!(order(&mut world, leader, &retire("s1")), 200);
+        assert_eq!(order(&mut world, leader, &retire("s2")), 409, "two would remain");
+        world.kill(leader);
+        let other = world.others(leader)[0];
+        assert_eq!(order(&mut world, other, &retire("s1")), 200, "seed {seed}: a repeat");
+        assert_eq!(order(&mut world, other, &retire("s2")), 409, "seed {seed}");
+        let phase = OperatorCall::GetRetire { node: "s1".to_owned() };
+        assert_eq!(order(&mut world, other, &phase), 200, "seed {seed}");
+    }
+}
+
+fn retire(node: &str) -> OperatorCall {
+    OperatorCall::StartRetire(RetireOrder { node: node.to_owned(), deadline_ms: 10_000 })
+}
+
+fn store(number: u64) -> Registration {
+    Registration::Store(StoreMember {
+        node: format!("s{number}"),
+        replica: ReplicaId(1_000 + number),
+        address: format!("10.0.1.{number}:7781"),
+        zone: "z".to_owned(),
+    })
+}
