Learners with the newest log may be elected; a voter is removed before its successor votes only when it is lost

Both were found by the model of memberships. A learner whose vote an uncommitted promotion asks for may alone have the newest entry; if it may not campaign, the loss of that entry's leader leaves nobody electable. And a voter that is merely slow for 200 ms must not be taken out first, as two voters then bear no loss: a step waits until it is active again or has been silent for LivenessMs/8.

Statuses are kept for LivenessMs longer, as shard time may jump ahead.

--- a/crates/consensus/src/leadership.rs
+++ b/crates/consensus/src/leadership.rs
@@ -72,6 +72,11 @@
         self.refresh_quorum_answered();
     }
 
+    /// When it began; ms.
+    pub(crate) fn since(&self) -> u64 {
+        self.since
+    }
+
     pub(crate) fn own_voter(&self) -> bool {
         self.own_voter
     }
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -208,12 +208,18 @@
         self.retained_bytes = retained_bytes;
     }
 
-    /// Whether it may campaign: it is a voter as far as it knows, or its removal is not known to be committed. The others
-    /// may need it until then, as it may be the only one that has the removal in its log. One that was told of its removal
-    /// may not, nor one whose log does not reach as far again as when it left.
+    /// Whether it may campaign: it is a member as far as it knows, or its removal is not known to be committed. The others
+    /// may need it until then, as it may be the only one that has the removal in its log.
+    ///
+    /// So it is with a learner: a leader that is lost may have replaced, at the learner alone, the entry that gives it a
+    /// vote, while another member that still has this entry needs the learner's vote to be elected, and is refused it. The
+    /// learner is elected by voters only, and hands its office over with its first commit. One that was told of its removal
+    /// may not campaign, nor one whose log does not reach as far again as when it left.
     pub(crate) fn is_promotable(&self) -> bool {
         let reaches_floor = self.log_end() >= self.floor;
-        reaches_floor && !self.removed && self.memberships.is_voter_since(self.commit, self.id)
+        let is_member = self.memberships.is_voter_since(self.commit, self.id)
+            || self.memberships.latest().is_learner(self.id);
+        reaches_floor && !self.removed && is_member
     }
 
     /// The newest entry's place.
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -67,6 +67,14 @@
         self.recently_active(peer, self.now) && (has_committed || is_active(Mutation::VoteBeforeCaughtUp))
     }
 
+    /// How long a peer of this leader has said nothing; ms. Counted from the begin of the leadership at the earliest; none
+    /// if this replica does not lead or has no such peer.
+    pub fn silent_for(&self, peer: ReplicaId, now: u64) -> Option<u64> {
+        let leadership = self.leadership.as_ref()?;
+        let heard_at = leadership.peer(peer)?.heard_at.unwrap_or(leadership.since());
+        Some(now.saturating_sub(heard_at))
+    }
+
     /// Whether a peer of this leader said anything in the last `election_min_ms`.
     pub fn recently_active(&self, peer: ReplicaId, now: u64) -> bool {
         let progress = self.leadership.as_ref().and_then(|leadership| leadership.peer(peer));
--- a/crates/coordinator/src/duties/voters.rs
+++ b/crates/coordinator/src/duties/voters.rs
@@ -5,6 +5,7 @@
 use ruddervalve_consensus::{MembershipChange, Replica};
 use ruddervalve_protocol::{CoordinatorMember, ReplicaId};
 use ruddervalve_replication::{LeaderView, next_change};
+use ruddervalve_runtime::lost_after_ms;
 
 use super::{Duties, connected_coordinators, is_retiring};
 use crate::sessions::Sessions;
@@ -25,7 +26,8 @@
         }
         let wanted = self.wanted_voters(state, replica, sessions, now);
         let least_voters = self.full_group().saturating_sub(1);
-        next_change(replica.membership(), &wanted, least_voters, &LeaderView { replica, now })
+        let view = LeaderView { replica, now, lost_after_ms: lost_after_ms(&self.settings) };
+        next_change(replica.membership(), &wanted, least_voters, &view)
     }
 
     fn watch_coordinators(&mut self, state: &ControlState, replica: &Replica, sessions: &Sessions, now: u64) {
--- a/crates/coordinator/src/state_members.rs
+++ b/crates/coordinator/src/state_members.rs
@@ -44,7 +44,8 @@
         ControlResult::Registered
     }
 
-    /// Strikes a store off. Its disk is not fenced: it keeps what it voted and its logs, and may return.
+    /// Strikes a store off. Its disk is fenced only if the store was being emptied: another keeps what it voted and its
+    /// logs, and may return.
     pub(crate) fn forget_store(&mut self, node: &str) -> ControlResult {
         if !self.has_store(node) {
             return ControlResult::UnknownNode;
@@ -52,7 +53,12 @@
         if self.is_wanted(node) {
             return ControlResult::StillPlaced;
         }
-        self.remove_store(node);
+        let is_retiring = self.retiring().any(|retirement| retirement.node == node);
+        if is_retiring {
+            self.strike_off_store(node);
+        } else {
+            self.remove_store(node);
+        }
         self.end_retirement(node);
         ControlResult::Forgotten
     }
--- a/crates/model/src/membership/planning.rs
+++ b/crates/model/src/membership/planning.rs
@@ -28,6 +28,11 @@
     fn is_active(&self, id: ReplicaId) -> bool {
         replica_index(id).is_some_and(|replica| self.active.contains(replica))
     }
+
+    /// The model has no time: whoever does not answer is taken for lost.
+    fn is_lost(&self, id: ReplicaId) -> bool {
+        !self.is_active(id)
+    }
 }
 
 /// The product's planner.
--- a/crates/model/src/membership/scenario.rs
+++ b/crates/model/src/membership/scenario.rs
@@ -63,7 +63,7 @@
     pub least_voters: usize,
     /// Learners count as caught up from the begin.
     pub learners_vote_early: bool,
-    /// A learner may campaign as well; the product's learners do not.
+    /// A learner may campaign as well, as the product's do.
     pub learners_campaign: bool,
     /// What leaders and coordinators know.
     pub beliefs: Beliefs,
@@ -90,7 +90,7 @@
             planner: by_contract,
             least_voters: 2 * tolerated,
             learners_vote_early: false,
-            learners_campaign: false,
+            learners_campaign: true,
             beliefs: Beliefs::Exact,
             writes: Writes::Delayed,
             calm: false,
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -18,4 +18,6 @@
 pub use ports::{InternalPort, coordinator_addresses, internal_address, seed_addresses};
 pub use replicas::{ReplicaInput, ReplicaOutput, Replicas};
 pub use signals::{ProcessSignal, Signals};
-pub use times::{backoff, consensus_timing, link_settings, replica_link_settings, retained_log_bytes};
+pub use times::{
+    backoff, consensus_timing, link_settings, lost_after_ms, replica_link_settings, retained_log_bytes,
+};
--- a/crates/runtime/src/times.rs
+++ b/crates/runtime/src/times.rs
@@ -7,6 +7,9 @@
 /// Elections, heartbeats and leases are parts of `LivenessMs`, after which a machine counts as in touch again: a leader
 /// that is lost has to be replaced, and its followers' clients told, well within it.
 const ELECTIONS_PER_LIVENESS: u64 = 20;
+/// A replica that says nothing to its leader for this part of `LivenessMs` is taken for lost: more than the longest election
+/// timeout, so that a pause of the processor is not, and little beside `SyncS`, within which its place is to be filled.
+const LOST_PER_LIVENESS: u64 = 8;
 /// Heartbeats that fit into the shortest election timeout: some may be lost or late.
 const HEARTBEATS_PER_ELECTION: u64 = 4;
 /// The lease in parts of the shortest election timeout; the rest is for clocks that drift and timers that fire late.
@@ -52,6 +55,11 @@
     }
 }
 
+/// How long a replica says nothing to its leader until it is taken for lost, in milliseconds.
+pub fn lost_after_ms(settings: &Settings) -> u64 {
+    (settings.bounds.liveness_ms / LOST_PER_LIVENESS).max(1)
+}
+
 /// Limits of connections between roles.
 pub fn link_settings(settings: &Settings) -> LinkSettings {
     let liveness = settings.bounds.liveness_ms;
--- a/crates/simulation/src/edge_process.rs
+++ b/crates/simulation/src/edge_process.rs
@@ -156,7 +156,7 @@
             }
             CoordinatorReply::Directory(directory) => self.connect(now, &directory, effects),
             CoordinatorReply::Runners(list) => self.core.set_runners(now, &list),
-            CoordinatorReply::Alive { edges, .. } => self.core.set_edges(now, edges),
+            CoordinatorReply::Alive { term, edges, .. } => self.core.coordinator_leads(now, term, edges),
             _ => {}
         }
     }
--- a/crates/store/src/core/mod.rs
+++ b/crates/store/src/core/mod.rs
@@ -86,7 +86,8 @@
 fn shard_settings(settings: &Settings) -> ShardSettings {
     let bounds = &settings.bounds;
     let limits = StateLimits {
-        status_ttl_ms: bounds.status_ttl_ms,
+        // Shard time may jump a little when its leader changes, and never for longer than a machine takes to be in touch.
+        status_ttl_ms: bounds.status_ttl_ms.saturating_add(bounds.liveness_ms),
         callback_keep_ms: bounds.status_ttl_ms.saturating_mul(CALLBACK_KEEP_TTLS),
     };
     let leader = LeaderSettings {
--- a/crates/store/src/core/placement.rs
+++ b/crates/store/src/core/placement.rs
@@ -3,7 +3,7 @@
 use ruddervalve_consensus::{Membership, MembershipChange, Replica};
 use ruddervalve_protocol::{CoordinatorRequest, GroupId, ReplicaId, ShardMembers, ShardPlacement};
 use ruddervalve_replication::{LeaderView, next_change};
-use ruddervalve_runtime::consensus_timing;
+use ruddervalve_runtime::{consensus_timing, lost_after_ms};
 
 use super::{StoreCore, StoreOutput};
 
@@ -63,7 +63,7 @@
         if complete && !is_reached(replica.membership(), &wanted) {
             self.step_at = self.step_at.min(again);
             let least_voters = wanted.len().saturating_sub(1);
-            let view = LeaderView { replica, now };
+            let view = LeaderView { replica, now, lost_after_ms: lost_after_ms(&self.settings) };
             if let Some(change) = next_change(replica.membership(), &wanted, least_voters, &view) {
                 return self.change_membership(now, group, change);
             }
