--- a/crates/simulation/src/operator.rs
+++ b/crates/simulation/src/operator.rs
@@ -263,7 +263,9 @@
         };
         #[cfg(feature = "mutants")]
         let answer = crate::mutants::operator_hears(answer);
-        let is_lost = self.fault_random.random_bool(self.scenario.orders.answer_lost_part);
+        // At the end of the day the operator reads back what was acknowledged: that answer comes through.
+        let is_drawn = self.fault_random.random_bool(self.scenario.orders.answer_lost_part);
+        let is_lost = is_drawn && self.now < self.traffic_ends();
         self.line(|| {
             format!("{call:?} of order {order} is answered {}, lost {is_lost}", shown_answer(&answer))
         });
