--- a/crates/protocol/src/blob.rs
+++ b/crates/protocol/src/blob.rs
@@ -5,9 +5,10 @@
 
 use nanoserde::{DeBin, DeBinErr, SerBin};
 
-/// Immutable bytes; clones share them. Encoded as a 32-bit length and the bytes.
-#[derive(Clone, PartialEq, Eq)]
-pub struct Blob(Arc<[u8]>);
+/// Immutable bytes; clones share them. Encoded as a 32-bit length and the bytes. Made of a vector without a copy, as a
+/// state of many megabytes would else be in memory once more.
+#[derive(Clone, PartialEq, Eq, Default)]
+pub struct Blob(Arc<Vec<u8>>);
 
 impl Blob {
     /// The bytes.
@@ -26,21 +27,16 @@
     }
 }
 
-impl Default for Blob {
-    fn default() -> Self {
-        Self(Arc::from([]))
-    }
-}
-
 impl From<Vec<u8>> for Blob {
-    fn from(bytes: Vec<u8>) -> Self {
-        Self(Arc::from(bytes))
+    fn from(mut bytes: Vec<u8>) -> Self {
+        bytes.shrink_to_fit();
+        Self(Arc::new(bytes))
     }
 }
 
 impl From<&[u8]> for Blob {
     fn from(bytes: &[u8]) -> Self {
-        Self(Arc::from(bytes))
+        Self(Arc::new(bytes.to_vec()))
     }
 }
 
@@ -68,7 +64,7 @@
         let length = u32::de_bin(offset, bytes)? as usize;
         let end = offset.checked_add(length).filter(|end| *end <= bytes.len());
         let Some(end) = end else { return Err(DeBinErr::new(*offset, length, bytes.len())) };
-        let blob = Self(Arc::from(&bytes[*offset..end]));
+        let blob = Self::from(&bytes[*offset..end]);
         *offset = end;
         Ok(blob)
     }
--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -33,7 +33,6 @@
 }
 
 /// What travels on a connection.
-#[expect(clippy::large_enum_variant, reason = "short-lived; a box for each message costs more than the copy")]
 #[derive(Debug, Clone)]
 pub enum Packet {
     Greeting(Greeting),
--- a/crates/simulation/src/process.rs
+++ b/crates/simulation/src/process.rs
@@ -54,7 +54,6 @@
 }
 
 /// Something that a process takes.
-#[expect(clippy::large_enum_variant, reason = "short-lived; a box for each message costs more than the copy")]
 #[derive(Debug)]
 pub enum Input {
     Wake,
@@ -77,7 +76,6 @@
 }
 
 /// Something that a process wants done.
-#[expect(clippy::large_enum_variant, reason = "short-lived; a box for each message costs more than the copy")]
 #[derive(Debug)]
 pub enum Effect {
     Send(ConnectionId, Payload),
