--- a/crates/simulation/src/protocol_checks.rs
+++ b/crates/simulation/src/protocol_checks.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use ruddervalve_consensus::{Membership, Payload, Replica, Role};
+use ruddervalve_consensus::{LogPosition, Membership, Payload, Replica, Role};
 use ruddervalve_protocol::{GroupId, ReplicaId};
 
 use crate::host::Host;
@@ -45,6 +45,8 @@
     /// The term that it led.
     led: Option<u64>,
     membership: Membership,
+    /// Where its log ended when it last left the group: after another leaving it has begun anew.
+    floor: LogPosition,
 }
 
 /// What was seen of all groups.
@@ -103,7 +105,8 @@
     fn look_at(&mut self, world: &World, group: GroupId, view: View<'_>, faults: &mut Vec<Fault>) {
         let replica = view.replica;
         let key = (replica.id(), group);
-        let before = self.seen.get(&key).filter(|seen| seen.life == view.life);
+        let before = self.seen.get(&key);
+        let before = before.filter(|seen| seen.life == view.life && seen.floor == replica.floor());
         let history = self.groups.entry(group).or_default();
         let commit_before = before.map_or(0, |seen| seen.commit);
         let reached = history.newest();
@@ -128,7 +131,10 @@
         if before
             .is_none_or(|seen| seen.commit != commit || seen.led != led || seen.membership != *membership)
         {
-            self.seen.insert(key, Seen { life: view.life, commit, led, membership: membership.clone() });
+            self.seen.insert(
+                key,
+                Seen { life: view.life, commit, led, membership: membership.clone(), floor: replica.floor() },
+            );
         }
     }
 }
