--- a/crates/coordinator/src/placement_improve.rs
+++ b/crates/coordinator/src/placement_improve.rs
@@ -80,8 +80,10 @@
         };
         let mut away: Vec<&'a StoreView> = self.stores.iter().filter(is_away).collect();
         away.sort_by_key(|store| self.fewest_living(&store.node));
-        let successor = away.into_iter().find_map(|leaving| Some((leaving, self.successor(leaving)?)));
-        let Some((leaving, joining)) = successor else { return false };
+        let successor = away.iter().find_map(|leaving| Some((*leaving, self.successor(leaving)?)));
+        let Some((leaving, joining)) = successor else {
+            return away.into_iter().any(|leaving| self.share_out(leaving));
+        };
         for shard in self.shards_of(&leaving.node) {
             self.exchange(Exchange { shard, leaving: leaving.node.clone(), joining });
         }
@@ -110,13 +112,44 @@
         self.eligible.iter().filter(has_room).min_by_key(cost).copied()
     }
 
-    /// What a store may hold: as much as the fullest, or an even part of all among as many stores as are to be there.
-    fn share(&self) -> u32 {
+    /// Shares the places of a store that is away out among stores that hold less than their share. Only where there are
+    /// more stores than at the founding: the newcomer may have been given other shards already, as before a planned
+    /// replacement. Whether one was found.
+    fn share_out(&mut self, leaving: &StoreView) -> bool {
+        let per_store = usize::try_from(self.rules.shards_per_store).unwrap_or(usize::MAX).max(1);
+        if self.counted_stores() <= self.shards.len() / per_store {
+            return false;
+        }
+        let share = self.share();
+        let mut found = false;
+        for shard in self.shards_of(&leaving.node) {
+            let others = self.members_without(shard, &leaving.node);
+            let has_room = |store: &&'a StoreView| {
+                !self.holds(shard, &store.node) && self.load.of(&store.node).replicas < share
+            };
+            let free: Vec<&'a StoreView> = self.eligible.iter().copied().filter(has_room).collect();
+            let picked = pick_member(&free, &others, self.rules.spread(), &self.load);
+            if let Some(joining) = free.iter().copied().find(|store| Some(*store) == picked) {
+                self.exchange(Exchange { shard, leaving: leaving.node.clone(), joining });
+                found = true;
+            }
+        }
+        found
+    }
+
+    /// How many stores are there or hold something, but for those that are being emptied.
+    fn counted_stores(&self) -> usize {
         let counts = |store: &&StoreView| {
             store.is_eligible() || (!store.is_retiring && self.load.of(&store.node).replicas > 0)
         };
-        let known = self.stores.iter().filter(counts).count();
-        let dead = self.stores.iter().filter(counts).filter(|store| store.dead_for_ms > 0).count();
+        self.stores.iter().filter(counts).count()
+    }
+
+    /// What a store may hold: as much as the fullest, or an even part of all among as many stores as are to be there.
+    fn share(&self) -> u32 {
+        let holds = |store: &&StoreView| !store.is_retiring && self.load.of(&store.node).replicas > 0;
+        let known = self.counted_stores();
+        let dead = self.stores.iter().filter(holds).filter(|store| store.dead_for_ms > 0).count();
         let borne = usize::try_from(self.rules.replicas() / 2).unwrap_or(usize::MAX);
         let living = known.saturating_sub(dead.min(borne)).max(1);
         let total: usize = self.shards.iter().map(|shard| shard.wanted.len()).sum();
--- a/crates/coordinator/tests/placement.rs
+++ b/crates/coordinator/tests/placement.rs
@@ -289,6 +289,21 @@
     }
 }
 
+#[test]
+fn what_a_newcomer_has_no_room_for_is_shared_out() {
+    let rules = PlacementRules { shards_per_store: 1, ..rules(2, 0) };
+    let mut stores = stores(&["a", "b", "c", "a", "b"]);
+    let shards = found(&stores, &rules).expect("they are enough");
+    // A planned replacement: the newcomer is given a few shards by the balance before the other one leaves.
+    stores.push(store(6, "b"));
+    let balanced = settle(&stores, &rules, &shards);
+    assert!(holders(&balanced, "s06").len() >= 3);
+    dead(&mut stores, "s02", AWAY_AFTER_MS);
+    let next = improve(&stores, &rules, &balanced, &BTreeSet::new()).expect("its places are shared out");
+    assert_eq!(holders(&next, "s02").len(), 0);
+    assert!(replicas_of(&next).values().all(|count| *count == 5), "{:?}", replicas_of(&next));
+}
+
 #[test]
 fn two_newcomers_take_the_places_of_two() {
     let rules = PlacementRules { shards_per_store: 1, ..rules(2, 0) };
