--- a/crates/edge/src/role.rs
+++ b/crates/edge/src/role.rs
@@ -282,6 +282,7 @@
                 // What was decided for the connection before must not go out on this one.
                 self.carry_out_all();
                 if self.stores.up(store, link, outbox) {
+                    tracing::info!(store = store.0, "connected to a store");
                     self.core.store_up(now, store);
                 }
             }
@@ -291,9 +292,11 @@
                 }
             }
             LinkEvent::Down(error) => {
-                tracing::debug!(store = store.0, %error, "no connection to a store");
                 if self.stores.down(store, link) {
+                    tracing::info!(store = store.0, %error, "the connection to a store has ended");
                     self.core.store_down(now, store);
+                } else {
+                    tracing::debug!(store = store.0, %error, "no connection to a store");
                 }
             }
         }
--- a/crates/queue/src/leader.rs
+++ b/crates/queue/src/leader.rs
@@ -17,6 +17,7 @@
 use crate::edges::Edges;
 use crate::entry::{Entry, Phase, Reporter};
 use crate::leases::LeaseTable;
+use crate::observation::Observation;
 use crate::ordering::KeyQueues;
 use crate::output::LeaderOutput;
 use crate::policy::SharedPolicy;
@@ -159,6 +160,10 @@
         self.outputs.push(LeaderOutput::Propose(action));
     }
 
+    fn observe(&mut self, observation: Observation) {
+        self.outputs.push(LeaderOutput::Observed(observation));
+    }
+
     fn tell_recorded(&mut self, reporter: Reporter, id: &MessageId) {
         let Reporter { edge, lease } = reporter;
         self.outputs.push(LeaderOutput::Recorded { edge, id: id.clone(), lease });
--- a/crates/queue/src/leader/connections.rs
+++ b/crates/queue/src/leader/connections.rs
@@ -7,6 +7,7 @@
 use super::ShardLeader;
 use crate::edges::EdgeSession;
 use crate::entry::{HeldLease, Phase, Reporter};
+use crate::observation::{FreeReason, Observation};
 use crate::records::Sequence;
 use crate::{Action, ShardState};
 
@@ -21,7 +22,7 @@
         let others = self.edges.others_of(&session.node, edge);
         if self.is_older(edge, &others) {
             self.edges.entry(now_ms, edge, &session.node).superseded = true;
-            return self.free_dead(now_ms, edge);
+            return self.free_superseded(now_ms, edge);
         }
         for other in others {
             self.supersede(now_ms, other);
@@ -96,7 +97,8 @@
             }
         }
         if is_first {
-            self.free_all_but(now_ms, edge, &held);
+            let count = self.free_all_but(now_ms, edge, &held);
+            self.observe_freed(edge, FreeReason::NotInInventory, count, false);
         }
         self.gate.settled(edge);
         self.look_at_all();
@@ -187,31 +189,55 @@
         if let Some(known) = self.edges.get_mut(edge) {
             known.superseded = true;
         }
-        self.free_dead(now_ms, edge);
+        self.free_superseded(now_ms, edge);
     }
 
-    /// Frees what a dead process held.
-    fn free_dead(&mut self, now_ms: u64, edge: Incarnation) {
+    /// Frees what a process held that is dead, as a newer one runs on its machine.
+    fn free_superseded(&mut self, now_ms: u64, edge: Incarnation) {
         if let Some(known) = self.edges.get_mut(edge) {
             known.connected = false;
             known.inventoried = false;
             known.last_heard_ms = now_ms;
         }
         self.services.withdraw(edge);
-        self.free_all_but(now_ms, edge, &BTreeSet::new());
-        self.gate.settled(edge);
+        self.free_all(now_ms, edge, FreeReason::Superseded);
         self.detach(edge);
         self.edges.check_at(now_ms.saturating_add(self.settings.detach_after_ms()), edge);
     }
 
-    fn free_all_but(&mut self, now_ms: u64, edge: Incarnation, kept: &BTreeSet<Sequence>) {
+    /// Frees all that an edge may hold, of this term and of earlier ones.
+    fn free_all(&mut self, now_ms: u64, edge: Incarnation, reason: FreeReason) {
+        let count = self.free_all_but(now_ms, edge, &BTreeSet::new());
+        let inventory_missing = self.gate.settled(edge);
+        self.observe_freed(edge, reason, count, inventory_missing);
+    }
+
+    /// Frees the leases of an edge but those that are kept; how many.
+    fn free_all_but(&mut self, now_ms: u64, edge: Incarnation, kept: &BTreeSet<Sequence>) -> usize {
+        let mut count = 0;
         for sequence in self.leases.of(edge).into_iter().filter(|sequence| !kept.contains(sequence)) {
             if let Some(held) = self.entries.get(&sequence).and_then(|entry| entry.held_lease()) {
                 self.release(sequence, held);
                 self.place(now_ms, sequence);
+                count += 1;
             }
         }
         self.callbacks.release_all_but(edge, kept);
+        count
+    }
+
+    fn observe_freed(
+        &mut self,
+        edge: Incarnation,
+        reason: FreeReason,
+        count: usize,
+        inventory_missing: bool,
+    ) {
+        if count == 0 && !inventory_missing {
+            return;
+        }
+        let node = self.edges.get(edge).map_or_else(String::new, |known| known.node.clone());
+        self.observe(Observation::LeasesFreed { edge, node, reason, count, inventory_missing });
     }
 
     /// Frees what a silent edge holds, and lets go of one that is gone.
@@ -227,8 +253,8 @@
         if now_ms < silent_from_ms {
             return self.edges.check_at(silent_from_ms, edge);
         }
-        self.free_all_but(now_ms, edge, &BTreeSet::new());
-        self.gate.settled(edge);
+        let reason = if connected { FreeReason::Silent } else { FreeReason::Disconnected };
+        self.free_all(now_ms, edge, reason);
         if connected {
             let again_ms = now_ms.saturating_add(self.settings.visibility_timeout_ms.max(1));
             return self.edges.check_at(again_ms, edge);
--- a/crates/queue/src/leader/gate.rs
+++ b/crates/queue/src/leader/gate.rs
@@ -31,9 +31,14 @@
         self.released
     }
 
-    /// The edge has said what it holds, or is dead.
-    pub(super) fn settled(&mut self, edge: Incarnation) {
-        self.awaited.remove(&edge);
+    /// The edge has said what it holds, or is dead; whether it was awaited.
+    pub(super) fn settled(&mut self, edge: Incarnation) -> bool {
+        self.awaited.remove(&edge) && !self.released
+    }
+
+    /// How many edges are awaited.
+    pub(super) fn awaited(&self) -> usize {
+        self.awaited.len()
     }
 
     /// Returns true once, when it opens.
--- a/crates/queue/src/leader/outcomes.rs
+++ b/crates/queue/src/leader/outcomes.rs
@@ -5,6 +5,7 @@
 use super::ShardLeader;
 use crate::Action;
 use crate::entry::{HeldLease, Phase, Reporter};
+use crate::observation::Observation;
 use crate::records::Sequence;
 
 impl ShardLeader {
@@ -31,6 +32,10 @@
             self.release(sequence, held);
             self.note_answer(now_ms, held, &outcome);
         }
+        let is_end = matches!(outcome, DeliveryOutcome::Succeeded { .. } | DeliveryOutcome::Rejected);
+        if is_end && held.is_none() {
+            self.observe(Observation::EndUnderFreedLease { edge: from, id: id.clone(), lease });
+        }
         match outcome {
             DeliveryOutcome::Succeeded { signature } => {
                 self.end_reported(sequence, EndPhase::Succeeded, signature, reporter);
--- a/crates/queue/src/leader/placing.rs
+++ b/crates/queue/src/leader/placing.rs
@@ -5,6 +5,7 @@
 use super::ShardLeader;
 use crate::Action;
 use crate::entry::{Phase, Reporter, RouteInForce};
+use crate::observation::Observation;
 use crate::policy::SharedPolicy;
 use crate::ready::ReadyKey;
 use crate::records::Sequence;
@@ -175,7 +176,12 @@
             return;
         }
         let suspects = self.entries.iter().filter(|(_, entry)| matches!(entry.phase, Phase::Suspect));
-        for sequence in suspects.map(|(sequence, _)| *sequence).collect::<Vec<_>>() {
+        let suspects: Vec<Sequence> = suspects.map(|(sequence, _)| *sequence).collect();
+        if self.gate.awaited() > 0 {
+            let (edges, messages) = (self.gate.awaited(), suspects.len());
+            self.observe(Observation::InventoriesMissing { edges, messages });
+        }
+        for sequence in suspects {
             self.place(now_ms, sequence);
         }
         self.callbacks.release_suspects();
--- a/crates/queue/src/output.rs
+++ b/crates/queue/src/output.rs
@@ -3,6 +3,7 @@
 use ruddervalve_protocol::{Incarnation, LeaseId, MessageId};
 
 use crate::Action;
+use crate::observation::Observation;
 
 /// One thing to do, in the order given.
 #[derive(Debug, Clone, PartialEq)]
@@ -41,4 +42,6 @@
         /// The message.
         id: MessageId,
     },
+    /// Log this and count it: nothing else follows from it.
+    Observed(Observation),
 }
--- a/crates/queue/tests/histories.rs
+++ b/crates/queue/tests/histories.rs
@@ -354,6 +354,7 @@
                     edge.calls.remove(&id);
                 }
             }
+            LeaderOutput::Observed(_) => {}
         }
     }
 
--- a/crates/store/src/shard.rs
+++ b/crates/store/src/shard.rs
@@ -10,8 +10,8 @@
     AppendOutcome, EdgeToStore, GroupId, Incarnation, LeaseId, MessageId, NewMessage, StoreToEdge,
 };
 use ruddervalve_queue::{
-    Action, ClockSettings, Command, EdgeSession, LeaderOutput, LeaderSettings, Proposed, ShardClock,
-    ShardLeader, ShardState, SharedMessage, SharedPolicy, SnapshotError,
+    Action, ClockSettings, Command, EdgeSession, LeaderOutput, LeaderSettings, Observation, Proposed,
+    ShardClock, ShardLeader, ShardState, SharedMessage, SharedPolicy, SnapshotError,
 };
 use ruddervalve_replication::GroupSnapshot;
 
@@ -329,6 +329,32 @@
     ShardOutput::Send(edge, StoreToEdge::Appended { request, outcome })
 }
 
+fn log(group: GroupId, observation: &Observation) {
+    let group = group.0;
+    match observation {
+        Observation::LeasesFreed { edge, node, reason, count, inventory_missing } => {
+            tracing::warn!(group, node, edge = edge.0, count, inventory_missing, %reason, "leases freed without an outcome");
+        }
+        Observation::InventoriesMissing { edges, messages } => {
+            tracing::warn!(
+                group,
+                edges,
+                messages,
+                "messages of earlier terms may run though edges have not said what they hold"
+            );
+        }
+        Observation::EndUnderFreedLease { edge, id, lease } => {
+            tracing::warn!(
+                group,
+                edge = edge.0,
+                id = id.0,
+                ?lease,
+                "a message ended under a lease that had been freed"
+            );
+        }
+    }
+}
+
 /// What an edge is told; none if there is nothing to tell any more.
 fn message(
     group: GroupId,
@@ -358,6 +384,10 @@
         LeaderOutput::CallbackRecorded { edge, id } => {
             Some((edge, StoreToEdge::CallbackRecorded { group, id }))
         }
+        LeaderOutput::Observed(observation) => {
+            log(group, &observation);
+            None
+        }
         LeaderOutput::Propose(_) => None,
     }
 }
