--- a/crates/edge/tests/http_runner.rs
+++ b/crates/edge/tests/http_runner.rs
@@ -6,6 +6,7 @@
 use std::collections::HashSet;
 use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_support::{ManualClock, local};
@@ -17,6 +18,7 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, spawn_local, yield_now};
+use tokio::time::advance;
 
 /// A runner's side of one connection.
 struct Peer {
@@ -370,6 +372,27 @@
     }
 }
 
+/// The process was held up while the answer came: when it looks, the answer is there whole and the time is over.
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_came_in_time_counts_though_it_is_read_late() {
+    let chunked = DONE.replace("Content-Length: 2", "Transfer-Encoding: chunked");
+    let chunked = chunked.replace("ok", "1\r\no\r\n1\r\nk\r\n0\r\n\r\n");
+    for answer in [DONE, &chunked] {
+        local(async {
+            let rig = Rig::new().await;
+            let delivering = rig.start(rig.delivery());
+            let mut peer = rig.peer().await;
+            peer.request().await;
+            rig.clock.pass(900).await;
+            peer.send(answer).await;
+            advance(Duration::from_millis(200)).await;
+            assert_eq!(delivering.await.expect("delivered").answer, succeeded(), "{answer}");
+            rig.assert_reuses(&mut peer).await;
+        })
+        .await;
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn answers_that_are_cut_count_for_nothing() {
     let signed = "Response-Signature: s.1\r\n";
