An answer that is there when the time of a delivery is over counts

Cause: the end of the time and the answer meet in one turn of the event loop, and the time won over an answer in chunks that had been read whole, as its pieces take several steps between connection and request. The success was dropped and the message ran again. Change: when the limit is reached the exchange goes on until it comes no further (no byte read, no frame taken, twice).

--- a/crates/edge/src/runner/connection.rs
+++ b/crates/edge/src/runner/connection.rs
@@ -1,5 +1,6 @@
 //! One connection to a runner, driven by whoever waits for an answer on it.
 
+use std::cell::Cell;
 use std::error::Error as _;
 use std::future::{Future, poll_fn};
 use std::io;
@@ -20,6 +21,10 @@
 use super::exchange::{Exchanged, framing_is_certain, keep_alive_ms};
 use super::stream::Socket;
 
+/// Looks at an exchange whose time is over that bring nothing new before it is given up: what the first hands over between
+/// connection and request is seen by the second.
+const LAST_LOOKS: u32 = 2;
+
 type Driver = http1::Connection<TokioIo<Socket>, Full<Bytes>>;
 
 /// Why there is no head of an answer.
@@ -77,13 +82,14 @@
     ) -> Result<Exchanged, ExchangeError> {
         self.socket.nothing_written();
         let response = self.sender.send_request(request);
-        let response = match drive(&mut self.driver, limit.as_mut(), response).await {
+        let progress = Progress::of(&self.socket);
+        let response = match drive(&mut self.driver, limit.as_mut(), &progress, response).await {
             Ok(Ok(response)) => response,
             Ok(Err(error)) => return Err(self.failure(reason_of(&error))),
             Err(TimedOut) => return Err(self.failure(UnclearReason::Timeout)),
         };
         let (parts, body) = Response::into_parts(response);
-        let body = drive(&mut self.driver, limit, read_away(body, most)).await;
+        let body = drive(&mut self.driver, limit, &progress, read_away(body, most, &progress)).await;
         let body = body.unwrap_or(Err(UnclearReason::Timeout));
         if body == Err(UnclearReason::Timeout) {
             tracing::warn!(
@@ -121,31 +127,67 @@
     }
 }
 
+/// How far an exchange has come: bytes that were read from the socket, and frames of the body that were taken.
+struct Progress<'socket> {
+    socket: &'socket Socket,
+    frames: Cell<u64>,
+}
+
+impl<'socket> Progress<'socket> {
+    fn of(socket: &'socket Socket) -> Self {
+        Self { socket, frames: Cell::new(0) }
+    }
+
+    fn took_frame(&self) {
+        self.frames.set(self.frames.get().wrapping_add(1));
+    }
+
+    fn now(&self) -> (u64, u64) {
+        (self.socket.bytes_read(), self.frames.get())
+    }
+}
+
 /// Waits for `future` while the connection works. A connection that has ended is dropped at once: that tells `future`.
+///
+/// When the limit is reached, what the system has received until then still counts: a process that was held up finds the
+/// answer and the end of its time in the same turn, and an answer in pieces takes several steps between connection and
+/// `future`. So the exchange goes on until it comes no further.
 async fn drive<T>(
     driver: &mut Option<Driver>,
     mut limit: Pin<&mut Sleep>,
+    progress: &Progress<'_>,
     future: impl Future<Output = T>,
 ) -> Result<T, TimedOut> {
     let mut future = pin!(future);
     poll_fn(|context| {
-        if let Some(connection) = driver
-            && Pin::new(connection).poll(context).is_ready()
-        {
-            *driver = None;
-        }
-        if let Poll::Ready(output) = future.as_mut().poll(context) {
-            return Poll::Ready(Ok(output));
+        let mut fruitless_looks = 0;
+        loop {
+            let before = progress.now();
+            if let Some(connection) = driver
+                && Pin::new(connection).poll(context).is_ready()
+            {
+                *driver = None;
+            }
+            if let Poll::Ready(output) = future.as_mut().poll(context) {
+                return Poll::Ready(Ok(output));
+            }
+            if limit.as_mut().poll(context).is_pending() {
+                return Poll::Pending;
+            }
+            fruitless_looks = if progress.now() == before { fruitless_looks + 1 } else { 0 };
+            if fruitless_looks == LAST_LOOKS {
+                return Poll::Ready(Err(TimedOut));
+            }
         }
-        limit.as_mut().poll(context).map(|()| Err(TimedOut))
     })
     .await
 }
 
 /// Reads a body to its end and drops it.
-async fn read_away(mut body: Incoming, most: usize) -> Result<(), UnclearReason> {
+async fn read_away(mut body: Incoming, most: usize, progress: &Progress<'_>) -> Result<(), UnclearReason> {
     let mut length = 0;
     while let Some(frame) = body.frame().await {
+        progress.took_frame();
         let frame = frame.map_err(|error| reason_of(&error))?;
         length += frame.data_ref().map_or(0, Bytes::len);
         if length > most {
--- a/crates/edge/src/runner/stream.rs
+++ b/crates/edge/src/runner/stream.rs
@@ -31,12 +31,18 @@
 pub(super) struct Socket {
     stream: Rc<RefCell<TcpStream>>,
     written: Rc<Cell<bool>>,
+    bytes_read: Rc<Cell<u64>>,
 }
 
 impl Socket {
     /// Around a connection that has just come up.
     pub(super) fn new(stream: TcpStream) -> Self {
-        Self { stream: Rc::new(RefCell::new(stream)), written: Rc::default() }
+        Self { stream: Rc::new(RefCell::new(stream)), written: Rc::default(), bytes_read: Rc::default() }
+    }
+
+    /// Bytes that were read since the connection came up.
+    pub(super) fn bytes_read(&self) -> u64 {
+        self.bytes_read.get()
     }
 
     /// A new exchange begins.
@@ -73,7 +79,11 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, buffer);
+        let count = u64::try_from(buffer.filled().len() - before).unwrap_or(u64::MAX);
+        self.bytes_read.set(self.bytes_read.get().wrapping_add(count));
+        result
     }
 }
 
