--- a/crates/queue/tests/callbacks.rs
+++ b/crates/queue/tests/callbacks.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::collections::BTreeSet;
+
 use ruddervalve_protocol::DeliveryOutcome;
 use ruddervalve_queue::Action;
 use support::{
@@ -303,3 +305,39 @@
         }
     }
 }
+
+/// How many edges make the call-backs of one receiver at most: each keeps connections to it, and it accepts few.
+const MOST_CALLERS: usize = 8;
+
+/// The edges that make call-backs of one receiver for a shard with so many edges, where each edge has reported a success.
+fn callers_of(edges: u64, first_name: u32) -> BTreeSet<u64> {
+    let mut shard = Shard::new(plain_policy());
+    for number in 1..=edges {
+        shard.join_with_credits(number, "near", "s", 1);
+    }
+    for number in 0..edges {
+        shard.accept(calling(&format!("m{}", u64::from(first_name) + number), "/s/", URL));
+    }
+    for (name, holder, lease) in shard.grants() {
+        shard.outcome(holder, &name, lease, success());
+    }
+    let mut callers = BTreeSet::new();
+    let mut made = callbacks_in(&shard.poll());
+    while let Some((name, caller)) = made.pop() {
+        callers.insert(caller);
+        shard.leader.callback_taken(shard.now_ms, edge(caller), &id(&name));
+        made.extend(callbacks_in(&shard.poll()));
+    }
+    assert!(shard.state.owed_callbacks().next().is_none(), "all are made");
+    callers
+}
+
+/// Receivers accept few connections. If every edge that has reported a success kept some, most call-backs of a large system
+/// would be turned away.
+#[test]
+fn few_edges_make_the_callbacks_of_a_receiver_and_the_same_ones_for_all_shards() {
+    let callers = callers_of(40, 0);
+    assert!(callers.len() <= MOST_CALLERS, "{} edges call one receiver", callers.len());
+    assert!(callers_of(40, 1_000).is_subset(&callers), "another shard uses other edges");
+    assert_eq!(callers_of(3, 0).len(), 3, "in a small system the edges with warm connections make them");
+}
