--- a/crates/queue/src/leader.rs
+++ b/crates/queue/src/leader.rs
@@ -54,6 +54,7 @@
     gate: Gate,
     jitter: Jitter,
     outputs: Vec<LeaderOutput>,
+    observations: Vec<Observation>,
 }
 
 impl ShardLeader {
@@ -82,6 +83,7 @@
             gate: Gate::new(now_ms, settings.visibility_timeout_ms, state),
             jitter: Jitter::new(settings.seed),
             outputs: Vec::new(),
+            observations: Vec::new(),
             settings,
         };
         leader.take_edges(now_ms, state);
@@ -105,6 +107,11 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// What was seen since the last call: for logs, nothing else follows from it.
+    pub fn observations(&mut self) -> Vec<Observation> {
+        std::mem::take(&mut self.observations)
+    }
+
     /// When to poll next, if nothing else happens; `now_ms` if at once.
     pub fn next_wake(&self, now_ms: u64) -> Option<u64> {
         if !self.outputs.is_empty() || self.services.any_dirty() || self.callbacks.any_dirty() {
@@ -161,7 +168,7 @@
     }
 
     fn observe(&mut self, observation: Observation) {
-        self.outputs.push(LeaderOutput::Observed(observation));
+        self.observations.push(observation);
     }
 
     fn tell_recorded(&mut self, reporter: Reporter, id: &MessageId) {
--- a/crates/queue/src/output.rs
+++ b/crates/queue/src/output.rs
@@ -3,7 +3,6 @@
 use ruddervalve_protocol::{Incarnation, LeaseId, MessageId};
 
 use crate::Action;
-use crate::observation::Observation;
 
 /// One thing to do, in the order given.
 #[derive(Debug, Clone, PartialEq)]
@@ -42,6 +41,4 @@
         /// The message.
         id: MessageId,
     },
-    /// Log this and count it: nothing else follows from it.
-    Observed(Observation),
 }
--- a/crates/queue/tests/histories.rs
+++ b/crates/queue/tests/histories.rs
@@ -354,7 +354,6 @@
                     edge.calls.remove(&id);
                 }
             }
-            LeaderOutput::Observed(_) => {}
         }
     }
 
--- a/crates/store/src/shard.rs
+++ b/crates/store/src/shard.rs
@@ -295,6 +295,9 @@
         let Some(office) = &mut self.office else { return };
         let mut actions = std::mem::take(&mut office.unproposed);
         let outputs = office.leader.poll(shard_now);
+        for observation in office.leader.observations() {
+            log(self.group, &observation);
+        }
         for output in outputs {
             let message = match output {
                 LeaderOutput::Propose(action) => {
@@ -384,10 +387,6 @@
         LeaderOutput::CallbackRecorded { edge, id } => {
             Some((edge, StoreToEdge::CallbackRecorded { group, id }))
         }
-        LeaderOutput::Observed(observation) => {
-            log(group, &observation);
-            None
-        }
         LeaderOutput::Propose(_) => None,
     }
 }
