An answer is waited for a little longer than the runner may work

Cause: the edge's time for a delivery began before the request had come to the runner, and ended before an answer that was made in time had come back. Such a success ran again. Change: a margin of LivenessMs/80.

--- a/crates/edge/src/role.rs
+++ b/crates/edge/src/role.rs
@@ -50,6 +50,9 @@
 const START_HOLDS_PER_LIVENESS: u64 = 8;
 /// Connections to runners and receivers open within this part of `LivenessMs`.
 const CONNECTS_PER_LIVENESS: u64 = 8;
+/// An answer is waited for this part of `LivenessMs` longer than the runner may work: many times the way there and back, and
+/// little beside any time-out.
+const ANSWER_MARGINS_PER_LIVENESS: u64 = 80;
 
 /// Why an edge cannot start.
 #[derive(Debug, Display)]
@@ -182,6 +185,7 @@
     RunnerSettings {
         connect_timeout_ms: (bounds.liveness_ms / CONNECTS_PER_LIVENESS).max(1),
         user_timeout_ms: bounds.liveness_ms.max(1),
+        answer_margin_ms: bounds.liveness_ms / ANSWER_MARGINS_PER_LIVENESS,
         ..RunnerSettings::default()
     }
 }
--- a/crates/edge/src/runner/client.rs
+++ b/crates/edge/src/runner/client.rs
@@ -181,7 +181,8 @@
             request_id: Some(&delivery.request_id),
         };
         let build = || request::delivery(delivery);
-        let answered = self.send(target, build, delivery.deadline_ms, new_connection).await?;
+        let limit_ms = delivery.deadline_ms.saturating_add(self.settings.answer_margin_ms);
+        let answered = self.send(target, build, limit_ms, new_connection).await?;
         let answer = judge(&answered.exchanged, &delivery.request_id);
         let trusted = is_trusted(&answer);
         // An answer of another message says nothing about the runner now.
--- a/crates/edge/src/runner/delivery.rs
+++ b/crates/edge/src/runner/delivery.rs
@@ -27,8 +27,8 @@
     pub request_id: String,
     /// `Ordering-Key`.
     pub ordering_key: Option<String>,
-    /// `Deadline-Ms`, in milliseconds. The attempt is given up that long after the request began to be sent; the time to
-    /// open a connection is limited by itself and comes before.
+    /// `Deadline-Ms`, in milliseconds. The attempt is given up that long, and a margin for the way there and back, after the
+    /// request began to be sent; the time to open a connection is limited by itself and comes before.
     pub deadline_ms: u64,
     /// The body.
     pub body: Bytes,
--- a/crates/edge/src/runner/settings.rs
+++ b/crates/edge/src/runner/settings.rs
@@ -8,6 +8,9 @@
     /// How long bytes may stay without an acknowledgement before the connection breaks (`TCP_USER_TIMEOUT`), in
     /// milliseconds.
     pub user_timeout_ms: u64,
+    /// How much longer than the time that a runner is given its answer is waited for, in milliseconds: the way there and
+    /// back, as the runner's time begins when the request has come.
+    pub answer_margin_ms: u64,
     /// How long a connection is kept idle where the other side names no time, and at most, in milliseconds.
     pub idle_timeout_ms: u64,
     /// How much earlier than the other side's `Keep-Alive: timeout` an idle connection is given up, in milliseconds: a
@@ -29,6 +32,7 @@
         Self {
             connect_timeout_ms: 1_000,
             user_timeout_ms: 4_000,
+            answer_margin_ms: 50,
             idle_timeout_ms: 10_000,
             keep_alive_margin_ms: 500,
             max_idle_per_address: 32,
--- a/crates/edge/tests/http_runner.rs
+++ b/crates/edge/tests/http_runner.rs
@@ -173,6 +173,7 @@
     RunnerSettings {
         connect_timeout_ms: 300,
         user_timeout_ms: 4_000,
+        answer_margin_ms: 0,
         idle_timeout_ms: 10_000,
         keep_alive_margin_ms: 500,
         max_idle_per_address: 4,
@@ -393,6 +394,28 @@
     }
 }
 
+/// The runner's time begins when the request has come, and its answer has to come back.
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_is_on_its_way_when_the_time_is_over_counts() {
+    local(async {
+        let mut rig = Rig::new().await;
+        rig.client = RunnerClient::new(RunnerSettings { answer_margin_ms: 50, ..settings() });
+        let delivering = rig.start(rig.delivery());
+        let mut peer = rig.peer().await;
+        assert!(peer.request().await.contains("Deadline-Ms: 1000\r\n"));
+        rig.clock.pass(1_040).await;
+        peer.send(DONE).await;
+        assert_eq!(delivering.await.expect("delivered").answer, succeeded());
+        let (delivery, _) = rig.another();
+        let delivering = rig.start(delivery);
+        peer.request().await;
+        rig.clock.pass(1_060).await;
+        assert_eq!(delivering.await.expect("delivered").answer, unclear(UnclearReason::Timeout));
+        peer.assert_ended().await;
+    })
+    .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn answers_that_are_cut_count_for_nothing() {
     let signed = "Response-Signature: s.1\r\n";
