--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -52,6 +52,8 @@
     pub ack_timeout_ms: u64,
     /// `CallbackTimeoutS`.
     pub callback_timeout_ms: u64,
+    /// Call-backs that are made at once to one receiver; others wait here.
+    pub callbacks_at_once: usize,
     /// A store that owes an answer and says nothing for so long gets nothing new.
     pub suspect_after_ms: u64,
     /// How long a request is held that comes before this edge knows configuration and stores.
@@ -345,6 +347,7 @@
         for store in self.shards.connected() {
             self.send(store, EdgeToStore::Leaving);
         }
+        self.give_back_callbacks();
     }
 
     /// Whether nothing is under way that a store or a client has to be told of.
--- a/crates/edge/src/core/output.rs
+++ b/crates/edge/src/core/output.rs
@@ -1,5 +1,7 @@
 //! What an edge wants done.
 
+use std::net::SocketAddr;
+
 use ruddervalve_protocol::{EdgeToStore, GroupId, MessageId, ReplicaId};
 
 use crate::front::FrontResponse;
@@ -40,8 +42,8 @@
 pub struct CallbackOrder {
     /// The message.
     pub id: MessageId,
-    /// `ip:port` of the receiver.
-    pub authority: String,
+    /// The receiver.
+    pub address: SocketAddr,
     /// The path.
     pub path: String,
     /// The JSON body.
--- a/crates/edge/src/role.rs
+++ b/crates/edge/src/role.rs
@@ -198,6 +198,7 @@
             other_edges: OTHER_EDGES,
             ack_timeout_ms: boot.settings.bounds.ack_timeout_ms,
             callback_timeout_ms: boot.settings.bounds.callback_timeout_ms,
+            callbacks_at_once: RunnerSettings::default().callback_connections,
             suspect_after_ms: (boot.settings.bounds.liveness_ms / SUSPECTS_PER_LIVENESS).max(1),
             start_hold_ms: boot.settings.bounds.liveness_ms / START_HOLDS_PER_LIVENESS,
             max_waiting_bytes: usize::try_from(
@@ -419,13 +420,8 @@
     fn call_back(&self, group: GroupId, order: Box<CallbackOrder>) {
         let (runners, events) = (self.runners.clone(), self.events.clone());
         tokio::task::spawn_local(async move {
-            let result = match order.authority.parse() {
-                Ok(address) => {
-                    let body = Bytes::from(order.body.clone());
-                    runners.call_back(address, &order.authority, &order.path, body, order.timeout_ms).await
-                }
-                Err(_) => CallbackResult::Failed,
-            };
+            let (host, body) = (order.address.to_string(), Bytes::from(order.body.clone()));
+            let result = runners.call_back(order.address, &host, &order.path, body, order.timeout_ms).await;
             let _ = events.send(Event::CalledBack(group, order, result));
         });
     }
--- a/crates/edge/tests/core_appends.rs
+++ b/crates/edge/tests/core_appends.rs
@@ -18,6 +18,7 @@
         other_edges: 1,
         ack_timeout_ms: 5000,
         callback_timeout_ms: 5000,
+        callbacks_at_once: 2,
         suspect_after_ms: 100,
         start_hold_ms: 500,
         max_waiting_bytes: 1 << 20,
--- a/crates/edge/tests/core_support/mod.rs
+++ b/crates/edge/tests/core_support/mod.rs
@@ -45,6 +45,7 @@
             other_edges: 1,
             ack_timeout_ms: 5_000,
             callback_timeout_ms: 5_000,
+            callbacks_at_once: 2,
             suspect_after_ms: SUSPECT_MS,
             start_hold_ms: HOLD_MS,
             max_waiting_bytes: 10_000,
--- a/crates/queue/src/callbacks.rs
+++ b/crates/queue/src/callbacks.rs
@@ -6,14 +6,17 @@
 use ruddervalve_protocol::{Incarnation, MessageId};
 
 use crate::Action;
-use crate::backoff::Jitter;
-use crate::edges::Edges;
+use crate::backoff::{Jitter, name_hash};
+use crate::edges::{Edges, rendezvous};
 use crate::output::LeaderOutput;
 use crate::ready::TimeQueue;
 use crate::receivers::Receivers;
 use crate::records::Sequence;
 use crate::settings::{LeaderSettings, Waits};
 
+/// The edges that call one receiver. Each keeps connections to it, and receivers accept few.
+const MOST_CALLERS: usize = 6;
+
 /// Where a call-back stands.
 #[derive(Debug)]
 enum Phase {
@@ -33,7 +36,7 @@
 struct Call {
     id: MessageId,
     receiver: Arc<str>,
-    /// The edge that reported the success: its connections are warm.
+    /// The edge that reported the success: it is asked first.
     reporter: Option<Incarnation>,
     failures: u32,
     phase: Phase,
@@ -224,15 +227,43 @@
         self.receivers.began(&call.receiver);
     }
 
-    /// The edge that reported the success, else the one that makes the fewest, near ones first.
+    /// Of the edges that call the receiver: the one that reported the success, else the one that makes the fewest
+    /// call-backs, near ones first.
     fn choose(&self, now_ms: u64, sequence: Sequence, edges: &Edges) -> Option<Incarnation> {
-        let reporter = self.calls.get(&sequence)?.reporter;
-        if let Some(reporter) = reporter.filter(|reporter| edges.grantable(now_ms, *reporter)) {
-            return Some(reporter);
+        let call = self.calls.get(&sequence)?;
+        let callers = callers(now_ms, &call.receiver, edges);
+        let reporter = call.reporter.filter(|reporter| callers.iter().any(|caller| caller.edge == *reporter));
+        if reporter.is_some() {
+            return reporter;
         }
-        let making = |edge: &Incarnation| self.held.get(edge).map_or(0, BTreeSet::len);
-        let edges = edges.all_grantable(now_ms);
-        let least = edges.min_by_key(|(incarnation, edge)| (making(incarnation), !edge.near));
-        least.map(|(incarnation, _)| incarnation)
+        let making = |edge: Incarnation| self.held.get(&edge).map_or(0, BTreeSet::len);
+        let least = callers.into_iter().min_by_key(|caller| (making(caller.edge), !caller.near));
+        least.map(|caller| caller.edge)
+    }
+}
+
+/// An edge that may call a receiver.
+#[derive(Debug, Clone, Copy)]
+struct Caller {
+    rank: u64,
+    edge: Incarnation,
+    near: bool,
+}
+
+/// The edges that call a receiver: the first few in the receiver's own order of edges, which is the same for all shards.
+fn callers(now_ms: u64, receiver: &str, edges: &Edges) -> Vec<Caller> {
+    let name_hash = name_hash(receiver);
+    let grantable = edges.all_grantable(now_ms);
+    let mut callers: Vec<Caller> = grantable
+        .map(|(incarnation, edge)| Caller {
+            rank: rendezvous(name_hash, edge.node_hash),
+            edge: incarnation,
+            near: edge.near,
+        })
+        .collect();
+    if callers.len() > MOST_CALLERS {
+        callers.select_nth_unstable_by_key(MOST_CALLERS, |caller| (caller.rank, caller.edge));
+        callers.truncate(MOST_CALLERS);
     }
+    callers
 }
--- a/crates/simulation/src/delivery.rs
+++ b/crates/simulation/src/delivery.rs
@@ -214,7 +214,7 @@
         let id = order.id.0.clone();
         self.line(|| format!("call-back of {id}: {phase} {signature}"));
         self.checks.reported(now, &id, phase, &signature);
-        let is_known = order.authority == receiver_address().to_string();
+        let is_known = order.address == receiver_address();
         let result = match self.traffic_random.random_bool(CALLBACK_FAILED_PART) {
             false if is_known => CallbackResult::Taken,
             _ => CallbackResult::Failed,
--- a/crates/simulation/src/edge_process.rs
+++ b/crates/simulation/src/edge_process.rs
@@ -5,6 +5,7 @@
 
 use ruddervalve_configuration::Settings;
 use ruddervalve_edge::core::{ClientNumber, EdgeCore, EdgeOutput, EdgeSettings};
+use ruddervalve_edge::runner::RunnerSettings;
 use ruddervalve_protocol::{
     CoordinatorReply, CoordinatorRequest, Directory, EdgeToStore, Incarnation, Registration, ReplicaId,
 };
@@ -49,6 +50,7 @@
             other_edges: 2,
             ack_timeout_ms: settings.bounds.ack_timeout_ms,
             callback_timeout_ms: settings.bounds.callback_timeout_ms,
+            callbacks_at_once: RunnerSettings::default().callback_connections,
             suspect_after_ms: (settings.bounds.liveness_ms / SUSPECTS_PER_LIVENESS).max(1),
             start_hold_ms: settings.bounds.liveness_ms / START_HOLDS_PER_LIVENESS,
             max_waiting_bytes: MAX_WAITING_BYTES,
