An edge that ends answers all clients that wait before it exits, and tells new leaders that it ends

A shard's new leader was not told that the edge ends, and granted to it until it was gone (seen in logs: two leases that came free 0.5 s late).

--- a/crates/edge/src/core/appends.rs
+++ b/crates/edge/src/core/appends.rs
@@ -369,6 +369,12 @@
         }
     }
 
+    /// Gives up all that wait.
+    pub(super) fn give_up_appends(&mut self) {
+        let numbers: Vec<u64> = self.appends.appends.keys().copied().collect();
+        numbers.into_iter().for_each(|number| self.give_up(number));
+    }
+
     fn give_up(&mut self, number: u64) {
         let Some(append) = self.appends.remove(number) else { return };
         if let Some(store) = append.sent_to {
--- a/crates/edge/src/core/held.rs
+++ b/crates/edge/src/core/held.rs
@@ -71,6 +71,13 @@
         }
     }
 
+    /// Gives up all that is held.
+    pub(super) fn give_up_held(&mut self) {
+        for held in self.held.take_all() {
+            self.respond(held.client, come_back("this process ends: come back later", 0));
+        }
+    }
+
     /// Gives up what was held for too long.
     pub(super) fn expire_held(&mut self) {
         while let Some(held) = self.held.requests.front()
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -288,6 +288,10 @@
             let again: Vec<EdgeToStore> = unrecorded.collect();
             again.into_iter().for_each(|message| self.send(store, message));
         }
+        if self.leaving {
+            // What it led before it did not know.
+            self.send(store, EdgeToStore::Leaving);
+        }
         self.credits.forget_sent(store);
         self.retry_appends();
         self.retry_statuses();
@@ -350,6 +354,14 @@
         self.give_back_callbacks();
     }
 
+    /// The process is about to end: all clients that wait get their final answer.
+    pub fn answer_all(&mut self, now: u64) {
+        self.now = now;
+        self.give_up_held();
+        self.give_up_appends();
+        self.give_up_statuses();
+    }
+
     /// Whether nothing is under way that a store or a client has to be told of.
     pub fn is_idle(&self) -> bool {
         self.appends.is_empty() && self.deliveries.is_empty() && self.callbacks.is_empty()
--- a/crates/edge/src/core/statuses.rs
+++ b/crates/edge/src/core/statuses.rs
@@ -184,18 +184,25 @@
         }
         self.statuses.retry_at = None;
         let now = self.now;
+        self.give_up_questions(|question| question.give_up_at <= now);
+        self.retry_statuses();
+    }
+
+    /// Gives up all questions.
+    pub(super) fn give_up_statuses(&mut self) {
+        self.give_up_questions(|_| true);
+    }
+
+    fn give_up_questions(&mut self, is_over: impl Fn(&Question) -> bool) {
         let questions = self.statuses.questions.values();
-        let over: Vec<ClientNumber> = questions
-            .filter(|question| question.give_up_at <= now)
-            .map(|question| question.query.client)
-            .collect();
-        self.statuses.questions.retain(|_, question| question.give_up_at > now);
+        let over: Vec<ClientNumber> =
+            questions.filter(|question| is_over(question)).map(|question| question.query.client).collect();
+        self.statuses.questions.retain(|_, question| !is_over(question));
         for client in over {
             self.respond(client, come_back("the message's shard does not answer: ask again", 0));
         }
         let questions = &self.statuses.questions;
         self.statuses.requests.retain(|_, (number, _)| questions.contains_key(number));
-        self.retry_statuses();
     }
 
     /// A store answered.
--- a/crates/edge/src/role.rs
+++ b/crates/edge/src/role.rs
@@ -120,6 +120,8 @@
     Accepting { until: u64, last: u64 },
     /// Connections and deliveries end.
     Draining { last: u64 },
+    /// All clients have their answers, which have to leave yet.
+    Answered { last: u64 },
 }
 
 struct Edge {
@@ -249,7 +251,8 @@
         let ending = match self.ending {
             Ending::No => u64::MAX,
             Ending::Accepting { until, .. } => until,
-            Ending::Draining { last } => last,
+            Ending::Draining { last } => self.answers_at(last),
+            Ending::Answered { last } => last,
         };
         let longest = self.now() + self.boot.settings.bounds.liveness_ms;
         self.clock.instant(core.min(ending).min(longest))
@@ -459,10 +462,22 @@
             self.front.drain(0);
             self.ending = Ending::Draining { last };
         }
+        if let Ending::Draining { last } = self.ending
+            && now >= self.answers_at(last)
+        {
+            self.core.answer_all(now);
+            self.carry_out_all();
+            self.ending = Ending::Answered { last };
+        }
+    }
+
+    /// When clients that still wait get their final answers, so that those have left when the process ends.
+    fn answers_at(&self, last: u64) -> u64 {
+        last.saturating_sub(self.boot.settings.bounds.grace_period_ms / LAST_PART_OF_GRACE)
     }
 
     fn ended(&self) -> bool {
-        let Ending::Draining { last } = self.ending else { return false };
+        let (Ending::Draining { last } | Ending::Answered { last }) = self.ending else { return false };
         let idle = self.core.is_idle() && self.front.counters().open_connections == 0;
         idle || self.now() >= last
     }
--- a/crates/edge/tests/core_callers.rs
+++ b/crates/edge/tests/core_callers.rs
@@ -356,3 +356,35 @@
         assert_eq!(order.delivery.ordering_key.as_deref(), Some(key));
     }
 }
+
+/// A process that ends must not cut off a request that it has read.
+#[test]
+fn all_clients_are_answered_before_the_process_ends() {
+    let mut play = Play::serving();
+    let unknown = play.post("/p/1", "m1", None);
+    play.append();
+    let asked = play.get("/api/message/s1_m0");
+    play.core.leave(play.now);
+    play.core.answer_all(play.now);
+    let answered = answers(play.outputs());
+    let status =
+        |client| answered.iter().find(|(known, _)| *known == client).map(|(_, answer)| answer.status);
+    assert_eq!(status(unknown), Some(StatusCode::GATEWAY_TIMEOUT), "a store may have kept it");
+    assert_eq!(status(asked), Some(StatusCode::SERVICE_UNAVAILABLE));
+    let mut starting = Play::new();
+    let held = starting.post("/p/1", "m2", None);
+    starting.core.answer_all(starting.now);
+    assert_eq!(status_of(starting.outputs(), held), StatusCode::SERVICE_UNAVAILABLE);
+}
+
+/// Else it goes on granting to an edge that gives everything back.
+#[test]
+fn a_new_leader_hears_that_the_edge_ends() {
+    let mut play = Play::serving();
+    play.core.leave(play.now);
+    play.outputs();
+    play.says(2, leading(1, NEW_TERM));
+    let tells_it =
+        |output: &EdgeOutput| matches!(output, EdgeOutput::Send(to, EdgeToStore::Leaving) if *to == store(2));
+    assert!(play.outputs().iter().any(tells_it));
+}
