--- a/crates/edge/src/role.rs
+++ b/crates/edge/src/role.rs
@@ -1,6 +1,9 @@
 //! The edge at run time: it joins the decisions with clients, runners, stores and coordinators.
 
-use std::cell::Cell;
+mod clients;
+mod ending;
+mod limits;
+
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 
@@ -22,24 +25,21 @@
 use crate::core::{
     CallbackOrder, ClientNumber, DeliveryOrder, EdgeCore, EdgeOutput, EdgeSettings, JobNumber,
 };
-use crate::front::{Front, FrontLimits, FrontRequest, FrontResponse, Handler, Readiness, StatusCode};
+use crate::front::{Front, FrontLimits, FrontRequest, FrontResponse, Readiness};
 use crate::runner::{CallbackResult, DeliveryResult, RunnerClient, RunnerSettings};
 use crate::store_links::{LinkNumber, StoreLinks};
 
+use clients::Clients;
+use ending::{Ending, EndingStep};
+use limits::front_limits;
+
 /// Events that are taken before what they led to is carried out.
 const EVENTS_PER_ROUND: usize = 256;
 /// New connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
-/// Descriptors that are set aside for files, as the deployment has it, and for stores and coordinators.
-const DESCRIPTORS_SET_ASIDE: u64 = 264;
-/// How often the platform asks whether the process is ready, and how many misses take it out, in milliseconds: after
-/// that no new connections come.
-const READINESS_MISSES_MS: u64 = 2 * 1_000;
 /// The part of its process's memory that may wait for stores.
 const WAITING_PART_OF_MEMORY: u64 = 8;
 const BYTES_PER_MB: u64 = 1_024 * 1_024;
-/// What is left of `GracePeriodS` when the process ends whatever is under way, in parts of it.
-const LAST_PART_OF_GRACE: u64 = 10;
 /// How many other edges there may be that share the runners' connections, until it is told: a handful in each zone.
 const OTHER_EDGES: u32 = 7;
 /// A store that owes an answer and says nothing for this part of `LivenessMs` is suspected: many times the way there, its
@@ -76,54 +76,6 @@
     Store(ReplicaId, LinkNumber, Box<LinkEvent<StoreToEdge>>),
 }
 
-/// Hands clients' requests to the role.
-struct Clients {
-    events: mpsc::UnboundedSender<Event>,
-    last: Cell<u64>,
-}
-
-/// Tells the role that a client left, unless it was answered.
-struct Waiting<'a> {
-    clients: &'a Clients,
-    client: ClientNumber,
-    answered: bool,
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        if !self.answered {
-            let _ = self.clients.events.send(Event::ClientLeft(self.client));
-        }
-    }
-}
-
-impl Handler for Clients {
-    async fn handle(&self, request: FrontRequest) -> FrontResponse {
-        self.last.set(self.last.get() + 1);
-        let client = ClientNumber(self.last.get());
-        let (reply, answer) = oneshot::channel();
-        let _ = self.events.send(Event::Request(client, Box::new(request), reply));
-        let mut waiting = Waiting { clients: self, client, answered: false };
-        let answer = answer.await;
-        waiting.answered = true;
-        // Without an answer nobody knows what became of the request.
-        answer.unwrap_or_else(|_| FrontResponse::new(StatusCode::GATEWAY_TIMEOUT).closing())
-    }
-}
-
-/// How far the end of the process is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Ending {
-    /// It is not ending.
-    No,
-    /// The platform may still send new connections until then.
-    Accepting { until: u64, last: u64 },
-    /// Connections and deliveries end.
-    Draining { last: u64 },
-    /// All clients have their answers, which have to leave yet.
-    Answered { last: u64 },
-}
-
 struct Edge {
     boot: Boot,
     clock: Clock,
@@ -234,7 +186,7 @@
 
     /// Serves clients and the platform's question in tasks of their own.
     fn serve(&self, front: TcpListener, readiness: TcpListener) {
-        let clients = Clients { events: self.events.clone(), last: Cell::new(0) };
+        let clients = Clients::new(self.events.clone());
         let server = self.front.clone();
         tokio::task::spawn_local(async move { server.serve(front, clients).await });
         let answer = Readiness::new(self.ready.subscribe());
@@ -248,12 +200,7 @@
 
     fn next_wake(&self) -> Instant {
         let core = self.core.next_wake().unwrap_or(u64::MAX);
-        let ending = match self.ending {
-            Ending::No => u64::MAX,
-            Ending::Accepting { until, .. } => until,
-            Ending::Draining { last } => self.answers_at(last),
-            Ending::Answered { last } => last,
-        };
+        let ending = self.ending.next_wake().unwrap_or(u64::MAX);
         let longest = self.now() + self.boot.settings.bounds.liveness_ms;
         self.clock.instant(core.min(ending).min(longest))
     }
@@ -436,10 +383,7 @@
         match signal {
             ProcessSignal::Terminate if self.ending == Ending::No => {
                 tracing::info!("SIGTERM: leaving");
-                let grace = self.boot.settings.bounds.grace_period_ms;
-                let last = now + grace - grace / LAST_PART_OF_GRACE;
-                let until = now + READINESS_MISSES_MS.min(grace / 2);
-                self.ending = Ending::Accepting { until, last };
+                self.ending = Ending::begin(now, self.boot.settings.bounds.grace_period_ms);
                 self.core.leave(now);
             }
             ProcessSignal::Terminate => {}
@@ -455,53 +399,22 @@
     }
 
     fn advance_end(&mut self, now: u64) {
-        if let Ending::Accepting { until, last } = self.ending
-            && now >= until
-        {
-            self.front.stop_accepting();
-            self.front.drain(0);
-            self.ending = Ending::Draining { last };
-        }
-        if let Ending::Draining { last } = self.ending
-            && now >= self.answers_at(last)
-        {
-            self.core.answer_all(now);
-            self.carry_out_all();
-            self.ending = Ending::Answered { last };
+        while let Some(step) = self.ending.advance(now) {
+            match step {
+                EndingStep::Drain => {
+                    self.front.stop_accepting();
+                    self.front.drain(0);
+                }
+                EndingStep::AnswerAll => {
+                    self.core.answer_all(now);
+                    self.carry_out_all();
+                }
+            }
         }
     }
 
-    /// When clients that still wait get their final answers, so that those have left when the process ends.
-    fn answers_at(&self, last: u64) -> u64 {
-        last.saturating_sub(self.boot.settings.bounds.grace_period_ms / LAST_PART_OF_GRACE)
-    }
-
     fn ended(&self) -> bool {
-        let (Ending::Draining { last } | Ending::Answered { last }) = self.ending else { return false };
         let idle = self.core.is_idle() && self.front.counters().open_connections == 0;
-        idle || self.now() >= last
-    }
-}
-
-/// The front's limits: the operator's, and what follows from the process's own.
-fn front_limits(
-    boot: &Boot,
-    configuration: Option<&ruddervalve_configuration::Configuration>,
-) -> FrontLimits {
-    let descriptors = boot.settings.limits.max_open_files.saturating_sub(DESCRIPTORS_SET_ASIDE);
-    let default = FrontLimits {
-        max_connections: usize::try_from(descriptors / 2).unwrap_or(usize::MAX).max(1),
-        ..FrontLimits::default()
-    };
-    let Some(limits) = configuration.map(ruddervalve_configuration::Configuration::limits) else {
-        return default;
-    };
-    let size = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
-    FrontLimits {
-        max_header_bytes: size(limits.max_header_bytes),
-        max_body_bytes: size(limits.max_body_bytes),
-        header_timeout_ms: limits.header_timeout_ms,
-        idle_timeout_ms: limits.idle_timeout_ms,
-        ..default
+        self.ending.is_over(self.now(), idle)
     }
 }
