--- a/crates/simulation/tests/histories.rs
+++ b/crates/simulation/tests/histories.rs
@@ -53,6 +53,12 @@
     assert_eq!(scenario("standard.toml"), Scenario::standard());
 }
 
+#[test]
+fn long_days_with_hundreds_of_changes_break_no_rule() {
+    assert_eq!(broken("long-planned.toml", 0..1), Vec::<String>::new());
+    assert_eq!(broken("long-calm-spans.toml", 0..1), Vec::<String>::new());
+}
+
 #[test]
 fn quiet_days_break_no_rule() {
     assert_eq!(broken("quiet.toml", 0..2), Vec::<String>::new());
