--- a/crates/coordinator/src/core/mod.rs
+++ b/crates/coordinator/src/core/mod.rs
@@ -169,6 +169,11 @@
         &self.state
     }
 
+    /// Whether it has a replica of the control group: not before it joins, nor after it has left.
+    pub fn is_member(&self) -> bool {
+        self.replicas.host.replica(GroupId::CONTROL).is_some()
+    }
+
     /// The last entry that was applied.
     pub fn applied(&self) -> u64 {
         self.applied
--- a/crates/coordinator/src/role.rs
+++ b/crates/coordinator/src/role.rs
@@ -112,6 +112,7 @@
             node = core.member().node,
             identity = core.member().replica.0,
             is_new,
+            is_member = core.is_member(),
             applied = core.applied(),
             "coordinator starts"
         );
--- a/crates/edge/src/core/deliveries.rs
+++ b/crates/edge/src/core/deliveries.rs
@@ -160,12 +160,22 @@
     pub(super) fn delivery_ended(&mut self, job: JobNumber, result: &DeliveryResult) {
         let steps =
             self.dispatch.finished(self.now, job.0, dispatch_outcome(&result.answer), result.load.map(load));
+        self.log_unclear(job, result);
         let service = self.deliveries.jobs.get(&job.0).map(|job| job.message.service.clone());
         let retry = service.map_or(0, |service| self.dispatch.retry_after(self.now, &service));
         self.report(job.0, outcome(&result.answer, retry));
         self.take_steps(steps);
     }
 
+    /// Logs an attempt of which it is not known whether it ran: the message runs again.
+    fn log_unclear(&self, job: JobNumber, result: &DeliveryResult) {
+        let RunnerAnswer::Unclear { reason } = result.answer else { return };
+        let Some(Job { group, lease, message }) = self.deliveries.jobs.get(&job.0) else { return };
+        let elapsed_ms = result.elapsed_ms;
+        let (group, message) = (group.0, message.id.0.as_str());
+        tracing::info!(group, message, ?lease, %reason, elapsed_ms, "an attempt is unclear");
+    }
+
     /// Gives a lease back of which nothing was made.
     pub(super) fn return_unused(&mut self, group: GroupId, id: MessageId, lease: LeaseId) {
         self.tell_outcome(group, id, lease, DeliveryOutcome::NotRun { retry_after_ms: 0 });
--- a/crates/edge/src/role.rs
+++ b/crates/edge/src/role.rs
@@ -205,7 +205,7 @@
         self.clock.instant(core.min(ending).min(longest))
     }
 
-    fn heartbeat(&self) {
+    fn heartbeat(&mut self) {
         self.links.heartbeat();
         for outbox in self.stores.outboxes() {
             outbox.send(&EdgeToStore::Heartbeat);
--- a/crates/edge/src/runner/answer.rs
+++ b/crates/edge/src/runner/answer.rs
@@ -16,6 +16,28 @@
 
 /// What an answer says about the message that was sent.
 pub(super) fn judge(exchanged: &Exchanged, request_id: &str) -> RunnerAnswer {
+    let answer = judged(exchanged, request_id);
+    if exchanged.status.is_success() && !matches!(answer, RunnerAnswer::Succeeded { .. }) {
+        log_doubtful_success(exchanged, request_id);
+    }
+    answer
+}
+
+/// Which of the checks a success has failed: its message runs again.
+fn log_doubtful_success(exchanged: &Exchanged, request_id: &str) {
+    tracing::warn!(
+        message = request_id,
+        status = exchanged.status.as_u16(),
+        body = ?exchanged.body,
+        framing_certain = exchanged.framing_certain,
+        belongs = belongs_to(&exchanged.headers, request_id),
+        signatures = exchanged.headers.get_all(RESPONSE_SIGNATURE).iter().count(),
+        not_executed = exchanged.headers.contains_key(NOT_EXECUTED),
+        "a success cannot be trusted"
+    );
+}
+
+fn judged(exchanged: &Exchanged, request_id: &str) -> RunnerAnswer {
     if !belongs_to(&exchanged.headers, request_id) {
         return garbled();
     }
--- a/crates/edge/src/runner/connection.rs
+++ b/crates/edge/src/runner/connection.rs
@@ -91,12 +91,6 @@
         let (parts, body) = Response::into_parts(response);
         let body = drive(&mut self.driver, limit, &progress, read_away(body, most, &progress)).await;
         let body = body.unwrap_or(Err(UnclearReason::Timeout));
-        if body == Err(UnclearReason::Timeout) {
-            tracing::warn!(
-                status = parts.status.as_u16(),
-                "the head of an answer came, and its body not in time"
-            );
-        }
         let reusable = body.is_ok() && self.is_ready().await;
         Ok(Exchanged {
             status: parts.status,
--- a/crates/runtime/src/control.rs
+++ b/crates/runtime/src/control.rs
@@ -7,6 +7,7 @@
 use ruddervalve_protocol::{Channel, CoordinatorReply, CoordinatorRequest, Greeting, Registration};
 use ruddervalve_rpc::{Backoff, LinkEvent, LinkSettings, Outbox, Peer};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use crate::{Boot, backoff, draw_seed, link_settings};
 
@@ -37,6 +38,10 @@
     greeting: Greeting,
     settings: LinkSettings,
     backoff: Backoff,
+    /// When the coordinator that leads last answered a heartbeat; the start of this process before the first answer.
+    leader_heard_at: Instant,
+    /// Whether it was logged that no leader answers.
+    missing_leader_logged: bool,
     sender: mpsc::UnboundedSender<(SocketAddr, LinkEvent<CoordinatorReply>)>,
     events: mpsc::UnboundedReceiver<(SocketAddr, LinkEvent<CoordinatorReply>)>,
 }
@@ -53,6 +58,8 @@
             greeting: boot.greeting(Channel::Control),
             settings: link_settings(&boot.settings),
             backoff: backoff(&boot.settings, draw_seed()),
+            leader_heard_at: Instant::now(),
+            missing_leader_logged: false,
             sender,
             events,
         }
@@ -69,6 +76,7 @@
     fn follow(&mut self, leader: &str) {
         let Ok(leader) = leader.parse() else { return };
         if self.leader != Some(leader) {
+            tracing::debug!(%leader, "a coordinator names the leader");
             self.leader = Some(leader);
             self.open_missing();
         }
@@ -107,8 +115,10 @@
                     return ControlEvent { from, reply: None };
                 }
                 LinkEvent::Message(reply) => {
-                    if let CoordinatorReply::NotLeader { leader: Some(leader) } = &reply {
-                        self.follow(leader);
+                    match &reply {
+                        CoordinatorReply::NotLeader { leader: Some(leader) } => self.follow(leader),
+                        CoordinatorReply::Alive { term, .. } => self.heard_leader(from, *term),
+                        _ => {}
                     }
                     return ControlEvent { from, reply: Some(reply) };
                 }
@@ -127,8 +137,32 @@
     }
 
     /// Keeps the links alive.
-    pub fn heartbeat(&self) {
+    pub fn heartbeat(&mut self) {
         self.send(&CoordinatorRequest::Heartbeat);
+        self.log_missing_leader();
+    }
+
+    fn heard_leader(&mut self, from: SocketAddr, term: u64) {
+        self.leader_heard_at = Instant::now();
+        if std::mem::take(&mut self.missing_leader_logged) {
+            tracing::info!(leader = %from, term, "a coordinator that leads answers");
+        }
+    }
+
+    /// Logs once that no leader has answered for longer than a link may be silent.
+    fn log_missing_leader(&mut self) {
+        let silent_ms = self.leader_heard_at.elapsed().as_millis();
+        if self.missing_leader_logged || silent_ms < u128::from(self.settings.silence_ms) {
+            return;
+        }
+        self.missing_leader_logged = true;
+        let connected = self.links.values().filter(|link| link.outbox.is_some()).count();
+        tracing::warn!(
+            known = self.links.len(),
+            connected,
+            named = ?self.leader,
+            "no coordinator that leads answers"
+        );
     }
 
     /// Tells all coordinators something.
