Two failing tests: nobody finds the leader once no seed belongs to the control group

A coordinator that has left the group answers heartbeats without a leader's name though it knows who leads.

--- a/crates/coordinator/tests/removed.rs
+++ b/crates/coordinator/tests/removed.rs
@@ -6,7 +6,9 @@
 use ruddervalve_coordinator::OperatorReply;
 use ruddervalve_coordinator::operator::OperatorCall;
 use ruddervalve_disk::ProcessState;
-use ruddervalve_protocol::{GroupId, ReplicaId};
+use ruddervalve_protocol::{
+    CoordinatorReply, CoordinatorRequest, GroupId, Incarnation, Registration, ReplicaId,
+};
 
 /// So long after its loss a member is surely replaced.
 const REPLACED_AFTER_MS: u64 = 4 * SYNC_MS + LIVENESS_MS;
@@ -56,6 +58,21 @@
     assert!(matches!(reply, Some(OperatorReply::Redirect(_))), "{reply:?}");
 }
 
+#[test]
+fn it_names_the_leader_to_processes_that_start() {
+    let (mut group, leader, lost, disk) = replaced_while_away();
+    group.start_on(lost, &disk, false);
+    group.run(LIVENESS_MS);
+    assert!(!has_replica(&mut group, lost));
+    let at = group.now;
+    let address = group.member(leader).core.member().address.clone();
+    group.member(lost).core.coordinator_leads(at, address.parse().unwrap());
+    let edge = group.session(lost, Registration::Edge { incarnation: Incarnation(7) });
+    group.says(lost, edge, CoordinatorRequest::Heartbeat);
+    group.settle();
+    assert_eq!(group.told(lost, edge), [CoordinatorReply::NotLeader { leader: Some(address) }]);
+}
+
 #[test]
 fn it_stays_out_after_a_restart() {
     let (mut group, leader, lost, disk) = replaced_while_away();
--- a/crates/simulation/tests/histories.rs
+++ b/crates/simulation/tests/histories.rs
@@ -114,6 +114,12 @@
     assert_eq!(broken_on_short_days("point3-two.toml", 1..2), Vec::<String>::new());
 }
 
+#[test]
+fn seeds_that_have_left_the_control_group_break_no_rule() {
+    assert_eq!(broken("seeds-replaced.toml", 3..4), Vec::<String>::new());
+    assert_eq!(broken("seeds-replaced.toml", 6..7), Vec::<String>::new());
+}
+
 #[test]
 fn faulty_scenarios_are_refused() {
     for text in ["zones = 4", "stores = 0", "strange = 1", "name = 3"] {
