A coordinator names the leader, or whoever may know it, whether it belongs to the control group or not

One that has left the group has no replica.

NotLeader names the leader, also as it was told over the links that coordinators keep to each other, or else all coordinators that the sender knows. Which coordinators a process keeps links to is decided in one place (KnownCoordinators), which the simulation uses, too.

--- a/crates/coordinator/src/core/links.rs
+++ b/crates/coordinator/src/core/links.rs
@@ -44,22 +44,32 @@
         }
     }
 
-    pub(super) fn leader_address(&self) -> Option<String> {
-        self.address_of(self.leader()?).map(|address| address.to_string())
+    /// Where processes are to look for the leader: its address, or, where it is not known, those of all others. Whether
+    /// this coordinator belongs to the control group does not matter: processes that start know the seeds alone, and these
+    /// may all have given their places to others.
+    pub(super) fn leader_candidates(&self, now: u64) -> Vec<String> {
+        let candidates = match self.other_leader(now) {
+            Some(leader) => vec![leader],
+            None => self.others(),
+        };
+        candidates.into_iter().map(|address| address.to_string()).collect()
     }
 
-    /// The `ControlPlane` address of the leader, if that is another: as consensus heard of it lately, or, where this
-    /// coordinator has no vote, as the leader told lately. A voter that hears of no leader names none, as whoever told it
-    /// something is lost: a caller that is sent to a lost machine waits there in vain.
-    pub(super) fn leader_control_address(&self, now: u64) -> Option<String> {
+    /// The internal address of the leader, if that is another: as consensus heard of it lately, or, where this coordinator
+    /// has no vote, as the leader told lately. A voter that hears of no leader names none, as whoever told it something is
+    /// lost: a caller that is sent to a lost machine waits there in vain.
+    fn other_leader(&self, now: u64) -> Option<SocketAddr> {
         let own = self.member.address.parse().ok();
         let address = match self.recent_leader(now) {
-            Some(leader) => self.address_of(leader)?,
-            None => self.told_leader(now)?,
+            Some(leader) => self.address_of(leader),
+            None => self.told_leader(now),
         };
-        if Some(address) == own {
-            return None;
-        }
+        address.filter(|address| Some(*address) != own)
+    }
+
+    /// The `ControlPlane` address of the leader, if that is another and known.
+    pub(super) fn leader_control_address(&self, now: u64) -> Option<String> {
+        let address = self.other_leader(now)?;
         let members = self.known_members();
         let told = members.filter(|member| member.address.parse() == Ok(address)).last();
         told.map(|member| member.control_address.clone()).or_else(|| self.seed_at(address))
--- a/crates/coordinator/src/core/mod.rs
+++ b/crates/coordinator/src/core/mod.rs
@@ -251,16 +251,17 @@
         self.replicas.handle(now, input);
     }
 
-    /// The coordinator at this internal address has answered a heartbeat as leader.
-    pub fn coordinator_leads(&mut self, now: u64, address: SocketAddr) {
-        self.told_leader = Some((address, now));
+    /// The coordinator at this internal address says something.
+    pub fn coordinator_says(&mut self, now: u64, from: SocketAddr, reply: CoordinatorReply) {
+        match reply {
+            CoordinatorReply::Alive { .. } => self.told_leader = Some((from, now)),
+            CoordinatorReply::Directory(directory) => self.told_directory(directory),
+            _ => {}
+        }
     }
 
-    /// Another coordinator says something.
-    pub fn coordinator_says(&mut self, reply: CoordinatorReply) {
-        if let CoordinatorReply::Directory(directory) = reply
-            && self.told.as_ref().is_none_or(|told| told.version < directory.version)
-        {
+    fn told_directory(&mut self, directory: Directory) {
+        if self.told.as_ref().is_none_or(|told| told.version < directory.version) {
             self.told = Some(directory);
             self.outputs.push(CoordinatorOutput::Connect);
         }
--- a/crates/coordinator/src/core/sessions.rs
+++ b/crates/coordinator/src/core/sessions.rs
@@ -43,7 +43,7 @@
                 configuration: self.state.configuration_version(),
                 edges: self.sessions.edges(),
             },
-            false => CoordinatorReply::NotLeader { leader: self.leader_address() },
+            false => CoordinatorReply::NotLeader { candidates: self.leader_candidates(now) },
         };
         for number in heartbeats {
             self.sessions.send(number, reply.clone());
--- a/crates/coordinator/src/role.rs
+++ b/crates/coordinator/src/role.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ruddervalve_protocol::{Channel, CoordinatorReply, CoordinatorRequest, Registration};
+use ruddervalve_protocol::{Channel, CoordinatorRequest, Registration};
 use ruddervalve_rpc::{Outbox, run};
 use ruddervalve_runtime::{
     Accepted, Boot, Clock, ControlEvent, ControlLinks, InternalListener, InternalPort, NodeEvent,
@@ -167,11 +167,9 @@
     }
 
     fn control(&mut self, event: ControlEvent) {
-        let Some(reply) = event.reply else { return };
-        if matches!(reply, CoordinatorReply::Alive { .. }) {
-            self.core.coordinator_leads(self.clock.now(), event.from);
+        if let Some(reply) = event.reply {
+            self.core.coordinator_says(self.clock.now(), event.from, reply);
         }
-        self.core.coordinator_says(reply);
     }
 
     fn signal(&mut self, signal: ProcessSignal) {
--- a/crates/coordinator/tests/cut_off.rs
+++ b/crates/coordinator/tests/cut_off.rs
@@ -257,7 +257,8 @@
     let rest = world.leader().unwrap();
     assert_ne!(rest, leader);
     let told = world.heartbeat(leader, edge);
-    let [CoordinatorReply::NotLeader { leader: Some(address) }] = told.as_slice() else { panic!("{told:?}") };
+    let [CoordinatorReply::NotLeader { candidates }] = told.as_slice() else { panic!("{told:?}") };
+    let [address] = candidates.as_slice() else { panic!("{told:?}") };
     assert_eq!(machine_at(address), rest);
 }
 
--- a/crates/coordinator/tests/duties.rs
+++ b/crates/coordinator/tests/duties.rs
@@ -234,7 +234,8 @@
     let address = group.member(leader).core.member().address.parse().unwrap();
     assert_eq!(code(group.call(4, OperatorCall::GetConfiguration)), Some(503), "it has not heard of one");
     let now = group.now;
-    group.member(4).core.coordinator_leads(now, address);
+    let alive = CoordinatorReply::Alive { term: 1, configuration: 0, edges: 0 };
+    group.member(4).core.coordinator_says(now, address, alive);
     let control = group.member(leader).core.member().control_address.clone();
     let Some(OperatorReply::Redirect(to)) = group.call(4, OperatorCall::GetConfiguration) else { panic!() };
     assert_eq!(to, control);
--- a/crates/coordinator/tests/group/mod.rs
+++ b/crates/coordinator/tests/group/mod.rs
@@ -247,10 +247,11 @@
             }
         }
         let replies = member.core.session_outputs();
+        let address = member.core.member().address.parse().unwrap();
         let peers = member.peers.clone();
         for (session, reply) in replies {
             match peers.get(&session).and_then(|peer| self.members.get_mut(peer)) {
-                Some(peer) => peer.core.coordinator_says(reply),
+                Some(peer) => peer.core.coordinator_says(now, address, reply),
                 None => self.member(number).told.push((session, reply)),
             }
         }
--- a/crates/coordinator/tests/removed.rs
+++ b/crates/coordinator/tests/removed.rs
@@ -24,6 +24,11 @@
     (group, leader, lost, disk)
 }
 
+/// How a leader answers heartbeats.
+fn alive() -> CoordinatorReply {
+    CoordinatorReply::Alive { term: 1, configuration: 0, edges: 0 }
+}
+
 fn has_replica(group: &mut Group, number: u8) -> bool {
     group.member(number).core.host().replica(GroupId::CONTROL).is_some()
 }
@@ -53,7 +58,7 @@
     assert!(known.iter().any(|(id, _)| *id == ReplicaId(4)), "{known:?}");
     let at = group.now;
     let address = group.member(leader).core.member().address.parse().unwrap();
-    group.member(lost).core.coordinator_leads(at, address);
+    group.member(lost).core.coordinator_says(at, address, alive());
     let reply = group.call(lost, OperatorCall::GetConfiguration);
     assert!(matches!(reply, Some(OperatorReply::Redirect(_))), "{reply:?}");
 }
@@ -66,11 +71,11 @@
     assert!(!has_replica(&mut group, lost));
     let at = group.now;
     let address = group.member(leader).core.member().address.clone();
-    group.member(lost).core.coordinator_leads(at, address.parse().unwrap());
+    group.member(lost).core.coordinator_says(at, address.parse().unwrap(), alive());
     let edge = group.session(lost, Registration::Edge { incarnation: Incarnation(7) });
     group.says(lost, edge, CoordinatorRequest::Heartbeat);
     group.settle();
-    assert_eq!(group.told(lost, edge), [CoordinatorReply::NotLeader { leader: Some(address) }]);
+    assert_eq!(group.told(lost, edge), [CoordinatorReply::NotLeader { candidates: vec![address] }]);
 }
 
 #[test]
--- a/crates/coordinator/tests/world/mod.rs
+++ b/crates/coordinator/tests/world/mod.rs
@@ -249,7 +249,8 @@
         let address = internal_address(settings, settings.ip, InternalPort::Coordinator);
         let now = self.now;
         if let Some(running) = self.running.get_mut(&machine) {
-            running.core.coordinator_leads(now, address);
+            let alive = CoordinatorReply::Alive { term: 1, configuration: 0, edges: 0 };
+            running.core.coordinator_says(now, address, alive);
         }
     }
 
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -58,10 +58,11 @@
 /// From a coordinator. Only the leader sends updates, and only while its lease is valid.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub enum CoordinatorReply {
-    /// The sender does not lead; the internal address of the one that does, where it is known.
+    /// The sender does not lead, and tells where to look for the coordinator that does.
     NotLeader {
-        /// `ip:port`.
-        leader: Option<String>,
+        /// Internal addresses, `ip:port`: the leader's alone where it is known, else those of all other coordinators that the
+        /// sender knows.
+        candidates: Vec<String>,
     },
     /// Answers a heartbeat, after all that was due on this connection: the sender still leads in this term.
     Alive {
--- a/crates/runtime/src/control.rs
+++ b/crates/runtime/src/control.rs
@@ -1,6 +1,6 @@
 //! Links of an edge, a store or a coordinator to all coordinators: whichever leads sends its updates.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::{Boot, backoff, draw_seed, link_settings};
+use crate::{Boot, KnownCoordinators, backoff, draw_seed, link_settings};
 
 /// Something that coordinators said.
 #[derive(Debug)]
@@ -30,10 +30,7 @@
 #[derive(Debug)]
 pub struct ControlLinks {
     links: BTreeMap<SocketAddr, Link>,
-    /// The addresses that the owner knows.
-    wanted: Vec<SocketAddr>,
-    /// The leader that the others name, whether the owner knows its address or not.
-    leader: Option<SocketAddr>,
+    known: KnownCoordinators,
     registration: Registration,
     greeting: Greeting,
     settings: LinkSettings,
@@ -52,8 +49,7 @@
         let (sender, events) = mpsc::unbounded_channel();
         Self {
             links: BTreeMap::new(),
-            wanted: Vec::new(),
-            leader: None,
+            known: KnownCoordinators::new(&registration),
             registration,
             greeting: boot.greeting(Channel::Control),
             settings: link_settings(&boot.settings),
@@ -65,25 +61,15 @@
         }
     }
 
-    /// Opens links to these addresses and closes those to others, but for the leader's.
+    /// Opens links to these addresses, and closes those to others that are not needed to find the leader.
     pub fn set_addresses(&mut self, addresses: &[SocketAddr]) {
-        self.wanted = addresses.to_vec();
-        self.open_missing();
+        self.known.set_listed(addresses);
+        self.update_links();
     }
 
-    /// Opens a link to the leader that a coordinator names: it may be none of those that this process knows, as right after
-    /// its start it knows the seeds alone.
-    fn follow(&mut self, leader: &str) {
-        let Ok(leader) = leader.parse() else { return };
-        if self.leader != Some(leader) {
-            tracing::debug!(%leader, "a coordinator names the leader");
-            self.leader = Some(leader);
-            self.open_missing();
-        }
-    }
-
-    fn open_missing(&mut self) {
-        let addresses: BTreeSet<SocketAddr> = self.wanted.iter().copied().chain(self.leader).collect();
+    /// Keeps links to all coordinators that are known, and to no others.
+    fn update_links(&mut self) {
+        let addresses = self.known.addresses();
         self.links.retain(|address, _| addresses.contains(address));
         for address in addresses {
             if !self.links.contains_key(&address) {
@@ -115,10 +101,11 @@
                     return ControlEvent { from, reply: None };
                 }
                 LinkEvent::Message(reply) => {
-                    match &reply {
-                        CoordinatorReply::NotLeader { leader: Some(leader) } => self.follow(leader),
-                        CoordinatorReply::Alive { term, .. } => self.heard_leader(from, *term),
-                        _ => {}
+                    if self.known.hear(from, &reply) {
+                        self.update_links();
+                    }
+                    if let CoordinatorReply::Alive { term, .. } = reply {
+                        self.heard_leader(from, term);
                     }
                     return ControlEvent { from, reply: Some(reply) };
                 }
@@ -157,12 +144,7 @@
         }
         self.missing_leader_logged = true;
         let connected = self.links.values().filter(|link| link.outbox.is_some()).count();
-        tracing::warn!(
-            known = self.links.len(),
-            connected,
-            named = ?self.leader,
-            "no coordinator that leads answers"
-        );
+        tracing::warn!(known = self.links.len(), connected, "no coordinator that leads answers");
     }
 
     /// Tells all coordinators something.
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -3,6 +3,7 @@
 mod boot;
 mod clock;
 mod control;
+mod known_coordinators;
 mod listener;
 mod node;
 mod ports;
@@ -13,6 +14,7 @@
 pub use boot::{Boot, BootError, SETTINGS_VARIABLE, draw_incarnation, draw_seed, log_to_stderr, run_role};
 pub use clock::Clock;
 pub use control::{ControlEvent, ControlLinks};
+pub use known_coordinators::KnownCoordinators;
 pub use listener::{Accepted, InternalListener};
 pub use node::{NodeError, NodeEvent, ReplicaNode, StartedNode};
 pub use ports::{InternalPort, coordinator_addresses, internal_address, seed_addresses};
--- a/crates/runtime/tests/leader.rs
+++ b/crates/runtime/tests/leader.rs
@@ -45,7 +45,7 @@
         let (told, mut registered) = mpsc::unbounded_channel();
         let alive = CoordinatorReply::Alive { term: 1, configuration: 0, edges: 1 };
         let leader = coordinator(settings.clone(), alive, told.clone()).await;
-        let names = CoordinatorReply::NotLeader { leader: Some(leader.to_string()) };
+        let names = CoordinatorReply::NotLeader { candidates: vec![leader.to_string()] };
         let seed = coordinator(settings.clone(), names, told).await;
         let boot = Boot::new(settings, Incarnation(1), PathBuf::new());
         let mut links = ControlLinks::new(&boot, Registration::Edge { incarnation: Incarnation(1) });
@@ -68,3 +68,29 @@
         }
     }));
 }
+
+#[test]
+fn a_leader_that_no_seed_knows_is_found_among_those_that_a_seed_knows() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(LocalSet::new().run_until(async {
+        let settings = settings();
+        let (told, mut registered) = mpsc::unbounded_channel();
+        let alive = CoordinatorReply::Alive { term: 1, configuration: 0, edges: 1 };
+        let leader = coordinator(settings.clone(), alive, told.clone()).await;
+        let knows_none = CoordinatorReply::NotLeader { candidates: Vec::new() };
+        let follower = coordinator(settings.clone(), knows_none, told.clone()).await;
+        let candidates = vec![follower.to_string(), leader.to_string()];
+        let seed = coordinator(settings.clone(), CoordinatorReply::NotLeader { candidates }, told).await;
+        let boot = Boot::new(settings, Incarnation(1), PathBuf::new());
+        let mut links = ControlLinks::new(&boot, Registration::Edge { incarnation: Incarnation(1) });
+        links.set_addresses(&[seed]);
+        let mut seen = Vec::new();
+        while !seen.contains(&leader) {
+            tokio::select! {
+                _ = links.next() => {}
+                address = registered.recv() => seen.extend(address),
+            }
+        }
+        assert_eq!(seen.first(), Some(&seed));
+    }));
+}
--- a/crates/simulation/src/coordinator_process.rs
+++ b/crates/simulation/src/coordinator_process.rs
@@ -91,9 +91,10 @@
                     self.core.session_says(now, *number, request);
                 }
             }
-            Input::Message(_, Payload::Reply(reply)) => {
-                self.links.hear(&reply, effects);
-                self.core.coordinator_says(reply);
+            Input::Message(connection, Payload::Reply(reply)) => {
+                if let Some(from) = self.links.hear(connection, &reply, effects) {
+                    self.core.coordinator_says(now, from, reply);
+                }
             }
             Input::List(number, answer) => self.core.list_answered(now, number, answer),
             Input::Operator(caller, call) => self.core.operator(now, caller, *call),
--- a/crates/simulation/src/edge_process.rs
+++ b/crates/simulation/src/edge_process.rs
@@ -130,8 +130,8 @@
                     self.core.store_says(now, *store, message);
                 }
             }
-            Input::Message(_, Payload::Reply(reply)) => {
-                self.links.hear(&reply, effects);
+            Input::Message(connection, Payload::Reply(reply)) => {
+                self.links.hear(connection, &reply, effects);
                 self.control(now, reply, effects);
             }
             Input::Client(client, request) => {
--- a/crates/simulation/src/replica_links.rs
+++ b/crates/simulation/src/replica_links.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use ruddervalve_protocol::{CoordinatorReply, CoordinatorRequest, Registration, ReplicaId};
-use ruddervalve_runtime::{ReplicaInput, ReplicaOutput};
+use ruddervalve_runtime::{KnownCoordinators, ReplicaInput, ReplicaOutput};
 
 use crate::process::{ConnectionId, Effect, Input, Link, Payload, batches};
 
@@ -14,23 +14,22 @@
     registration: Registration,
     replicas: BTreeMap<ReplicaId, ConnectionId>,
     control: BTreeMap<SocketAddr, ConnectionId>,
-    /// What the owner wants.
+    known: KnownCoordinators,
+    /// Links to others than coordinators that the owner wants.
     asked: Vec<Link>,
-    /// What is kept: that, and the leader's.
+    /// All links that are kept.
     wanted: Vec<Link>,
-    /// The leader that coordinators name, whether the owner knows its address or not.
-    leader: Option<SocketAddr>,
 }
 
 impl RoleLinks {
     pub fn new(registration: Registration) -> Self {
         Self {
+            known: KnownCoordinators::new(&registration),
             registration,
             replicas: BTreeMap::new(),
             control: BTreeMap::new(),
             asked: Vec::new(),
             wanted: Vec::new(),
-            leader: None,
         }
     }
 
@@ -44,25 +43,29 @@
         effects: &mut Vec<Effect>,
     ) {
         let peers = peers.iter().filter(|(id, _)| Some(*id) != own).map(|(id, at)| Link::Replica(*id, *at));
-        let control = coordinators.iter().map(|address| Link::Control(*address));
-        self.asked = peers.chain(control).chain(others.iter().copied()).collect();
+        self.asked = peers.chain(others.iter().copied()).collect();
+        self.known.set_listed(coordinators);
         self.keep(effects);
     }
 
-    /// Keeps a link to the leader that a coordinator names, as the links of a role do: right after its start a process
-    /// knows the seeds alone.
-    pub fn hear(&mut self, reply: &CoordinatorReply, effects: &mut Vec<Effect>) {
-        let CoordinatorReply::NotLeader { leader: Some(leader) } = reply else { return };
-        let Ok(leader) = leader.parse() else { return };
-        if self.leader != Some(leader) {
-            self.leader = Some(leader);
+    /// Takes note of what came on a connection; the coordinator at its other end, if it is one to a coordinator.
+    pub fn hear(
+        &mut self,
+        connection: ConnectionId,
+        reply: &CoordinatorReply,
+        effects: &mut Vec<Effect>,
+    ) -> Option<SocketAddr> {
+        let from =
+            self.control.iter().find(|(_, known)| **known == connection).map(|(address, _)| *address)?;
+        if self.known.hear(from, reply) {
             self.keep(effects);
         }
+        Some(from)
     }
 
     fn keep(&mut self, effects: &mut Vec<Effect>) {
         let mut wanted = self.asked.clone();
-        wanted.extend(self.leader.map(Link::Control));
+        wanted.extend(self.known.addresses().into_iter().map(Link::Control));
         wanted.sort_unstable();
         wanted.dedup();
         if wanted != self.wanted {
--- a/crates/simulation/src/store_process.rs
+++ b/crates/simulation/src/store_process.rs
@@ -103,8 +103,8 @@
                     self.core.edge_says(now, *number, message);
                 }
             }
-            Input::Message(_, Payload::Reply(reply)) => {
-                self.links.hear(&reply, effects);
+            Input::Message(connection, Payload::Reply(reply)) => {
+                self.links.hear(connection, &reply, effects);
                 self.core.coordinator_says(now, reply);
             }
             Input::Terminate => self.core.terminate(now),
