Tests of the runner client by concern; whole answers in any framing and any pieces count

http_runner.rs had grown to 935 lines: its rig is a module, and what connections do has a file of its own; the 33 tests are the same.

--- a/crates/edge/tests/http_support/mod.rs
+++ b/crates/edge/tests/http_support/mod.rs
@@ -1,5 +1,9 @@
 //! A clock that moves only when a test says so, though sockets are real.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+pub mod runner_rig;
+
 use std::future::Future;
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
