--- a/crates/coordinator/src/role.rs
+++ b/crates/coordinator/src/role.rs
@@ -78,7 +78,7 @@
             accepted = listener.next() => coordinator.accept(accepted),
             event = coordinator.links.next() => coordinator.control(event),
             signal = signals.next() => coordinator.signal(signal),
-            _ = heartbeat.tick() => coordinator.links.heartbeat(),
+            _ = heartbeat.tick() => coordinator.heartbeat(),
             () = sleep_until(wake) => {}
         }
         for _ in 0..EVENTS_PER_ROUND {
@@ -132,6 +132,13 @@
         Ok((coordinator, received))
     }
 
+    fn heartbeat(&mut self) {
+        if self.core.leads(self.clock.now()) {
+            self.links.leads_itself();
+        }
+        self.links.heartbeat();
+    }
+
     fn next_wake(&self) -> Instant {
         self.clock.instant(self.core.next_wake(self.clock.now()))
     }
--- a/crates/runtime/src/control.rs
+++ b/crates/runtime/src/control.rs
@@ -129,6 +129,11 @@
         self.log_missing_leader();
     }
 
+    /// The process itself leads: no other answers as leader, and none is missing.
+    pub fn leads_itself(&mut self) {
+        self.leader_heard_at = Instant::now();
+    }
+
     fn heard_leader(&mut self, from: SocketAddr, term: u64) {
         self.leader_heard_at = Instant::now();
         if std::mem::take(&mut self.missing_leader_logged) {
