What is known already is no candidate: in calm times no answer of a coordinator changes any links

Each heartbeat of the leader cleared the candidates and each answer of the others set them anew, so a process worked out its links as often as coordinators answer.

--- a/crates/runtime/src/known_coordinators.rs
+++ b/crates/runtime/src/known_coordinators.rs
@@ -19,10 +19,11 @@
     /// The address of this very process, if it is a coordinator: it keeps no connection to itself.
     own: Option<SocketAddr>,
     /// The addresses that the owner knows, from the settings and the directory.
-    listed: Vec<SocketAddr>,
+    listed: BTreeSet<SocketAddr>,
     /// The leader that was heard last, whether the owner knows its address or not.
     leader: Option<SocketAddr>,
-    /// Where the coordinators that do not lead say that the leader may be found, since a leader was last heard.
+    /// Where the coordinators that do not lead say that the leader may be found, since a leader was last heard: only
+    /// addresses that were not known otherwise, so that in calm times there are none.
     candidates: BTreeMap<SocketAddr, Vec<SocketAddr>>,
 }
 
@@ -38,18 +39,13 @@
 
     /// Replaces the addresses that the owner knows.
     pub fn set_listed(&mut self, addresses: &[SocketAddr]) {
-        self.listed = addresses.to_vec();
+        self.listed = addresses.iter().copied().collect();
     }
 
     /// Takes note of what a coordinator says about who leads; whether that changes [`KnownCoordinators::addresses`].
     pub fn hear(&mut self, from: SocketAddr, reply: &CoordinatorReply) -> bool {
         match reply {
-            CoordinatorReply::NotLeader { candidates } => {
-                let candidates = candidates.iter().take(MOST_CANDIDATES);
-                let candidates: Vec<_> = candidates.filter_map(|address| address.parse().ok()).collect();
-                let before = self.candidates.insert(from, candidates);
-                before.as_ref() != self.candidates.get(&from)
-            }
+            CoordinatorReply::NotLeader { candidates } => self.set_candidates(from, candidates),
             CoordinatorReply::Alive { .. } => {
                 let before = self.leader.replace(from);
                 let had_candidates = !std::mem::take(&mut self.candidates).is_empty();
@@ -59,6 +55,18 @@
         }
     }
 
+    /// Replaces what a coordinator has named; whether that changes anything.
+    fn set_candidates(&mut self, from: SocketAddr, named: &[String]) -> bool {
+        let named = named.iter().take(MOST_CANDIDATES).filter_map(|address| address.parse().ok());
+        let is_new = |address: &SocketAddr| !self.listed.contains(address) && self.leader != Some(*address);
+        let candidates: Vec<SocketAddr> = named.filter(is_new).collect();
+        if candidates.is_empty() {
+            return self.candidates.remove(&from).is_some();
+        }
+        let before = self.candidates.insert(from, candidates);
+        before.as_ref() != self.candidates.get(&from)
+    }
+
     /// All addresses that a connection is to be kept to.
     pub fn addresses(&self) -> BTreeSet<SocketAddr> {
         let candidates = self.candidates.values().flatten();
--- a/crates/runtime/tests/known_coordinators.rs
+++ b/crates/runtime/tests/known_coordinators.rs
@@ -42,6 +42,18 @@
     assert_eq!(known.addresses(), addresses(&[1, 2, 4]), "the leader tells of the others in its directory");
 }
 
+#[test]
+fn in_calm_times_no_answer_is_news() {
+    let mut known = edge();
+    known.hear(address(1), &not_leader(&[3]));
+    assert!(known.hear(address(3), &alive()));
+    for _ in 0..3 {
+        assert!(!known.hear(address(1), &not_leader(&[3])));
+        assert!(!known.hear(address(2), &not_leader(&[1, 3])));
+        assert!(!known.hear(address(3), &alive()));
+    }
+}
+
 #[test]
 fn a_candidate_names_further_ones() {
     let mut known = edge();
