Tests share what stood twice: how a coordinator hears who leads, and how links look for the leader

Reading the change once more: three tests made the leader's answer by hand, two set up an edge's links and waited alike. Assertions are the same; no other code changes.

--- a/crates/coordinator/tests/duties.rs
+++ b/crates/coordinator/tests/duties.rs
@@ -231,11 +231,8 @@
 #[test]
 fn a_coordinator_that_is_no_member_redirects_to_the_leader() {
     let (mut group, leader) = Group::led(&[4]);
-    let address = group.member(leader).core.member().address.parse().unwrap();
     assert_eq!(code(group.call(4, OperatorCall::GetConfiguration)), Some(503), "it has not heard of one");
-    let now = group.now;
-    let alive = CoordinatorReply::Alive { term: 1, configuration: 0, edges: 0 };
-    group.member(4).core.coordinator_says(now, address, alive);
+    group.told_leads(4, leader);
     let control = group.member(leader).core.member().control_address.clone();
     let Some(OperatorReply::Redirect(to)) = group.call(4, OperatorCall::GetConfiguration) else { panic!() };
     assert_eq!(to, control);
--- a/crates/coordinator/tests/group/mod.rs
+++ b/crates/coordinator/tests/group/mod.rs
@@ -145,6 +145,15 @@
         replica.map(|replica| replica.membership().voters.clone()).unwrap_or_default()
     }
 
+    /// A coordinator hears over its link to another that this one leads; the leader's internal address.
+    pub fn told_leads(&mut self, number: u8, leader: u8) -> String {
+        let now = self.now;
+        let address = self.member(leader).core.member().address.clone();
+        let alive = CoordinatorReply::Alive { term: 1, configuration: 0, edges: 0 };
+        self.member(number).core.coordinator_says(now, address.parse().unwrap(), alive);
+        address
+    }
+
     /// A process connects to a coordinator and registers; the number of its session.
     pub fn session(&mut self, at: u8, registration: Registration) -> u64 {
         let now = self.now;
--- a/crates/coordinator/tests/removed.rs
+++ b/crates/coordinator/tests/removed.rs
@@ -24,11 +24,6 @@
     (group, leader, lost, disk)
 }
 
-/// How a leader answers heartbeats.
-fn alive() -> CoordinatorReply {
-    CoordinatorReply::Alive { term: 1, configuration: 0, edges: 0 }
-}
-
 fn has_replica(group: &mut Group, number: u8) -> bool {
     group.member(number).core.host().replica(GroupId::CONTROL).is_some()
 }
@@ -56,9 +51,7 @@
     assert_eq!(group.member(lost).core.applied(), 0);
     let known = group.member(lost).core.coordinators();
     assert!(known.iter().any(|(id, _)| *id == ReplicaId(4)), "{known:?}");
-    let at = group.now;
-    let address = group.member(leader).core.member().address.parse().unwrap();
-    group.member(lost).core.coordinator_says(at, address, alive());
+    group.told_leads(lost, leader);
     let reply = group.call(lost, OperatorCall::GetConfiguration);
     assert!(matches!(reply, Some(OperatorReply::Redirect(_))), "{reply:?}");
 }
@@ -69,9 +62,7 @@
     group.start_on(lost, &disk, false);
     group.run(LIVENESS_MS);
     assert!(!has_replica(&mut group, lost));
-    let at = group.now;
-    let address = group.member(leader).core.member().address.clone();
-    group.member(lost).core.coordinator_says(at, address.parse().unwrap(), alive());
+    let address = group.told_leads(lost, leader);
     let edge = group.session(lost, Registration::Edge { incarnation: Incarnation(7) });
     group.says(lost, edge, CoordinatorRequest::Heartbeat);
     group.settle();
--- a/crates/runtime/tests/leader.rs
+++ b/crates/runtime/tests/leader.rs
@@ -37,6 +37,30 @@
     address
 }
 
+/// The links of an edge that knows one seed.
+fn links_of_an_edge(settings: Settings, seed: SocketAddr) -> ControlLinks {
+    let boot = Boot::new(settings, Incarnation(1), PathBuf::new());
+    let mut links = ControlLinks::new(&boot, Registration::Edge { incarnation: Incarnation(1) });
+    links.set_addresses(&[seed]);
+    links
+}
+
+/// The coordinators at which the links have registered, in order, once these are enough.
+async fn registered_until(
+    links: &mut ControlLinks,
+    registered: &mut mpsc::UnboundedReceiver<SocketAddr>,
+    is_enough: impl Fn(&[SocketAddr]) -> bool,
+) -> Vec<SocketAddr> {
+    let mut seen = Vec::new();
+    while !is_enough(&seen) {
+        tokio::select! {
+            _ = links.next() => {}
+            address = registered.recv() => seen.extend(address),
+        }
+    }
+    seen
+}
+
 #[test]
 fn a_leader_that_is_no_seed_is_found_by_what_a_seed_says() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
@@ -47,16 +71,8 @@
         let leader = coordinator(settings.clone(), alive, told.clone()).await;
         let names = CoordinatorReply::NotLeader { candidates: vec![leader.to_string()] };
         let seed = coordinator(settings.clone(), names, told).await;
-        let boot = Boot::new(settings, Incarnation(1), PathBuf::new());
-        let mut links = ControlLinks::new(&boot, Registration::Edge { incarnation: Incarnation(1) });
-        links.set_addresses(&[seed]);
-        let mut seen = Vec::new();
-        while seen.len() < 2 {
-            tokio::select! {
-                _ = links.next() => {}
-                address = registered.recv() => seen.extend(address),
-            }
-        }
+        let mut links = links_of_an_edge(settings, seed);
+        let seen = registered_until(&mut links, &mut registered, |seen| seen.len() == 2).await;
         assert_eq!(seen, [seed, leader]);
         // The owner's addresses change: the leader's stays.
         links.set_addresses(&[seed]);
@@ -81,16 +97,8 @@
         let follower = coordinator(settings.clone(), knows_none, told.clone()).await;
         let candidates = vec![follower.to_string(), leader.to_string()];
         let seed = coordinator(settings.clone(), CoordinatorReply::NotLeader { candidates }, told).await;
-        let boot = Boot::new(settings, Incarnation(1), PathBuf::new());
-        let mut links = ControlLinks::new(&boot, Registration::Edge { incarnation: Incarnation(1) });
-        links.set_addresses(&[seed]);
-        let mut seen = Vec::new();
-        while !seen.contains(&leader) {
-            tokio::select! {
-                _ = links.next() => {}
-                address = registered.recv() => seen.extend(address),
-            }
-        }
+        let mut links = links_of_an_edge(settings, seed);
+        let seen = registered_until(&mut links, &mut registered, |seen| seen.contains(&leader)).await;
         assert_eq!(seen.first(), Some(&seed));
     }));
 }
