--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -6,6 +6,7 @@
 
 mod appends;
 mod callbacks;
+mod changes;
 mod credits;
 mod deliveries;
 mod health;
@@ -166,6 +167,9 @@
         }
         match Configuration::parse(update.body.as_slice()) {
             Ok(configuration) => {
+                if let Some(current) = &self.routes {
+                    changes::log_moves(current, &configuration);
+                }
                 self.routes = Some(Arc::new(RouteTable::new(&configuration)));
                 let steps = self.dispatch.set_configuration(now, &configuration);
                 self.configuration = Some(Arc::new(configuration));
--- a/crates/queue/src/leader.rs
+++ b/crates/queue/src/leader.rs
@@ -7,6 +7,7 @@
 mod gate;
 mod outcomes;
 mod placing;
+mod starving;
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -24,7 +25,7 @@
 use crate::quota::OriginWindow;
 use crate::ready::Schedule;
 use crate::records::Sequence;
-use crate::services::{ServiceSettings, Services};
+use crate::services::{ServiceIndex, ServiceSettings, Services};
 use crate::settings::LeaderSettings;
 use crate::{Action, ShardState};
 
@@ -53,6 +54,8 @@
     callbacks: Callbacks,
     gate: Gate,
     jitter: Jitter,
+    /// Services that have messages ready and no edge with credits, and since when.
+    starving: BTreeMap<ServiceIndex, u64>,
     outputs: Vec<LeaderOutput>,
     observations: Vec<Observation>,
 }
@@ -82,6 +85,7 @@
             callbacks: Callbacks::new(&settings),
             gate: Gate::new(now_ms, settings.visibility_timeout_ms, state),
             jitter: Jitter::new(settings.seed),
+            starving: BTreeMap::new(),
             outputs: Vec::new(),
             observations: Vec::new(),
             settings,
@@ -103,6 +107,7 @@
         self.end_expired(now_ms);
         self.place_due(now_ms);
         self.dispatch_all(now_ms);
+        self.observe_starving(now_ms);
         self.callbacks.dispatch(now_ms, &self.edges, &mut self.outputs);
         std::mem::take(&mut self.outputs)
     }
--- a/crates/queue/src/leader/dispatching.rs
+++ b/crates/queue/src/leader/dispatching.rs
@@ -55,8 +55,11 @@
             if up_to == Some(first.sequence) || !self.services.admits(now_ms, service) {
                 return;
             }
-            let Some(edge) = self.choose_edge(now_ms, service) else { return };
+            let Some(edge) = self.choose_edge(now_ms, service) else {
+                return self.no_credits(now_ms, service);
+            };
             let Some(lease) = self.grant(first.sequence, edge) else { return };
+            self.starving.remove(&service);
             if let Some(service) = self.services.get_mut(service) {
                 service.credits.spend(edge);
             }
--- a/crates/queue/src/observation.rs
+++ b/crates/queue/src/observation.rs
@@ -1,4 +1,4 @@
-//! What a leader sees that may make a message run a second time: for logs and metrics.
+//! What a leader sees that may make a message run a second time, or never: for logs and metrics.
 
 use displaydoc::Display;
 use ruddervalve_protocol::{Incarnation, LeaseId, MessageId};
@@ -40,6 +40,15 @@
         /// How many messages of earlier terms may run now.
         messages: usize,
     },
+    /// Messages of a service may run, and for so long no edge has had credits to deliver them.
+    NoCredits {
+        /// The service.
+        service: String,
+        /// How many messages wait.
+        messages: usize,
+        /// Since when, in milliseconds before now, or before this was last observed.
+        for_ms: u64,
+    },
     /// A success or a refusal for good was reported under a lease that is not outstanding any more.
     EndUnderFreedLease {
         /// Who reported it.
--- a/crates/queue/src/ready.rs
+++ b/crates/queue/src/ready.rs
@@ -55,6 +55,11 @@
         self.timely.is_empty() && self.late.is_empty()
     }
 
+    /// How many there are.
+    pub(crate) fn len(&self) -> usize {
+        self.timely.len() + self.late.len()
+    }
+
     /// Adds a message.
     pub(crate) fn insert(&mut self, key: ReadyKey) {
         self.hopes.insert((key.hope_ms, key.timely_order()));
--- a/crates/queue/tests/grants.rs
+++ b/crates/queue/tests/grants.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use ruddervalve_protocol::{DeliveryOutcome, NewMessage};
-use ruddervalve_queue::{Action, LeaderOutput};
-use support::{Shard, TestPolicy, edge, id, keyed, message, plain_policy, success};
+use ruddervalve_queue::{Action, LeaderOutput, Observation};
+use support::{Shard, TestPolicy, edge, id, keyed, message, plain_policy, settings, success};
 
 #[test]
 fn a_message_goes_to_an_edge_with_credits() {
@@ -285,3 +285,27 @@
     shard.poll();
     assert!(shard.leader.next_wake(shard.now_ms) > Some(shard.now_ms));
 }
+
+#[test]
+fn messages_that_no_edge_offers_to_deliver_are_observed_while_they_wait() {
+    let mut shard = Shard::new(plain_policy());
+    shard.join(1, "near");
+    let waiting = |for_ms| Observation::NoCredits { service: "s".to_owned(), messages: 2, for_ms };
+    shard.accept(message("a", "/s/"));
+    shard.accept(message("b", "/s/"));
+    let liveness_ms = settings().liveness_ms;
+    let observed = |shard: &mut Shard, after_ms| {
+        shard.advance(after_ms);
+        shard.leader.heartbeat(shard.now_ms, edge(1));
+        assert!(shard.grants().is_empty());
+        shard.leader.observations()
+    };
+    assert_eq!(observed(&mut shard, 0), []);
+    assert_eq!(observed(&mut shard, liveness_ms - 1), []);
+    assert_eq!(observed(&mut shard, 1), [waiting(liveness_ms)]);
+    assert_eq!(observed(&mut shard, 1), []);
+    assert_eq!(observed(&mut shard, liveness_ms + 5), [waiting(liveness_ms + 6)]);
+    shard.credits(1, "s", 9);
+    assert_eq!(shard.granted_names(), ["a", "b"]);
+    assert_eq!(observed(&mut shard, 2 * liveness_ms), []);
+}
--- a/crates/store/src/shard.rs
+++ b/crates/store/src/shard.rs
@@ -346,6 +346,15 @@
                 "messages of earlier terms may run though edges have not said what they hold"
             );
         }
+        Observation::NoCredits { service, messages, for_ms } => {
+            tracing::warn!(
+                group,
+                service,
+                messages,
+                for_ms,
+                "messages may run and no edge offers to deliver them"
+            );
+        }
         Observation::EndUnderFreedLease { edge, id, lease } => {
             tracing::warn!(
                 group,
