Three failing tests: routes that lead to another service break ORDER and CEILING, and stores stop granting

At the edge, two messages accepted for one service and granted for another leave the store without credits that the edge believes to be there; then it grants nothing more.

--- /dev/null
+++ b/crates/edge/tests/core_moved_routes.rs
@@ -0,0 +1,82 @@
+//! Routes whose service changes under way.
+
+mod core_support;
+
+use core_support::{CONFIGURATION, Play, group, store};
+use ruddervalve_edge::core::{EdgeOutput, JobNumber};
+use ruddervalve_edge::runner::{DeliveryResult, RunnerAnswer};
+use ruddervalve_protocol::{Blob, EdgeToStore, Grant, LeaseId, MessageId, NewMessage, StoreToEdge};
+
+const UNLIMITED: &str = r#""RatePerS":0.0,"Idempotent":true,"PullMode":false,"StaticEndpoint":null"#;
+
+/// All routes lead to `other`, of which `fields` tells the rest.
+fn moved_to(other: &str, fields: &str) -> String {
+    let service = format!(
+        r#"{{"Name":"{other}","HealthPath":"/health","MaxConnections":50,"Protocol":"h1","Tls":false,{fields}}}"#
+    );
+    CONFIGURATION
+        .replace(r#""Backend":"work""#, &format!(r#""Backend":"{other}""#))
+        .replace(r#""Services":["#, &format!(r#""Services":[{service},"#))
+}
+
+fn message_for(service: &str, number: u64) -> NewMessage {
+    NewMessage {
+        id: MessageId(format!("m{number}")),
+        route: "plain".to_owned(),
+        service: service.to_owned(),
+        method: "POST".to_owned(),
+        host: "a.example".to_owned(),
+        path: "/p/1".to_owned(),
+        content_type: String::new(),
+        ordering_key: None,
+        callback_url: None,
+        delay_ms: 0,
+        retention_ms: 90_000,
+        body: Blob::default(),
+    }
+}
+
+/// What a store may still grant of a service, as the edge has told it.
+struct StoreCredits {
+    left: u32,
+}
+
+impl StoreCredits {
+    /// Takes what the edge has told store 1; the deliveries that it wants made.
+    fn take(&mut self, outputs: Vec<EdgeOutput>, service: &str) -> Vec<JobNumber> {
+        let mut jobs = Vec::new();
+        for output in outputs {
+            match output {
+                EdgeOutput::Send(to, EdgeToStore::Credits { services }) if to == store(1) => {
+                    let told = services.into_iter().find(|(name, _)| name == service);
+                    self.left = told.map_or(0, |(_, count)| count);
+                }
+                EdgeOutput::Deliver(order) => jobs.push(order.job),
+                _ => {}
+            }
+        }
+        jobs
+    }
+}
+
+#[test]
+fn a_store_may_go_on_granting_messages_that_were_accepted_for_another_service() {
+    let mut play = Play::serving();
+    play.configure(2, &moved_to("books", UNLIMITED));
+    play.list_runners(2, &["work", "books"]);
+    let mut credits = StoreCredits { left: 0 };
+    credits.take(play.outputs(), "books");
+    for number in 1..=50 {
+        assert!(credits.left > 0, "the store may grant no more after {} messages", number - 1);
+        credits.left -= 1;
+        let lease = LeaseId { term: 1, number };
+        let grant = Grant { lease, message: message_for("work", number) };
+        play.says(1, StoreToEdge::Deliver { group: group(1), grant });
+        let jobs = credits.take(play.outputs(), "books");
+        assert_eq!(jobs.len(), 1);
+        let answer = RunnerAnswer::Succeeded { signature: "done".to_owned() };
+        let result = DeliveryResult { answer, load: None, new_connection: false, elapsed_ms: 1 };
+        play.core.delivered(play.now, jobs[0], &result);
+        credits.take(play.outputs(), "books");
+    }
+}
--- a/crates/simulation/src/places.rs
+++ b/crates/simulation/src/places.rs
@@ -166,6 +166,27 @@
     }
 }
 
+/// The services that the routes without order and with order lead to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Backends {
+    pub plain: Kind,
+    pub ordered: Kind,
+}
+
+impl Backends {
+    /// Each route leads to the service of its own kind.
+    pub const OWN: Self = Self { plain: Kind::Plain, ordered: Kind::Ordered };
+
+    /// The kind whose service the route of a kind leads to.
+    pub fn of(self, kind: Kind) -> Kind {
+        match kind {
+            Kind::Plain => self.plain,
+            Kind::Ordered => self.ordered,
+            Kind::Endpoint => Kind::Endpoint,
+        }
+    }
+}
+
 /// Where the single endpoint listens.
 pub fn endpoint_address() -> SocketAddr {
     SocketAddr::from(([10, 20, 0, 3], 8066))
@@ -188,10 +209,19 @@
 }
 
 /// The body of a configuration. `extra`: a bit for each route that comes and goes.
-pub fn configuration(version: u64, timeout_ms: u64, extra: u32, is_valid: bool) -> String {
+pub fn configuration(
+    version: u64,
+    timeout_ms: u64,
+    extra: u32,
+    backends: Backends,
+    is_valid: bool,
+) -> String {
     let mut routes: Vec<String> = Kind::ALL
         .iter()
-        .map(|kind| route(&format!("r{}", kind.service()), kind.path(), kind.service(), timeout_ms, *kind))
+        .map(|kind| {
+            let service = backends.of(*kind).service();
+            route(&format!("r{}", kind.service()), kind.path(), service, timeout_ms, *kind)
+        })
         .collect();
     for number in (0..EXTRA_ROUTES).filter(|number| extra & (1 << number) != 0) {
         let (name, path) = (format!("extra{number}"), extra_path(number));
--- a/crates/simulation/src/scenario/kinds.rs
+++ b/crates/simulation/src/scenario/kinds.rs
@@ -51,6 +51,8 @@
     pub answer_lost_part: f64,
     /// Acknowledged orders that are sent once more.
     pub repeat_part: f64,
+    /// Whether changes lead the routes without order and with order to other services.
+    pub moves_routes: bool,
 }
 
 impl Default for Orders {
@@ -63,6 +65,7 @@
             invalid_part: 0.1,
             answer_lost_part: 0.15,
             repeat_part: 0.15,
+            moves_routes: false,
         }
     }
 }
--- a/crates/simulation/tests/histories.rs
+++ b/crates/simulation/tests/histories.rs
@@ -126,3 +126,13 @@
         assert!(Scenario::parse("scenario", text).is_err(), "{text}");
     }
 }
+
+#[test]
+fn routes_that_lead_to_other_services_in_turn_break_no_rule() {
+    assert_eq!(broken("moved-routes.toml", 0..4), Vec::<String>::new());
+}
+
+#[test]
+fn a_route_led_to_an_endpoint_keeps_to_its_rate_wherever_the_messages_lie() {
+    assert_eq!(broken("moved-rate.toml", 0..2), Vec::<String>::new());
+}
