A grant is taken off the credits of the service that its leader counts it at

Cause: an edge tells stores how many deliveries of each service they may grant, and takes each grant off what they have left. It took it off the service that the message was accepted for; the leader takes it off the service that the message's route leads to now. Once a route had changed its service the edge believed that credits were left where the store had none, never told new ones, and the store granted nothing more of that service until something else made the edge tell all anew. Fix: a lease names the service that its leader counts it at. Neither side has to guess the other's configuration, which may be older.

--- a/crates/edge/src/core/appends.rs
+++ b/crates/edge/src/core/appends.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use ruddervalve_mutation::{Mutation, is_active};
-use ruddervalve_protocol::{AppendOutcome, EdgeToStore, GroupId, LeaseId, MessageId, NewMessage, ReplicaId};
+use ruddervalve_protocol::{
+    AppendOutcome, EdgeToStore, GrantedLease, GroupId, MessageId, NewMessage, ReplicaId,
+};
 
 use super::EdgeCore;
 use super::ingress::{come_back, refusal};
@@ -309,22 +311,22 @@
         }
     }
 
-    fn kept(&mut self, number: u64, lease: Option<LeaseId>) {
+    fn kept(&mut self, number: u64, lease: Option<GrantedLease>) {
         let Some(append) = self.appends.remove(number) else { return self.return_lease(number, lease) };
         let Some(group) = append.group else { return };
         let name = message_name(group, &append.message.id);
         let response = FrontResponse::new(StatusCode::ACCEPTED).with_header(FrontHeader::MessageId(name));
         self.respond(append.client, response);
         if let Some(lease) = lease {
-            self.deliver(group, lease, append.message);
+            self.deliver(group, lease.id, append.message);
         }
     }
 
     /// A lease came with an append that has ended here: the message has to be granted anew.
-    fn return_lease(&mut self, number: u64, lease: Option<LeaseId>) {
+    fn return_lease(&mut self, number: u64, lease: Option<GrantedLease>) {
         let ended = self.appends.ended.known.get(&number).cloned();
         if let (Some((group, id)), Some(lease)) = (ended, lease) {
-            self.return_unused(group, id, lease);
+            self.return_unused(group, id, lease.id);
         }
     }
 
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -22,7 +22,8 @@
 use ruddervalve_configuration::{Configuration, RouteTable};
 use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::{
-    ConfigurationUpdate, Directory, EdgeToStore, GroupId, InventoryItem, ReplicaId, RunnerList, StoreToEdge,
+    ConfigurationUpdate, Directory, EdgeToStore, Grant, GroupId, InventoryItem, ReplicaId, RunnerList,
+    StoreToEdge,
 };
 
 use crate::dispatch::{Dispatch, DispatchSettings};
@@ -261,8 +262,9 @@
             StoreToEdge::Leading { groups } => self.leading(store, &groups),
             StoreToEdge::Appended { request, outcome } => self.appended(store, request, outcome),
             StoreToEdge::Deliver { group, grant } => {
-                self.credits.granted(store, &grant.message.service);
-                self.deliver(group, grant.lease, Arc::new(grant.message));
+                let Grant { lease, message } = *grant;
+                self.credits.granted(store, &lease.service);
+                self.deliver(group, lease.id, Arc::new(message));
             }
             StoreToEdge::CallBack { group, id, url, phase, signature } => {
                 self.call_back(group, id, &url, phase, &signature);
--- a/crates/edge/tests/core_appends.rs
+++ b/crates/edge/tests/core_appends.rs
@@ -4,8 +4,8 @@
 use ruddervalve_edge::core::{ClientNumber, EdgeCore, EdgeOutput, EdgeSettings};
 use ruddervalve_edge::front::{FrontRequest, StatusCode};
 use ruddervalve_protocol::{
-    AppendOutcome, Blob, ConfigurationUpdate, Directory, EdgeToStore, GroupId, LeaseId, ReplicaId, Runner,
-    RunnerList, RunnerPhase, ShardPlacement, StoreMember, StoreToEdge,
+    AppendOutcome, Blob, ConfigurationUpdate, Directory, EdgeToStore, GrantedLease, GroupId, LeaseId,
+    ReplicaId, Runner, RunnerList, RunnerPhase, ShardPlacement, StoreMember, StoreToEdge,
 };
 
 const A: ReplicaId = ReplicaId(1);
@@ -165,7 +165,7 @@
         answered |= core.outputs().iter().any(|output| matches!(output, EdgeOutput::Respond(..)));
     }
     assert!(answered);
-    let lease = Some(LeaseId { term: 1, number: 1 });
+    let lease = Some(GrantedLease { id: LeaseId { term: 1, number: 1 }, service: "work".to_owned() });
     core.store_says(
         3001,
         store,
--- a/crates/edge/tests/core_callers.rs
+++ b/crates/edge/tests/core_callers.rs
@@ -2,7 +2,7 @@
 
 mod core_support;
 
-use core_support::{Play, TARGET_MS, accepted, answers, group, status_of, store};
+use core_support::{Play, TARGET_MS, accepted, answers, granted, group, status_of, store};
 use ruddervalve_edge::core::{DeliveryOrder, EdgeOutput};
 use ruddervalve_edge::front::StatusCode;
 use ruddervalve_edge::runner::{DeliveryResult, RunnerAnswer};
@@ -34,7 +34,10 @@
 }
 
 fn deliver(shard: u64, id: &str, lease: LeaseId) -> StoreToEdge {
-    StoreToEdge::Deliver { group: group(shard), grant: Grant { lease, message: message(id) } }
+    StoreToEdge::Deliver {
+        group: group(shard),
+        grant: Box::new(Grant { lease: granted(lease), message: message(id) }),
+    }
 }
 
 fn leading(shard: u64, term: u64) -> StoreToEdge {
@@ -350,7 +353,7 @@
         });
         let (to, kept, shard) = appended.expect("an append");
         assert_eq!(kept.ordering_key.as_deref(), Some(key));
-        let grant = Grant { lease: OLD_LEASE, message: kept };
+        let grant = Box::new(Grant { lease: granted(OLD_LEASE), message: kept });
         play.says(to.0, StoreToEdge::Deliver { group: shard, grant });
         let order = deliveries(play.outputs()).remove(0);
         assert_eq!(order.delivery.ordering_key.as_deref(), Some(key));
--- a/crates/edge/tests/core_histories.rs
+++ b/crates/edge/tests/core_histories.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use core_support::{Play, accepted, group, store};
+use core_support::{Play, accepted, granted, group, store};
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use ruddervalve_edge::core::{EdgeOutput, JobNumber};
@@ -287,7 +287,8 @@
         let free = shard.kept.iter().find(|(id, _)| shard.is_free(id)).map(|(_, message)| message.clone());
         let Some(message) = free else { return };
         let (leader, Some(lease)) = (shard.leader, shard.lease(&message.id.0)) else { return };
-        self.tell(leader, StoreToEdge::Deliver { group: group(number), grant: Grant { lease, message } });
+        let grant = Box::new(Grant { lease: granted(lease), message });
+        self.tell(leader, StoreToEdge::Deliver { group: group(number), grant });
     }
 
     fn outcome(
--- a/crates/edge/tests/core_moved_routes.rs
+++ b/crates/edge/tests/core_moved_routes.rs
@@ -5,7 +5,9 @@
 use core_support::{CONFIGURATION, Play, group, store};
 use ruddervalve_edge::core::{EdgeOutput, JobNumber};
 use ruddervalve_edge::runner::{DeliveryResult, RunnerAnswer};
-use ruddervalve_protocol::{Blob, EdgeToStore, Grant, LeaseId, MessageId, NewMessage, StoreToEdge};
+use ruddervalve_protocol::{
+    Blob, EdgeToStore, Grant, GrantedLease, LeaseId, MessageId, NewMessage, StoreToEdge,
+};
 
 const UNLIMITED: &str = r#""RatePerS":0.0,"Idempotent":true,"PullMode":false,"StaticEndpoint":null"#;
 
@@ -69,8 +71,8 @@
     for number in 1..=50 {
         assert!(credits.left > 0, "the store may grant no more after {} messages", number - 1);
         credits.left -= 1;
-        let lease = LeaseId { term: 1, number };
-        let grant = Grant { lease, message: message_for("work", number) };
+        let lease = GrantedLease { id: LeaseId { term: 1, number }, service: "books".to_owned() };
+        let grant = Box::new(Grant { lease, message: message_for("work", number) });
         play.says(1, StoreToEdge::Deliver { group: group(1), grant });
         let jobs = credits.take(play.outputs(), "books");
         assert_eq!(jobs.len(), 1);
--- a/crates/edge/tests/core_support/mod.rs
+++ b/crates/edge/tests/core_support/mod.rs
@@ -6,8 +6,8 @@
 use ruddervalve_edge::core::{ClientNumber, EdgeCore, EdgeOutput, EdgeSettings};
 use ruddervalve_edge::front::{FrontRequest, FrontResponse, Method, StatusCode};
 use ruddervalve_protocol::{
-    AppendOutcome, Blob, ConfigurationUpdate, Directory, EdgeToStore, GroupId, LeaseId, ReplicaId, Runner,
-    RunnerList, RunnerPhase, ShardPlacement, StoreMember, StoreToEdge,
+    AppendOutcome, Blob, ConfigurationUpdate, Directory, EdgeToStore, GrantedLease, GroupId, LeaseId,
+    ReplicaId, Runner, RunnerList, RunnerPhase, ShardPlacement, StoreMember, StoreToEdge,
 };
 
 pub const TARGET_MS: u64 = 100;
@@ -212,6 +212,11 @@
     answers[0].1.status
 }
 
+/// A lease that its leader counts at the service of all routes.
+pub fn granted(id: LeaseId) -> GrantedLease {
+    GrantedLease { id, service: "work".to_owned() }
+}
+
 pub fn accepted(lease: Option<LeaseId>) -> AppendOutcome {
-    AppendOutcome::Accepted { lease }
+    AppendOutcome::Accepted { lease: lease.map(granted) }
 }
--- a/crates/protocol/src/delivery.rs
+++ b/crates/protocol/src/delivery.rs
@@ -17,6 +17,16 @@
     pub number: u64,
 }
 
+/// A lease as it is granted.
+#[derive(Debug, Clone, PartialEq, Eq, SerBin, DeBin)]
+pub struct GrantedLease {
+    /// The lease.
+    pub id: LeaseId,
+    /// The service that the leader counts the delivery at: by the leader's configuration, which may be another than the
+    /// edge's, and another than the one that the message was accepted under.
+    pub service: String,
+}
+
 /// A message as it is accepted. The route is found anew from host and path in the configuration in force.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub struct NewMessage {
@@ -153,7 +163,7 @@
         /// The shard.
         group: GroupId,
         /// The lease.
-        grant: Grant,
+        grant: Box<Grant>,
     },
     /// A call-back to make.
     CallBack {
@@ -205,7 +215,7 @@
     /// It is durable on a quorum. The lease is set if it was wanted and the message may run now.
     Accepted {
         /// The lease, for the sender.
-        lease: Option<LeaseId>,
+        lease: Option<GrantedLease>,
     },
     /// It was not appended and never will be: this store does not lead the shard, or has no room.
     Refused {
@@ -220,7 +230,7 @@
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub struct Grant {
     /// The lease.
-    pub lease: LeaseId,
+    pub lease: GrantedLease,
     /// The message. Its `delay_ms` is 0; `retention_ms` is what is left.
     pub message: NewMessage,
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -15,8 +15,8 @@
     Runner, RunnerList, RunnerPhase, ShardMembers, ShardPlacement, StoreMember,
 };
 pub use delivery::{
-    AppendOutcome, DeliveryOutcome, EdgeToStore, EndPhase, Grant, InventoryItem, LeaseId, MessagePhase,
-    NewMessage, StoreToEdge,
+    AppendOutcome, DeliveryOutcome, EdgeToStore, EndPhase, Grant, GrantedLease, InventoryItem, LeaseId,
+    MessagePhase, NewMessage, StoreToEdge,
 };
 pub use greeting::{Channel, Greeting, PROTOCOL_VERSION};
 pub use identity::{GroupId, Incarnation, MessageId, ReplicaId};
--- a/crates/queue/src/leader.rs
+++ b/crates/queue/src/leader.rs
@@ -137,6 +137,12 @@
         self.leases.of(edge).len()
     }
 
+    /// The service that the delivery of a leased message counts at.
+    pub fn counted_at(&self, id: &MessageId) -> Option<&str> {
+        let service = self.entries.get(self.index.get(id)?)?.held_lease()?.service?;
+        Some(&self.services.get(service)?.name)
+    }
+
     /// The lease of a message, and who holds it.
     pub fn lease_of(&self, id: &MessageId) -> Option<(Incarnation, LeaseId)> {
         let lease = self.entries.get(self.index.get(id)?)?.held_lease()?;
--- a/crates/queue/src/state.rs
+++ b/crates/queue/src/state.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use ruddervalve_protocol::{
-    Blob, EndPhase, Grant, Incarnation, LeaseId, MessageId, MessagePhase, NewMessage,
+    Blob, EndPhase, Grant, GrantedLease, Incarnation, LeaseId, MessageId, MessagePhase, NewMessage,
 };
 
 use crate::records::{Applied, AttachedEdge, Effect, EndedMessage, OwedCallback, PendingMessage, Sequence};
@@ -116,7 +116,7 @@
     }
 
     /// What an edge needs for a delivery; none if the message has ended. `now_ms` is shard time.
-    pub fn grant(&self, id: &MessageId, lease: LeaseId, now_ms: u64) -> Option<Grant> {
+    pub fn grant(&self, id: &MessageId, lease: GrantedLease, now_ms: u64) -> Option<Grant> {
         let pending = self.pending.get(&self.sequence(id)?)?;
         let message = NewMessage {
             delay_ms: 0,
--- a/crates/queue/tests/state.rs
+++ b/crates/queue/tests/state.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use ruddervalve_protocol::{Blob, EndPhase, LeaseId, MessagePhase};
+use ruddervalve_protocol::{Blob, EndPhase, GrantedLease, LeaseId, MessagePhase};
 use ruddervalve_queue::{
     Action, Command, DecodeError, Effect, Sequence, ShardState, SnapshotError, StateLimits,
 };
@@ -202,8 +202,8 @@
 fn a_grant_carries_what_is_left_of_the_retention_and_no_delay() {
     let mut state = limited_state();
     apply(&mut state, 1, accept(message("a", "/s/")));
-    let lease = LeaseId { term: 1, number: 1 };
-    let grant = state.grant(&id("a"), lease, 400).expect("pending");
+    let lease = GrantedLease { id: LeaseId { term: 1, number: 1 }, service: "s".to_owned() };
+    let grant = state.grant(&id("a"), lease.clone(), 400).expect("pending");
     assert_eq!((grant.message.retention_ms, grant.message.delay_ms), (500, 0));
     apply(&mut state, 2, end("a", EndPhase::Succeeded));
     assert!(state.grant(&id("a"), lease, 400).is_none());
--- a/crates/simulation/src/effects.rs
+++ b/crates/simulation/src/effects.rs
@@ -142,15 +142,20 @@
                 envelopes.iter().for_each(|envelope| self.look_at_vote(envelope))
             }
             Payload::ToEdge(StoreToEdge::Deliver { group, grant }) => {
-                let (lease, id) = ((grant.lease.term, grant.lease.number), grant.message.id.0.clone());
+                let (lease, id) = (grant.lease.id, grant.message.id.0.clone());
                 self.trace_lease(process, *group, &id);
-                self.look_at_lease(connection, group.0, lease, &id);
+                self.look_at_lease(connection, group.0, (lease.term, lease.number), &id);
             }
             Payload::ToEdge(StoreToEdge::Appended {
                 request,
                 outcome: AppendOutcome::Accepted { lease: Some(lease) },
             }) => {
-                self.look_at_lease(connection, u32::MAX, (lease.term, lease.number), &request.to_string());
+                self.look_at_lease(
+                    connection,
+                    u32::MAX,
+                    (lease.id.term, lease.id.number),
+                    &request.to_string(),
+                );
             }
             _ => {}
         }
--- a/crates/store/src/shard.rs
+++ b/crates/store/src/shard.rs
@@ -7,7 +7,8 @@
 use ruddervalve_consensus::Entry;
 use ruddervalve_consensus::Payload;
 use ruddervalve_protocol::{
-    AppendOutcome, EdgeToStore, GroupId, Incarnation, LeaseId, MessageId, NewMessage, StoreToEdge,
+    AppendOutcome, EdgeToStore, GrantedLease, GroupId, Incarnation, LeaseId, MessageId, NewMessage,
+    StoreToEdge,
 };
 use ruddervalve_queue::{
     Action, ClockSettings, Command, EdgeSession, LeaderOutput, LeaderSettings, Observation, Proposed,
@@ -286,6 +287,7 @@
         }
         let wants_lease = append.lease_here && may_lease;
         let lease = office.leader.accepted(shard_now, &append.id, append.edge, wants_lease);
+        let lease = lease.map(|id| granted(&office.leader, &append.id, id));
         self.outputs.push(appended(append.edge, append.request, AppendOutcome::Accepted { lease }));
     }
 
@@ -304,7 +306,7 @@
                     actions.push(action);
                     continue;
                 }
-                other => message(self.group, &self.state, shard_now, other),
+                other => message(self.group, &self.state, &office.leader, shard_now, other),
             };
             self.outputs.extend(message.map(|(edge, message)| ShardOutput::Send(edge, message)));
         }
@@ -371,13 +373,14 @@
 fn message(
     group: GroupId,
     state: &ShardState,
+    leader: &ShardLeader,
     shard_now: u64,
     output: LeaderOutput,
 ) -> Option<(Incarnation, StoreToEdge)> {
     match output {
         LeaderOutput::Grant { edge, id, lease } => {
-            let grant = grant(state, shard_now, &id, lease)?;
-            Some((edge, StoreToEdge::Deliver { group, grant }))
+            let grant = state.grant(&id, granted(leader, &id, lease), shard_now)?;
+            Some((edge, StoreToEdge::Deliver { group, grant: Box::new(grant) }))
         }
         LeaderOutput::CallBack { edge, id } => {
             let owed = state.callback(&id)?;
@@ -400,11 +403,8 @@
     }
 }
 
-fn grant(
-    state: &ShardState,
-    shard_now: u64,
-    id: &MessageId,
-    lease: LeaseId,
-) -> Option<ruddervalve_protocol::Grant> {
-    state.grant(id, lease, shard_now)
+/// A lease as its edge is to know it.
+fn granted(leader: &ShardLeader, message: &MessageId, id: LeaseId) -> GrantedLease {
+    let service = leader.counted_at(message).unwrap_or_default().to_owned();
+    GrantedLease { id, service }
 }
