The shard that counts a service permits its deliveries, wherever the messages lie

Cause: the rate of a service and the connections of a single endpoint were kept by whichever shard had the messages, on the ground that all of them are in one. That holds only as long as no configuration changes: messages accepted before a route led to the service, or before the service had a rate, lie in all shards, and each granted the whole rate. Class: an owner that follows from what a configuration says, for state that outlives the configuration. Fix: one shard counts a service, found by its name. An edge that holds a lease which that shard has not counted asks its leader for a permit and delivers when it comes; permits stand in the service's queue beside the shard's own messages, take its tokens and its connections, and are given up with the connection, the leader or the time within which the run was to start. A message given back has not run. Not changed: messages without a key of a limited service go to the counting shard at once and need no permit.

--- a/crates/configuration/src/service.rs
+++ b/crates/configuration/src/service.rs
@@ -35,6 +35,11 @@
 }
 
 impl Service {
+    /// Whether its deliveries are counted for all processes together: by a rate, or by the connections of a single endpoint.
+    pub fn is_limited(&self) -> bool {
+        self.rate_per_s > 0.0 || self.static_endpoint.is_some()
+    }
+
     pub(crate) fn parse(section: Section<'_>, faults: &mut FaultList) -> Option<Self> {
         let name = section.required("Name", convert::name, faults);
         let health_path = section.optional("HealthPath", convert::name, faults);
--- a/crates/edge/src/core/appends.rs
+++ b/crates/edge/src/core/appends.rs
@@ -318,7 +318,7 @@
         let response = FrontResponse::new(StatusCode::ACCEPTED).with_header(FrontHeader::MessageId(name));
         self.respond(append.client, response);
         if let Some(lease) = lease {
-            self.deliver(group, lease.id, append.message);
+            self.deliver(group, lease, append.message);
         }
     }
 
--- a/crates/edge/src/core/changes.rs
+++ b/crates/edge/src/core/changes.rs
@@ -1,6 +1,6 @@
 //! What a configuration changes for messages that are already kept: for logs.
 
-use ruddervalve_configuration::{Configuration, RouteTable, Service};
+use ruddervalve_configuration::{Configuration, RouteTable};
 
 /// Logs the routes that lead to another service from now on, and the services whose limits come or go.
 pub fn log_moves(current: &RouteTable, next: &Configuration) {
@@ -13,14 +13,9 @@
         }
     }
     for service in next.services() {
-        if current.service(&service.name).is_some_and(|known| is_limited(known) != is_limited(service)) {
-            let (service, limited) = (&service.name, is_limited(service));
+        if current.service(&service.name).is_some_and(|known| known.is_limited() != service.is_limited()) {
+            let (service, limited) = (&service.name, service.is_limited());
             tracing::info!(version, service, limited, "the limit of a service has come or gone");
         }
     }
 }
-
-/// Whether its deliveries are counted for all processes together.
-fn is_limited(service: &Service) -> bool {
-    service.rate_per_s > 0.0 || service.static_endpoint.is_some()
-}
--- a/crates/edge/src/core/credits.rs
+++ b/crates/edge/src/core/credits.rs
@@ -72,7 +72,8 @@
         let mut wanted = Vec::with_capacity(services.len());
         for service in services {
             let startable = self.dispatch.startable(self.now, &service);
-            let free = startable.saturating_sub(self.appends.reserved(&service));
+            let reserved = self.appends.reserved(&service).saturating_add(self.permits.waiting(&service));
+            let free = startable.saturating_sub(reserved);
             wanted.push((service, free.div_ceil(stores).min(MOST)));
         }
         wanted
--- a/crates/edge/src/core/deliveries.rs
+++ b/crates/edge/src/core/deliveries.rs
@@ -5,11 +5,12 @@
 
 use bytes::Bytes;
 use ruddervalve_protocol::{
-    DeliveryOutcome, EdgeToStore, GroupId, InventoryItem, LeaseId, MessageId, NewMessage,
+    DeliveryOutcome, EdgeToStore, GrantedLease, GroupId, InventoryItem, LeaseId, MessageId, NewMessage,
 };
 
 use super::EdgeCore;
 use super::output::{DeliveryOrder, EdgeOutput, JobNumber};
+use super::permits::Counted;
 use crate::dispatch::{DispatchOutcome, DispatchStep, RunnerLoad};
 use crate::runner::{Delivery, DeliveryResult, InstanceLoad, NotRunReason, RunnerAnswer, UnclearReason};
 
@@ -86,22 +87,32 @@
     /// A lease has come: the message goes to a runner, or back. One of an older term than the newest that is known here was
     /// under way while the new leader took stock, and that leader may have granted the message to another edge: it is
     /// dropped, as nobody who leads knows of it.
-    pub(super) fn deliver(&mut self, group: GroupId, lease: LeaseId, message: Arc<NewMessage>) {
+    pub(super) fn deliver(&mut self, group: GroupId, lease: GrantedLease, message: Arc<NewMessage>) {
+        let GrantedLease { id: lease, service } = lease;
         if !self.shards.is_newest_term(group, lease.term) {
             return;
         }
         self.deliveries.last += 1;
         let number = self.deliveries.last;
-        let route = self.routes.as_ref().and_then(|routes| routes.find(&message.host, &message.path));
-        let route = route.map(|route| (route.name.clone(), route.backend.clone()));
         self.deliveries.jobs.insert(number, Job { group, lease, message });
         if self.leaving {
             return self.report(number, DeliveryOutcome::NotRun { retry_after_ms: 0 });
         }
-        let Some((route, service)) = route else {
+        self.begin_delivery(number, &Counted { group, service });
+    }
+
+    /// Hands a job to the decisions, or asks for a permit first where it was counted elsewhere than it has to be.
+    pub(super) fn begin_delivery(&mut self, number: u64, counted: &Counted) {
+        let Some(Job { message, .. }) = self.deliveries.jobs.get(&number) else { return };
+        let route = self.routes.as_ref().and_then(|routes| routes.find(&message.host, &message.path));
+        let Some(route) = route.cloned() else {
             return self.report(number, DeliveryOutcome::RouteGone);
         };
-        let steps = self.dispatch.start(self.now, number, &route, &service);
+        if let Some(wanted) = self.uncounted(&route, counted) {
+            self.end_permit(number, None);
+            return self.ask_permit(number, &route, wanted);
+        }
+        let steps = self.dispatch.start(self.now, number, &route.name, &route.backend);
         self.take_steps(steps);
     }
 
@@ -182,7 +193,8 @@
     }
 
     /// Tells the shard's leader the outcome of a job.
-    fn report(&mut self, number: u64, outcome: DeliveryOutcome) {
+    pub(super) fn report(&mut self, number: u64, outcome: DeliveryOutcome) {
+        self.end_permit(number, Some(&outcome));
         let Some(Job { group, lease, message }) = self.deliveries.jobs.remove(&number) else { return };
         self.tell_outcome(group, message.id.clone(), lease, outcome);
     }
--- a/crates/edge/src/core/ingress.rs
+++ b/crates/edge/src/core/ingress.rs
@@ -106,12 +106,11 @@
             return Some(come_back("too much waits for the stores: come back later", COME_BACK_MS));
         }
         let service = routes.service(&route.backend);
-        let bound =
-            service.is_some_and(|service| service.rate_per_s > 0.0 || service.static_endpoint.is_some());
-        let group = match (&message.ordering_key, bound) {
-            (_, true) => self.shards.for_key(&route.backend, None),
-            (Some(key), false) => self.shards.for_key(&route.backend, Some(key)),
-            (None, false) => None,
+        let is_limited = service.is_some_and(|service| service.is_limited());
+        let group = match &message.ordering_key {
+            _ if is_limited => self.shards.for_service(&route.backend),
+            Some(key) => self.shards.for_key(&route.backend, key),
+            None => None,
         };
         let is_static = service.is_some_and(|service| service.static_endpoint.is_some());
         let lease_here = message.delay_ms == 0 && !self.leaving && self.can_start(&route.backend, is_static);
@@ -126,7 +125,7 @@
         if is_static {
             return true;
         }
-        let reserved = self.appends.reserved(service);
+        let reserved = self.appends.reserved(service).saturating_add(self.permits.waiting(service));
         self.dispatch.startable(self.now, service) > reserved
     }
 }
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -13,6 +13,7 @@
 mod held;
 mod ingress;
 mod output;
+mod permits;
 mod shards;
 mod statuses;
 
@@ -36,6 +37,7 @@
 use deliveries::Deliveries;
 use health::Health;
 use held::HeldRequests;
+use permits::Permits;
 use shards::Shards;
 use statuses::Statuses;
 
@@ -77,6 +79,7 @@
     appends: Appends,
     statuses: Statuses,
     deliveries: Deliveries,
+    permits: Permits,
     callbacks: Callbacks,
     credits: Credits,
     has_runners: bool,
@@ -107,6 +110,7 @@
             appends: Appends::default(),
             statuses: Statuses::default(),
             deliveries: Deliveries::default(),
+            permits: Permits::default(),
             callbacks: Callbacks::default(),
             credits: Credits::default(),
             has_runners: false,
@@ -140,6 +144,7 @@
             self.appends.next_wake(),
             self.statuses.next_wake(),
             self.deliveries.next_wake(),
+            self.permits.next_wake(),
         ];
         times.into_iter().flatten().min()
     }
@@ -150,6 +155,7 @@
         self.expire_held();
         self.expire_appends();
         self.expire_statuses();
+        self.expire_permits();
         if self.deliveries.take_wake(now) {
             let steps = self.dispatch.tick(now);
             self.take_steps(steps);
@@ -264,7 +270,7 @@
             StoreToEdge::Deliver { group, grant } => {
                 let Grant { lease, message } = *grant;
                 self.credits.granted(store, &lease.service);
-                self.deliver(group, lease.id, Arc::new(message));
+                self.deliver(group, lease, Arc::new(message));
             }
             StoreToEdge::CallBack { group, id, url, phase, signature } => {
                 self.call_back(group, id, &url, phase, &signature);
@@ -275,6 +281,7 @@
                 self.status_answered(request, leads, phase, body);
             }
             StoreToEdge::Alive => {}
+            StoreToEdge::PermitGranted { permit, .. } => self.permitted(permit),
         }
         self.update_credits();
     }
@@ -291,7 +298,7 @@
             items.extend(self.callbacks.inventory(group));
             self.send(store, EdgeToStore::Inventory { group, items });
             let unrecorded = self.deliveries.unrecorded(group).chain(self.callbacks.unrecorded(group));
-            let again: Vec<EdgeToStore> = unrecorded.collect();
+            let again: Vec<EdgeToStore> = unrecorded.chain(self.permits.requests(group)).collect();
             again.into_iter().for_each(|message| self.send(store, message));
         }
         if self.leaving {
@@ -358,6 +365,7 @@
             self.send(store, EdgeToStore::Leaving);
         }
         self.give_back_callbacks();
+        self.give_back_unpermitted();
     }
 
     /// The process is about to end: all clients that wait get their final answer.
--- a/crates/edge/src/core/shards.rs
+++ b/crates/edge/src/core/shards.rs
@@ -122,12 +122,19 @@
         &self.groups
     }
 
-    /// The shard of all messages of a service, or of those with a key.
-    pub fn for_key(&self, service: &str, key: Option<&str>) -> Option<GroupId> {
+    /// The shard of the messages of a service with a key.
+    pub fn for_key(&self, service: &str, key: &str) -> Option<GroupId> {
+        self.for_name(&format!("{service}\0{key}"))
+    }
+
+    /// The shard that counts the deliveries of a service.
+    pub fn for_service(&self, service: &str) -> Option<GroupId> {
+        self.for_name(service)
+    }
+
+    fn for_name(&self, name: &str) -> Option<GroupId> {
         let mut hasher = FnvHasher::default();
-        hasher.write(service.as_bytes());
-        hasher.write_u8(0);
-        hasher.write(key.unwrap_or_default().as_bytes());
+        hasher.write(name.as_bytes());
         let count = u64::try_from(self.groups.len()).ok()?;
         let place = hasher.finish().checked_rem(count)?;
         self.groups.get(usize::try_from(place).ok()?).copied()
--- a/crates/protocol/src/delivery.rs
+++ b/crates/protocol/src/delivery.rs
@@ -27,6 +27,11 @@
     pub service: String,
 }
 
+/// A permit: leave to start one delivery to a service whose rate and connections another shard counts. Numbered by its edge
+/// within its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerBin, DeBin)]
+pub struct PermitNumber(pub u64);
+
 /// A message as it is accepted. The route is found anew from host and path in the configuration in force.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub struct NewMessage {
@@ -132,6 +137,36 @@
         /// The term that [`StoreToEdge::Leading`] named.
         term: u64,
     },
+    /// The edge holds the lease of a message that lies in another shard, and asks leave to deliver it. Sent to the shard that
+    /// counts the service, and again to each new leader.
+    PermitWanted {
+        /// The shard that counts the service.
+        group: GroupId,
+        /// The permit.
+        permit: PermitNumber,
+        /// The service.
+        service: String,
+        /// Of the message's route.
+        priority_class: u32,
+    },
+    /// A delivery is under way that an earlier leader, or this one on an earlier connection, has permitted.
+    PermitHeld {
+        /// The shard that counts the service.
+        group: GroupId,
+        /// The permit.
+        permit: PermitNumber,
+        /// The service.
+        service: String,
+    },
+    /// The delivery has ended, or the permit is not wanted any more.
+    PermitEnded {
+        /// The shard that counts the service.
+        group: GroupId,
+        /// The permit.
+        permit: PermitNumber,
+        /// Whether the service answered; none where that says nothing of it.
+        answered: Option<bool>,
+    },
 }
 
 /// A lease or call-back that an edge holds.
@@ -207,6 +242,13 @@
     },
     /// Answers a heartbeat.
     Alive,
+    /// The edge may start the delivery now.
+    PermitGranted {
+        /// The shard that counts the service.
+        group: GroupId,
+        /// The permit.
+        permit: PermitNumber,
+    },
 }
 
 /// What became of an append.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -16,7 +16,7 @@
 };
 pub use delivery::{
     AppendOutcome, DeliveryOutcome, EdgeToStore, EndPhase, Grant, GrantedLease, InventoryItem, LeaseId,
-    MessagePhase, NewMessage, StoreToEdge,
+    MessagePhase, NewMessage, PermitNumber, StoreToEdge,
 };
 pub use greeting::{Channel, Greeting, PROTOCOL_VERSION};
 pub use identity::{GroupId, Incarnation, MessageId, ReplicaId};
--- a/crates/queue/src/leader.rs
+++ b/crates/queue/src/leader.rs
@@ -6,6 +6,7 @@
 mod dispatching;
 mod gate;
 mod outcomes;
+mod permitting;
 mod placing;
 mod starving;
 
@@ -21,6 +22,7 @@
 use crate::observation::Observation;
 use crate::ordering::KeyQueues;
 use crate::output::LeaderOutput;
+use crate::permits::Permits;
 use crate::policy::SharedPolicy;
 use crate::quota::OriginWindow;
 use crate::ready::Schedule;
@@ -50,6 +52,7 @@
     ordering: KeyQueues,
     services: Services,
     leases: LeaseTable,
+    permits: Permits,
     edges: Edges,
     callbacks: Callbacks,
     gate: Gate,
@@ -81,6 +84,7 @@
             ordering: KeyQueues::default(),
             services: Services::new(ServiceSettings { window, trial_waits, started_ms: now_ms }),
             leases: LeaseTable::new(term),
+            permits: Permits::default(),
             edges: Edges::new(settings.quiet_after_ms()),
             callbacks: Callbacks::new(&settings),
             gate: Gate::new(now_ms, settings.visibility_timeout_ms, state),
--- a/crates/queue/src/leader/connections.rs
+++ b/crates/queue/src/leader/connections.rs
@@ -27,6 +27,7 @@
         for other in others {
             self.supersede(now_ms, other);
         }
+        self.drop_permits(edge);
         let near = session.zone == self.settings.zone;
         let known = self.edges.entry(now_ms, edge, &session.node);
         known.connected = true;
@@ -42,6 +43,7 @@
     /// may take to connect again.
     pub fn edge_disconnected(&mut self, now_ms: u64, edge: Incarnation) {
         self.services.withdraw(edge);
+        self.drop_permits(edge);
         let Some(known) = self.edges.get_mut(edge) else { return };
         known.connected = false;
         known.inventoried = false;
@@ -208,6 +210,7 @@
     /// Frees all that an edge may hold, of this term and of earlier ones.
     fn free_all(&mut self, now_ms: u64, edge: Incarnation, reason: FreeReason) {
         let count = self.free_all_but(now_ms, edge, &BTreeSet::new());
+        self.drop_permits(edge);
         let inventory_missing = self.gate.settled(edge);
         self.observe_freed(edge, reason, count, inventory_missing);
     }
--- a/crates/queue/src/leader/dispatching.rs
+++ b/crates/queue/src/leader/dispatching.rs
@@ -55,6 +55,9 @@
             if up_to == Some(first.sequence) || !self.services.admits(now_ms, service) {
                 return;
             }
+            if self.grant_permit(first) {
+                continue;
+            }
             let Some(edge) = self.choose_edge(now_ms, service) else {
                 return self.no_credits(now_ms, service);
             };
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -23,6 +23,7 @@
 mod observation;
 mod ordering;
 mod output;
+mod permits;
 mod policy;
 mod policy_table;
 mod quota;
--- a/crates/queue/src/output.rs
+++ b/crates/queue/src/output.rs
@@ -1,6 +1,6 @@
 //! What the leader wants done.
 
-use ruddervalve_protocol::{Incarnation, LeaseId, MessageId};
+use ruddervalve_protocol::{Incarnation, LeaseId, MessageId, PermitNumber};
 
 use crate::Action;
 
@@ -16,6 +16,13 @@
         /// The lease.
         lease: LeaseId,
     },
+    /// Let the edge start the delivery that it has asked a permit for.
+    Permit {
+        /// The edge.
+        edge: Incarnation,
+        /// Its permit.
+        number: PermitNumber,
+    },
     /// Let the edge make the call-back.
     CallBack {
         /// The edge.
--- a/crates/queue/src/policy.rs
+++ b/crates/queue/src/policy.rs
@@ -22,7 +22,7 @@
     pub max_connections: u32,
     /// Arrivals that all dispatchers together may cause in a second; unlimited unless over 0.
     pub rate_per_s: f64,
-    /// Whether it is a single endpoint at a fixed address. All of its messages must be in one shard.
+    /// Whether it is a single endpoint at a fixed address.
     pub single_endpoint: bool,
 }
 
--- a/crates/queue/tests/histories.rs
+++ b/crates/queue/tests/histories.rs
@@ -349,6 +349,7 @@
                     self.check_counted(&id, lease);
                 }
             }
+            LeaderOutput::Permit { .. } => panic!("no edge has asked for a permit"),
             LeaderOutput::CallbackRecorded { edge, id } => {
                 if let Some(edge) = self.process(edge) {
                     edge.calls.remove(&id);
--- a/crates/store/src/core/edges.rs
+++ b/crates/store/src/core/edges.rs
@@ -59,7 +59,10 @@
             | EdgeToStore::CallbackTaken { group, .. }
             | EdgeToStore::CallbackFailed { group, .. }
             | EdgeToStore::Inventory { group, .. }
-            | EdgeToStore::Follows { group, .. } => {
+            | EdgeToStore::Follows { group, .. }
+            | EdgeToStore::PermitWanted { group, .. }
+            | EdgeToStore::PermitHeld { group, .. }
+            | EdgeToStore::PermitEnded { group, .. } => {
                 if let Some(shard) = self.shards.get_mut(&group) {
                     shard.take(now, edge, message);
                 }
--- a/crates/store/src/shard.rs
+++ b/crates/store/src/shard.rs
@@ -243,6 +243,15 @@
             EdgeToStore::Follows { .. } | EdgeToStore::Inventory { .. } => {}
             EdgeToStore::Heartbeat => leader.heartbeat(now, edge),
             EdgeToStore::Leaving => leader.leaving(edge),
+            EdgeToStore::PermitWanted { permit, service, priority_class, .. } => {
+                leader.permit_wanted(now, edge, permit, &service, priority_class);
+            }
+            EdgeToStore::PermitHeld { permit, service, .. } => {
+                leader.permit_held(now, edge, permit, &service);
+            }
+            EdgeToStore::PermitEnded { permit, answered, .. } => {
+                leader.permit_ended(now, edge, permit, answered);
+            }
             EdgeToStore::Append { .. } | EdgeToStore::Status { .. } => {}
         }
     }
@@ -399,6 +408,9 @@
         LeaderOutput::CallbackRecorded { edge, id } => {
             Some((edge, StoreToEdge::CallbackRecorded { group, id }))
         }
+        LeaderOutput::Permit { edge, number } => {
+            Some((edge, StoreToEdge::PermitGranted { group, permit: number }))
+        }
         LeaderOutput::Propose(_) => None,
     }
 }
