The order of a key is kept in one shard, found by the key alone

Cause: an edge chose the shard of a message by its service and key, and a leader kept an order for each service and key. Older messages of a key lay in one shard, newer ones went to another, and neither leader knew of the other's. Class: where state lives follows from what a configuration says, and the state outlives the configuration. Fix: the shard follows from the key, and a leader keeps one order for a key, from the acceptance of a message to its end, whether it has a route or not. That a service's rate needs one owner no longer decides where a message lies: permits do that.

--- a/crates/edge/src/core/ingress.rs
+++ b/crates/edge/src/core/ingress.rs
@@ -108,8 +108,8 @@
         let service = routes.service(&route.backend);
         let is_limited = service.is_some_and(|service| service.is_limited());
         let group = match &message.ordering_key {
-            _ if is_limited => self.shards.for_service(&route.backend),
-            Some(key) => self.shards.for_key(&route.backend, key),
+            Some(key) => self.shards.for_key(key),
+            None if is_limited => self.shards.for_service(&route.backend),
             None => None,
         };
         let is_static = service.is_some_and(|service| service.static_endpoint.is_some());
--- a/crates/edge/src/core/shards.rs
+++ b/crates/edge/src/core/shards.rs
@@ -122,9 +122,10 @@
         &self.groups
     }
 
-    /// The shard of the messages of a service with a key.
-    pub fn for_key(&self, service: &str, key: &str) -> Option<GroupId> {
-        self.for_name(&format!("{service}\0{key}"))
+    /// The shard that keeps the order of a key. It follows from the key alone: routes and services change under way, and
+    /// messages of one key must not meet in two shards.
+    pub fn for_key(&self, key: &str) -> Option<GroupId> {
+        self.for_name(key)
     }
 
     /// The shard that counts the deliveries of a service.
--- a/crates/edge/tests/core_moved_routes.rs
+++ b/crates/edge/tests/core_moved_routes.rs
@@ -2,14 +2,19 @@
 
 mod core_support;
 
-use core_support::{CONFIGURATION, Play, group, store};
+use core_support::{CONFIGURATION, Play, accepted, group, store};
 use ruddervalve_edge::core::{EdgeOutput, JobNumber};
 use ruddervalve_edge::runner::{DeliveryResult, RunnerAnswer};
 use ruddervalve_protocol::{
-    Blob, EdgeToStore, Grant, GrantedLease, LeaseId, MessageId, NewMessage, StoreToEdge,
+    Blob, EdgeToStore, Grant, GrantedLease, GroupId, LeaseId, MessageId, NewMessage, StoreToEdge,
 };
 
-const UNLIMITED: &str = r#""RatePerS":0.0,"Idempotent":true,"PullMode":false,"StaticEndpoint":null"#;
+/// The services that the ordered route leads to in turn: one without a limit, one with a rate, a single endpoint.
+const OTHER_SERVICES: [&str; 3] = [
+    r#""RatePerS":0.0,"Idempotent":true,"PullMode":false,"StaticEndpoint":null"#,
+    r#""RatePerS":5.0,"Idempotent":true,"PullMode":false,"StaticEndpoint":null"#,
+    r#""RatePerS":5.0,"Idempotent":true,"PullMode":false,"StaticEndpoint":"127.0.0.7:70""#,
+];
 
 /// All routes lead to `other`, of which `fields` tells the rest.
 fn moved_to(other: &str, fields: &str) -> String {
@@ -21,6 +26,32 @@
         .replace(r#""Services":["#, &format!(r#""Services":[{service},"#))
 }
 
+/// The shard that a new message of a key goes to.
+fn shard_of(play: &mut Play, key: &str) -> GroupId {
+    let id = format!("m{}", play.last_client + 1);
+    play.post("/k/1", &id, Some(key));
+    let (to, request, shard) = play.append();
+    play.says(to, StoreToEdge::Appended { request, outcome: accepted(None) });
+    play.outputs();
+    shard
+}
+
+#[test]
+fn messages_of_a_key_go_to_one_shard_whatever_service_their_route_leads_to() {
+    let mut play = Play::serving();
+    let keys: Vec<String> = (0..20).map(|number| format!("key-{number}")).collect();
+    let before: Vec<GroupId> = keys.iter().map(|key| shard_of(&mut play, key)).collect();
+    let mut version = 1;
+    for fields in OTHER_SERVICES {
+        for other in ["books", "journal", "supplier"] {
+            version += 1;
+            play.configure(version, &moved_to(other, fields));
+            let after: Vec<GroupId> = keys.iter().map(|key| shard_of(&mut play, key)).collect();
+            assert_eq!(after, before, "{other} {fields}");
+        }
+    }
+}
+
 fn message_for(service: &str, number: u64) -> NewMessage {
     NewMessage {
         id: MessageId(format!("m{number}")),
@@ -64,7 +95,7 @@
 #[test]
 fn a_store_may_go_on_granting_messages_that_were_accepted_for_another_service() {
     let mut play = Play::serving();
-    play.configure(2, &moved_to("books", UNLIMITED));
+    play.configure(2, &moved_to("books", OTHER_SERVICES[0]));
     play.list_runners(2, &["work", "books"]);
     let mut credits = StoreCredits { left: 0 };
     credits.take(play.outputs(), "books");
--- a/crates/queue/src/leader.rs
+++ b/crates/queue/src/leader.rs
@@ -160,6 +160,9 @@
         for (sequence, entry) in &self.entries {
             self.index.insert(entry.id().clone(), *sequence);
             self.schedule.expiry.insert(entry.expires_ms, *sequence);
+            if let Some(key) = &entry.message.ordering_key {
+                self.ordering.insert(key, *sequence);
+            }
         }
     }
 
--- a/crates/queue/src/leader/applying.rs
+++ b/crates/queue/src/leader/applying.rs
@@ -37,6 +37,9 @@
         let entry = Entry::new(pending, Phase::Unrouted);
         self.index.insert(entry.id().clone(), sequence);
         self.schedule.expiry.insert(entry.expires_ms, sequence);
+        if let Some(key) = &entry.message.ordering_key {
+            self.ordering.insert(key, sequence);
+        }
         self.entries.insert(sequence, entry);
         self.resolve(now_ms, sequence);
         self.place(now_ms, sequence);
@@ -101,8 +104,8 @@
 
     /// The next message of the key may run.
     fn unblock_next(&mut self, now_ms: u64, sequence: Sequence, ended: &Entry) {
-        let (Some(route), Some(key)) = (ended.route, &ended.message.ordering_key) else { return };
-        let Some(next) = self.ordering.remove(route.service, key, sequence) else { return };
+        let Some(key) = &ended.message.ordering_key else { return };
+        let Some(next) = self.ordering.remove(key, sequence) else { return };
         let is_blocked = self.entries.get(&next).is_some_and(|entry| matches!(entry.phase, Phase::Blocked));
         if is_blocked {
             self.place(now_ms, next);
--- a/crates/queue/src/leader/placing.rs
+++ b/crates/queue/src/leader/placing.rs
@@ -18,7 +18,6 @@
         self.services.change(now_ms, |name| policy.service(name));
         self.policy = Some(policy);
         let sequences: Vec<Sequence> = self.entries.keys().copied().collect();
-        self.ordering.clear();
         for sequence in &sequences {
             self.unqueue(*sequence);
             self.resolve(now_ms, *sequence);
@@ -44,8 +43,7 @@
         }
     }
 
-    /// Finds the route of a message in the policy in force, and puts it into the order of its key. It must stand in no
-    /// queue and not be in the order.
+    /// Finds the route of a message in the policy in force. It must stand in no queue.
     pub(super) fn resolve(&mut self, now_ms: u64, sequence: Sequence) {
         let Some(entry) = self.entries.get_mut(&sequence) else { return };
         let Some(policy) = &self.policy else { return };
@@ -56,13 +54,9 @@
             max_retries: route.max_retries,
             schedule_target_ms: route.schedule_target_ms,
         });
-        let Some(route) = entry.route else {
-            entry.missing_since_ms.get_or_insert(now_ms);
-            return;
-        };
-        entry.missing_since_ms = None;
-        if let Some(key) = &message.ordering_key {
-            self.ordering.insert(route.service, key, sequence);
+        match entry.route {
+            Some(_) => entry.missing_since_ms = None,
+            None => drop(entry.missing_since_ms.get_or_insert(now_ms)),
         }
     }
 
@@ -82,7 +76,7 @@
             return;
         }
         let key = entry.message.ordering_key.as_deref();
-        if key.is_some_and(|key| !self.ordering.is_first(route.service, key, sequence)) {
+        if key.is_some_and(|key| !self.ordering.is_first(key, sequence)) {
             entry.phase = Phase::Blocked;
             return;
         }
@@ -96,8 +90,7 @@
     fn ready_key(&self, sequence: Sequence, route: RouteInForce) -> ReadyKey {
         let entry = self.entries.get(&sequence);
         let key = entry.and_then(|entry| entry.message.ordering_key.as_deref());
-        let (chain, last) =
-            key.and_then(|key| self.ordering.chain(route.service, key)).unwrap_or((1, sequence));
+        let (chain, last) = key.and_then(|key| self.ordering.chain(key)).unwrap_or((1, sequence));
         let due_ms = entry.map_or(0, |entry| entry.due_ms);
         let last_due_ms = self.entries.get(&last).map_or(due_ms, |entry| entry.due_ms);
         let hope_ms = last_due_ms.saturating_add(route.schedule_target_ms);
@@ -107,10 +100,8 @@
     /// Another message has come behind the first of a key: that may be worth running sooner now.
     pub(super) fn replace_first_of_key(&mut self, now_ms: u64, sequence: Sequence) {
         let Some(entry) = self.entries.get(&sequence) else { return };
-        let (Some(route), Some(key)) = (entry.route, entry.message.ordering_key.as_deref()) else { return };
-        let Some(first) = self.ordering.first(route.service, key).filter(|first| *first != sequence) else {
-            return;
-        };
+        let Some(key) = entry.message.ordering_key.as_deref() else { return };
+        let Some(first) = self.ordering.first(key).filter(|first| *first != sequence) else { return };
         let is_ready = self.entries.get(&first).is_some_and(|entry| matches!(entry.phase, Phase::Ready(_)));
         if is_ready {
             self.unqueue(first);
--- a/crates/queue/tests/grants.rs
+++ b/crates/queue/tests/grants.rs
@@ -242,14 +242,19 @@
     let credits = [("s".to_owned(), 9), ("t".to_owned(), 9)];
     shard.leader.credits(shard.now_ms, edge(1), &credits);
     shard.accept(keyed("a", "/s/", "k"));
-    shard.granted("a");
+    let (holder, lease) = shard.granted("a");
     shard.accept(keyed("b", "/s/", "k"));
     shard.accept(keyed("c", "/s/", "other"));
     shard.accept(keyed("d", "/t/", "k"));
-    shard.accept(message("e", "/s/"));
+    shard.accept(keyed("e", "/t/", "third"));
+    shard.accept(message("f", "/s/"));
     let mut names = shard.granted_names();
     names.sort();
-    assert_eq!(names, ["c", "d", "e"]);
+    assert_eq!(names, ["c", "e", "f"]);
+    shard.outcome(holder, "a", lease, success());
+    let (holder, lease) = shard.granted("b");
+    shard.outcome(holder, "b", lease, success());
+    shard.granted("d");
 }
 
 #[test]
--- a/crates/queue/tests/policies.rs
+++ b/crates/queue/tests/policies.rs
@@ -87,6 +87,39 @@
     shard.granted("b");
 }
 
+#[test]
+fn a_key_has_one_order_for_all_services_that_its_messages_go_to() {
+    let policy = || TestPolicy::default().route("/s/", "s").route("/t/", "t").service("s").service("t");
+    let mut shard = Shard::new(policy());
+    shard.join(1, "near");
+    let credits = [("s".to_owned(), 9), ("t".to_owned(), 9)];
+    shard.leader.credits(shard.now_ms, edge(1), &credits);
+    shard.accept(keyed("a", "/s/", "k"));
+    let (holder, lease) = shard.granted("a");
+    shard.accept(keyed("b", "/t/", "k"));
+    assert!(shard.grants().is_empty());
+    set_policy(&mut shard, policy());
+    assert!(shard.grants().is_empty());
+    shard.outcome(holder, "a", lease, success());
+    shard.granted("b");
+}
+
+#[test]
+fn a_message_without_a_route_holds_up_the_later_ones_of_its_key_until_it_ends() {
+    let settings = LeaderSettings { route_grace_ms: 3000, ..settings() };
+    let mut shard = Shard::with_settings(plain_policy(), settings);
+    shard.join_with_credits(1, "near", "s", 9);
+    shard.accept(keyed("a", "/new/", "k"));
+    shard.accept(keyed("b", "/s/", "k"));
+    assert!(shard.grants().is_empty());
+    shard.advance(3000);
+    shard.credits(1, "s", 9);
+    assert!(shard.grants().is_empty());
+    shard.leader.policy_confirmed(shard.now_ms);
+    shard.granted("b");
+    assert!(shard.is_dead("a"));
+}
+
 #[test]
 fn delays_and_backoffs_go_on_under_a_new_policy() {
     let mut shard = Shard::new(plain_policy());
--- a/crates/simulation/tests/histories.rs
+++ b/crates/simulation/tests/histories.rs
@@ -136,3 +136,8 @@
 fn a_route_led_to_an_endpoint_keeps_to_its_rate_wherever_the_messages_lie() {
     assert_eq!(broken("moved-rate.toml", 0..2), Vec::<String>::new());
 }
+
+#[test]
+fn routes_that_lead_to_other_services_in_turn_among_faults_break_no_rule() {
+    assert_eq!(broken("moved-faults.toml", 0..2), Vec::<String>::new());
+}
