--- a/crates/store/src/shard.rs
+++ b/crates/store/src/shard.rs
@@ -2,20 +2,24 @@
 //!
 //! No I/O and no clock: time is passed in, proposals and messages to edges come out.
 
+mod observing;
+mod telling;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use ruddervalve_consensus::Entry;
 use ruddervalve_consensus::Payload;
 use ruddervalve_protocol::{
-    AppendOutcome, EdgeToStore, GrantedLease, GroupId, Incarnation, LeaseId, MessageId, NewMessage,
-    StoreToEdge,
+    AppendOutcome, EdgeToStore, GroupId, Incarnation, MessageId, NewMessage, StoreToEdge,
 };
 use ruddervalve_queue::{
-    Action, ClockSettings, Command, EdgeSession, LeaderOutput, LeaderSettings, Observation, Proposed,
-    ShardClock, ShardLeader, ShardState, SharedMessage, SharedPolicy, SnapshotError,
+    Action, ClockSettings, Command, EdgeSession, LeaderOutput, LeaderSettings, Proposed, ShardClock,
+    ShardLeader, ShardState, SharedMessage, SharedPolicy, SnapshotError,
 };
 use ruddervalve_replication::GroupSnapshot;
 
+use telling::{appended, granted, message};
+
 /// What a shard goes by.
 #[derive(Debug, Clone)]
 pub struct ShardSettings {
@@ -307,7 +311,7 @@
         let mut actions = std::mem::take(&mut office.unproposed);
         let outputs = office.leader.poll(shard_now);
         for observation in office.leader.observations() {
-            log(self.group, &observation);
+            observing::log(self.group, &observation);
         }
         for output in outputs {
             let message = match output {
@@ -338,85 +342,3 @@
         Some(self.clock.local_ms(at))
     }
 }
-
-fn appended(edge: Incarnation, request: u64, outcome: AppendOutcome) -> ShardOutput {
-    ShardOutput::Send(edge, StoreToEdge::Appended { request, outcome })
-}
-
-fn log(group: GroupId, observation: &Observation) {
-    let group = group.0;
-    match observation {
-        Observation::LeasesFreed { edge, node, reason, count, inventory_missing } => {
-            tracing::warn!(group, node, edge = edge.0, count, inventory_missing, %reason, "leases freed without an outcome");
-        }
-        Observation::InventoriesMissing { edges, messages } => {
-            tracing::warn!(
-                group,
-                edges,
-                messages,
-                "messages of earlier terms may run though edges have not said what they hold"
-            );
-        }
-        Observation::NoCredits { service, messages, for_ms } => {
-            tracing::warn!(
-                group,
-                service,
-                messages,
-                for_ms,
-                "messages may run and no edge offers to deliver them"
-            );
-        }
-        Observation::EndUnderFreedLease { edge, id, lease } => {
-            tracing::warn!(
-                group,
-                edge = edge.0,
-                id = id.0,
-                ?lease,
-                "a message ended under a lease that had been freed"
-            );
-        }
-    }
-}
-
-/// What an edge is told; none if there is nothing to tell any more.
-fn message(
-    group: GroupId,
-    state: &ShardState,
-    leader: &ShardLeader,
-    shard_now: u64,
-    output: LeaderOutput,
-) -> Option<(Incarnation, StoreToEdge)> {
-    match output {
-        LeaderOutput::Grant { edge, id, lease } => {
-            let grant = state.grant(&id, granted(leader, &id, lease), shard_now)?;
-            Some((edge, StoreToEdge::Deliver { group, grant: Box::new(grant) }))
-        }
-        LeaderOutput::CallBack { edge, id } => {
-            let owed = state.callback(&id)?;
-            let call = StoreToEdge::CallBack {
-                group,
-                id,
-                url: owed.url,
-                phase: owed.phase,
-                signature: owed.signature,
-            };
-            Some((edge, call))
-        }
-        LeaderOutput::Recorded { edge, id, lease } => {
-            Some((edge, StoreToEdge::OutcomeRecorded { group, id, lease }))
-        }
-        LeaderOutput::CallbackRecorded { edge, id } => {
-            Some((edge, StoreToEdge::CallbackRecorded { group, id }))
-        }
-        LeaderOutput::Permit { edge, number } => {
-            Some((edge, StoreToEdge::PermitGranted { group, permit: number }))
-        }
-        LeaderOutput::Propose(_) => None,
-    }
-}
-
-/// A lease as its edge is to know it.
-fn granted(leader: &ShardLeader, message: &MessageId, id: LeaseId) -> GrantedLease {
-    let service = leader.counted_at(message).unwrap_or_default().to_owned();
-    GrantedLease { id, service }
-}
