--- a/crates/edge/tests/core_callers.rs
+++ b/crates/edge/tests/core_callers.rs
@@ -2,13 +2,12 @@
 
 mod core_support;
 
-use core_support::{Play, TARGET_MS, accepted, answers, granted, group, status_of, store};
+use core_support::{Play, TARGET_MS, accepted, answers, granted, group, message, status_of, store};
 use ruddervalve_edge::core::{DeliveryOrder, EdgeOutput};
 use ruddervalve_edge::front::StatusCode;
 use ruddervalve_edge::runner::{DeliveryResult, RunnerAnswer};
 use ruddervalve_protocol::{
-    AppendOutcome, Blob, DeliveryOutcome, EdgeToStore, EndPhase, Grant, LeaseId, MessageId, MessagePhase,
-    NewMessage, StoreToEdge,
+    AppendOutcome, DeliveryOutcome, EdgeToStore, EndPhase, Grant, LeaseId, MessagePhase, StoreToEdge,
 };
 
 const OLD_TERM: u64 = 1;
@@ -16,23 +15,6 @@
 const OLD_LEASE: LeaseId = LeaseId { term: OLD_TERM, number: 7 };
 const NEW_LEASE: LeaseId = LeaseId { term: NEW_TERM, number: 1 };
 
-fn message(id: &str) -> NewMessage {
-    NewMessage {
-        id: MessageId(id.to_owned()),
-        route: "plain".to_owned(),
-        service: "work".to_owned(),
-        method: "POST".to_owned(),
-        host: "a.example".to_owned(),
-        path: "/p/1".to_owned(),
-        content_type: String::new(),
-        ordering_key: None,
-        callback_url: None,
-        delay_ms: 0,
-        retention_ms: 90_000,
-        body: Blob::from(b"body".as_slice()),
-    }
-}
-
 fn deliver(shard: u64, id: &str, lease: LeaseId) -> StoreToEdge {
     StoreToEdge::Deliver {
         group: group(shard),
--- a/crates/edge/tests/core_moved_routes.rs
+++ b/crates/edge/tests/core_moved_routes.rs
@@ -2,12 +2,10 @@
 
 mod core_support;
 
-use core_support::{CONFIGURATION, Play, accepted, group, store};
+use core_support::{CONFIGURATION, Play, accepted, group, message, store};
 use ruddervalve_edge::core::{EdgeOutput, JobNumber};
 use ruddervalve_edge::runner::{DeliveryResult, RunnerAnswer};
-use ruddervalve_protocol::{
-    Blob, EdgeToStore, Grant, GrantedLease, GroupId, LeaseId, MessageId, NewMessage, StoreToEdge,
-};
+use ruddervalve_protocol::{EdgeToStore, Grant, GrantedLease, GroupId, LeaseId, StoreToEdge};
 
 /// The services that the ordered route leads to in turn: one without a limit, one with a rate, a single endpoint.
 const OTHER_SERVICES: [&str; 3] = [
@@ -52,23 +50,6 @@
     }
 }
 
-fn message_for(service: &str, number: u64) -> NewMessage {
-    NewMessage {
-        id: MessageId(format!("m{number}")),
-        route: "plain".to_owned(),
-        service: service.to_owned(),
-        method: "POST".to_owned(),
-        host: "a.example".to_owned(),
-        path: "/p/1".to_owned(),
-        content_type: String::new(),
-        ordering_key: None,
-        callback_url: None,
-        delay_ms: 0,
-        retention_ms: 90_000,
-        body: Blob::default(),
-    }
-}
-
 /// What a store may still grant of a service, as the edge has told it.
 struct StoreCredits {
     left: u32,
@@ -103,7 +84,7 @@
         assert!(credits.left > 0, "the store may grant no more after {} messages", number - 1);
         credits.left -= 1;
         let lease = GrantedLease { id: LeaseId { term: 1, number }, service: "books".to_owned() };
-        let grant = Box::new(Grant { lease, message: message_for("work", number) });
+        let grant = Box::new(Grant { lease, message: message(&format!("m{number}")) });
         play.says(1, StoreToEdge::Deliver { group: group(1), grant });
         let jobs = credits.take(play.outputs(), "books");
         assert_eq!(jobs.len(), 1);
--- a/crates/edge/tests/core_permits.rs
+++ b/crates/edge/tests/core_permits.rs
@@ -2,12 +2,11 @@
 
 mod core_support;
 
-use core_support::{CONFIGURATION, Play, group, store};
+use core_support::{CONFIGURATION, Play, group, message, store};
 use ruddervalve_edge::core::{EdgeOutput, JobNumber};
 use ruddervalve_edge::runner::{DeliveryResult, RunnerAnswer, UnclearReason};
 use ruddervalve_protocol::{
-    Blob, DeliveryOutcome, EdgeToStore, Grant, GrantedLease, GroupId, LeaseId, MessageId, NewMessage,
-    PermitNumber, StoreToEdge,
+    DeliveryOutcome, EdgeToStore, Grant, GrantedLease, GroupId, LeaseId, PermitNumber, StoreToEdge,
 };
 
 /// `ScheduleTargetMs` of all routes.
@@ -53,20 +52,7 @@
 
 /// The store that leads a shard hands out a message of it.
 fn grant(play: &mut Play, shard: u64, lease: GrantedLease) {
-    let message = NewMessage {
-        id: MessageId(format!("m{}", lease.id.number)),
-        route: "plain".to_owned(),
-        service: "work".to_owned(),
-        method: "POST".to_owned(),
-        host: "a.example".to_owned(),
-        path: "/p/1".to_owned(),
-        content_type: String::new(),
-        ordering_key: None,
-        callback_url: None,
-        delay_ms: 0,
-        retention_ms: 90_000,
-        body: Blob::default(),
-    };
+    let message = message(&format!("m{}", lease.id.number));
     let grant = Box::new(Grant { lease, message });
     play.says(shard, StoreToEdge::Deliver { group: group(shard), grant });
 }
--- a/crates/edge/tests/core_support/mod.rs
+++ b/crates/edge/tests/core_support/mod.rs
@@ -7,7 +7,8 @@
 use ruddervalve_edge::front::{FrontRequest, FrontResponse, Method, StatusCode};
 use ruddervalve_protocol::{
     AppendOutcome, Blob, ConfigurationUpdate, Directory, EdgeToStore, GrantedLease, GroupId, LeaseId,
-    ReplicaId, Runner, RunnerList, RunnerPhase, ShardPlacement, StoreMember, StoreToEdge,
+    MessageId, NewMessage, ReplicaId, Runner, RunnerList, RunnerPhase, ShardPlacement, StoreMember,
+    StoreToEdge,
 };
 
 pub const TARGET_MS: u64 = 100;
@@ -212,6 +213,24 @@
     answers[0].1.status
 }
 
+/// A message on the route without order, as a store keeps it.
+pub fn message(id: &str) -> NewMessage {
+    NewMessage {
+        id: MessageId(id.to_owned()),
+        route: "plain".to_owned(),
+        service: "work".to_owned(),
+        method: "POST".to_owned(),
+        host: "a.example".to_owned(),
+        path: "/p/1".to_owned(),
+        content_type: String::new(),
+        ordering_key: None,
+        callback_url: None,
+        delay_ms: 0,
+        retention_ms: 90_000,
+        body: Blob::from(b"body".as_slice()),
+    }
+}
+
 /// A lease that its leader counts at the service of all routes.
 pub fn granted(id: LeaseId) -> GrantedLease {
     GrantedLease { id, service: "work".to_owned() }
