--- a/crates/coordinator/tests/placement.rs
+++ b/crates/coordinator/tests/placement.rs
@@ -304,6 +304,30 @@
     assert!(replicas_of(&next).values().all(|count| *count == 5), "{:?}", replicas_of(&next));
 }
 
+/// A newcomer may be in the midst of being given shards when another store is lost.
+#[test]
+fn all_places_of_a_store_that_is_away_are_taken_however_far_the_balance_has_come() {
+    let zones = ["a", "b", "c", "a", "b", "c", "a", "b", "c", "a", "b", "c"];
+    let rules = PlacementRules { shards_per_store: 1, ..rules(2, 0) };
+    for count in 5..zones.len() {
+        for steps in 0..6 {
+            for lost in 1..=count {
+                let mut stores = stores(&zones[..count]);
+                let mut shards = found(&stores, &rules).expect("they are enough");
+                stores.push(store(20, zones[count]));
+                for _ in 0..steps {
+                    shards = improve(&stores, &rules, &shards, &BTreeSet::new()).unwrap_or(shards);
+                }
+                let lost = format!("s{lost:02}");
+                dead(&mut stores, &lost, AWAY_AFTER_MS);
+                let settled = settle(&stores, &rules, &shards);
+                let left = holders(&settled, &lost);
+                assert!(left.is_empty(), "{count} stores, {steps} steps: {lost} is left with {left:?}");
+            }
+        }
+    }
+}
+
 #[test]
 fn two_newcomers_take_the_places_of_two() {
     let rules = PlacementRules { shards_per_store: 1, ..rules(2, 0) };
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -298,6 +298,7 @@
                 }
             }
             LastFault::LoseDisk => self.on_spare_machine(|world, machine| world.power_off(machine, true)),
+            LastFault::LoseDisksAndPower => self.lose_disks_and_power(),
             LastFault::None | LastFault::Any => {}
         }
     }
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -148,6 +148,8 @@
     AllKill,
     /// A machine with a disk loses it.
     LoseDisk,
+    /// As many machines with disks as may be lost lose them, and all machines lose power at the same moment.
+    LoseDisksAndPower,
     /// One of them, drawn.
     Any,
 }
--- a/crates/simulation/src/troubles.rs
+++ b/crates/simulation/src/troubles.rs
@@ -113,10 +113,29 @@
         }
     }
 
+    /// As many machines as the tolerance allows lose their disks, and all others lose power with them.
+    pub fn lose_disks_and_power(&mut self) {
+        for _ in 0..self.scenario.tolerance {
+            let down = self.drawn_herd_time();
+            self.on_spare_machine(|world, machine| world.power_off_for(machine, down, true));
+        }
+        for machine in 0..self.hosts.len() {
+            if self.exists(machine) && self.running(machine).is_some() {
+                let down = self.drawn_herd_time();
+                self.power_off_for(machine, down, false);
+            }
+        }
+    }
+
+    /// How long a machine is down that has lost power with all others, in milliseconds.
+    fn drawn_herd_time(&mut self) -> u64 {
+        self.fault_random.random_range(SHORTEST_MS..LONGEST_HERD_MS * 2)
+    }
+
     pub fn power_all(&mut self, with_edges: bool) {
         for machine in 0..self.hosts.len() {
             if self.exists(machine) && (with_edges || !self.is_edge(machine)) {
-                let down = self.fault_random.random_range(SHORTEST_MS..LONGEST_HERD_MS * 2);
+                let down = self.drawn_herd_time();
                 self.power_off_for(machine, down, false);
             }
         }
