Every place of a store that is away finds a taker, within its share or not

Cause: the places of a store that is away are shared out among stores that hold less than their share. Where a newcomer had been given some shards by the balance already, the room that was left lay at stores which hold those shards themselves, so two of eight shards kept the lost member for as long as it was not taken for gone for good, and lost their quorum with the next two disks. Class: what is due for safety was bounded by what is only wished for, an even load. Fix: a store within its share first, else any that does not hold the shard; the balance evens that out afterwards. As before only where there are more stores than at the founding: copying to full stores costs more than the return of the one that is away.

--- a/crates/coordinator/src/placement_improve.rs
+++ b/crates/coordinator/src/placement_improve.rs
@@ -112,8 +112,9 @@
         self.eligible.iter().filter(has_room).min_by_key(cost).copied()
     }
 
-    /// Shares the places of a store that is away out among stores that hold less than their share. Only where there are
-    /// more stores than at the founding: the newcomer may have been given other shards already, as before a planned
+    /// Shares the places of a store that is away out: to stores that hold less than their share, and where these hold the
+    /// shard already, to any other, as a shard that stays a member short may lose its quorum with the next loss. Only where
+    /// there are more stores than at the founding: the newcomer may have been given other shards already, as before a planned
     /// replacement. Whether one was found.
     fn share_out(&mut self, leaving: &StoreView) -> bool {
         let per_store = usize::try_from(self.rules.shards_per_store).unwrap_or(usize::MAX).max(1);
@@ -123,13 +124,7 @@
         let share = self.share();
         let mut found = false;
         for shard in self.shards_of(&leaving.node) {
-            let others = self.members_without(shard, &leaving.node);
-            let has_room = |store: &&'a StoreView| {
-                !self.holds(shard, &store.node) && self.load.of(&store.node).replicas < share
-            };
-            let free: Vec<&'a StoreView> = self.eligible.iter().copied().filter(has_room).collect();
-            let picked = pick_member(&free, &others, self.rules.spread(), &self.load);
-            if let Some(joining) = free.iter().copied().find(|store| Some(*store) == picked) {
+            if let Some(joining) = self.taker(shard, leaving, share) {
                 self.exchange(Exchange { shard, leaving: leaving.node.clone(), joining });
                 found = true;
             }
@@ -137,6 +132,17 @@
         found
     }
 
+    /// The store that takes one place of a store that is away: one with room within its share, else any.
+    fn taker(&self, shard: usize, leaving: &StoreView, share: u32) -> Option<&'a StoreView> {
+        let others = self.members_without(shard, &leaving.node);
+        let is_free = |store: &&'a StoreView| !self.holds(shard, &store.node);
+        let free: Vec<&'a StoreView> = self.eligible.iter().copied().filter(is_free).collect();
+        let has_room = |store: &&'a StoreView| self.load.of(&store.node).replicas < share;
+        let roomy: Vec<&'a StoreView> = free.iter().copied().filter(has_room).collect();
+        let candidates = if roomy.is_empty() { &free } else { &roomy };
+        pick_member(candidates, &others, self.rules.spread(), &self.load)
+    }
+
     /// How many stores are there or hold something, but for those that are being emptied.
     fn counted_stores(&self) -> usize {
         let counts = |store: &&StoreView| {
