--- a/crates/edge/src/runner/answer.rs
+++ b/crates/edge/src/runner/answer.rs
@@ -76,6 +76,15 @@
     headers.get_all(REQUEST_ID).iter().all(|id| id.as_bytes() == request_id.as_bytes())
 }
 
+/// The other message that an answer names.
+pub(super) fn other_message<'headers>(
+    headers: &'headers HeaderMap,
+    request_id: &str,
+) -> Option<&'headers str> {
+    let ids = headers.get_all(REQUEST_ID).iter();
+    ids.filter_map(|id| id.to_str().ok()).find(|id| *id != request_id)
+}
+
 fn success(exchanged: &Exchanged) -> RunnerAnswer {
     if exchanged.body == Err(UnclearReason::Timeout) {
         return RunnerAnswer::Unclear { reason: UnclearReason::Timeout };
--- a/crates/edge/src/runner/carried.rs
+++ b/crates/edge/src/runner/carried.rs
@@ -32,6 +32,12 @@
     pub(super) fn contains(&self, request_id: &str) -> bool {
         self.newest.contains(&hash(request_id))
     }
+
+    /// How many messages were sent here after this one.
+    pub(super) fn sent_since(&self, request_id: &str) -> Option<usize> {
+        let hash = hash(request_id);
+        self.newest.iter().rev().position(|newer| *newer == hash)
+    }
 }
 
 fn hash(request_id: &str) -> u64 {
--- a/crates/edge/src/runner/client.rs
+++ b/crates/edge/src/runner/client.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, StatusCode};
 use tokio::time::{Instant, Sleep, sleep};
 
-use super::answer::{is_trusted, judge, load_of};
+use super::answer::{is_trusted, judge, load_of, other_message};
 use super::connection::{ExchangeError, RunnerConnection};
 use super::exchange::Exchanged;
 use super::pool::{OwnerRef, Permit, Pool, Pooled};
@@ -183,6 +183,9 @@
         let build = || request::delivery(delivery);
         let limit_ms = delivery.deadline_ms.saturating_add(self.settings.answer_margin_ms);
         let answered = self.send(target, build, limit_ms, new_connection).await?;
+        if let Some(other) = other_message(&answered.exchanged.headers, &delivery.request_id) {
+            answered.pooled.connection.log_answer_to_another(&delivery.request_id, other);
+        }
         let answer = judge(&answered.exchanged, &delivery.request_id);
         let trusted = is_trusted(&answer);
         // An answer of another message says nothing about the runner now.
--- a/crates/edge/src/runner/connection.rs
+++ b/crates/edge/src/runner/connection.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::pin::{Pin, pin};
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full};
@@ -14,7 +15,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::time::Sleep;
+use tokio::time::{Instant, Sleep};
 
 use super::UnclearReason;
 use super::carried::Carried;
@@ -46,6 +47,10 @@
     /// Gone once hyper has ended the connection.
     driver: Option<Driver>,
     carried: Carried,
+    /// When the connection came up, or its newest exchange ended.
+    idle_since: Instant,
+    /// How long it had been idle before the newest exchange.
+    idle_before: Duration,
 }
 
 impl RunnerConnection {
@@ -54,7 +59,14 @@
         let socket = Socket::new(stream);
         let io = TokioIo::new(socket.clone());
         let (sender, driver) = http1::Builder::new().title_case_headers(true).handshake(io).await?;
-        Ok(Self { socket, sender, driver: Some(driver), carried: Carried::default() })
+        Ok(Self {
+            socket,
+            sender,
+            driver: Some(driver),
+            carried: Carried::default(),
+            idle_since: Instant::now(),
+            idle_before: Duration::ZERO,
+        })
     }
 
     /// Whether an idle connection can be used: it is open, and nothing has come on it.
@@ -72,6 +84,17 @@
         self.carried.note(request_id);
     }
 
+    /// Logs that an answer came which names another message than the one that was sent.
+    pub(super) fn log_answer_to_another(&self, request_id: &str, answered: &str) {
+        tracing::warn!(
+            message = request_id,
+            answered,
+            messages_since = self.carried.sent_since(answered),
+            idle_ms = self.idle_before.as_millis(),
+            "an answer belongs to another message"
+        );
+    }
+
     /// Sends a request and reads the answer with its body, of which no more than `most` bytes. The connection must be
     /// dropped afterwards unless the answer says that it can be kept.
     pub(super) async fn exchange(
@@ -80,6 +103,7 @@
         most: usize,
         mut limit: Pin<&mut Sleep>,
     ) -> Result<Exchanged, ExchangeError> {
+        self.idle_before = self.idle_since.elapsed();
         self.socket.nothing_written();
         let response = self.sender.send_request(request);
         let progress = Progress::of(&self.socket);
@@ -92,6 +116,7 @@
         let body = drive(&mut self.driver, limit, &progress, read_away(body, most, &progress)).await;
         let body = body.unwrap_or(Err(UnclearReason::Timeout));
         let reusable = body.is_ok() && self.is_ready().await;
+        self.idle_since = Instant::now();
         Ok(Exchanged {
             status: parts.status,
             framing_certain: framing_is_certain(parts.status, &parts.headers),
