An answer to an earlier message is passed over, and the message's own answer behind it counts

Cause: a runner in trouble sends a second answer to a message later, on the same connection: before its next answer there, whenever that is. The edge took whatever came first for the answer, found that it names another message, and gave up the connection together with the success behind it. The message was unclear and ran again.

Why this works: answers are matched by Request-Id. One that is whole and names a message that this connection has carried says nothing about this one and hides nothing of it: a second hyper connection reads on from hyper's own unread bytes, until the message's answer, its limit or the end. All else that names another message ends the connection as before; so does a second such answer to one message. After the exchange the connection is closed.

--- a/crates/edge/src/runner/answer.rs
+++ b/crates/edge/src/runner/answer.rs
@@ -30,7 +30,7 @@
         status = exchanged.status.as_u16(),
         body = ?exchanged.body,
         framing_certain = exchanged.framing_certain,
-        belongs = belongs_to(&exchanged.headers, request_id),
+        belongs = belongs_to(exchanged, request_id),
         signatures = exchanged.headers.get_all(RESPONSE_SIGNATURE).iter().count(),
         not_executed = exchanged.headers.contains_key(NOT_EXECUTED),
         "a success cannot be trusted"
@@ -38,7 +38,7 @@
 }
 
 fn judged(exchanged: &Exchanged, request_id: &str) -> RunnerAnswer {
-    if !belongs_to(&exchanged.headers, request_id) {
+    if !belongs_to(exchanged, request_id) {
         return garbled();
     }
     let status = exchanged.status;
@@ -71,18 +71,20 @@
     RunnerAnswer::Unclear { reason: UnclearReason::Garbled }
 }
 
-/// An answer repeats the id of its message; one of another message came late.
-fn belongs_to(headers: &HeaderMap, request_id: &str) -> bool {
-    headers.get_all(REQUEST_ID).iter().all(|id| id.as_bytes() == request_id.as_bytes())
+/// An answer repeats the id of its message; one of another message came late. Behind such a one, an answer without an id
+/// may be another of that kind.
+fn belongs_to(exchanged: &Exchanged, request_id: &str) -> bool {
+    let ids = exchanged.headers.get_all(REQUEST_ID);
+    let is_named = ids.iter().next().is_some();
+    let names_no_other = ids.iter().all(|id| id.as_bytes() == request_id.as_bytes());
+    names_no_other && (is_named || !exchanged.behind_another)
 }
 
-/// The other message that an answer names.
-pub(super) fn other_message<'headers>(
-    headers: &'headers HeaderMap,
-    request_id: &str,
-) -> Option<&'headers str> {
-    let ids = headers.get_all(REQUEST_ID).iter();
-    ids.filter_map(|id| id.to_str().ok()).find(|id| *id != request_id)
+/// The message that an answer names, if it names a single one.
+pub(super) fn only_message(headers: &HeaderMap) -> Option<&str> {
+    let mut ids = headers.get_all(REQUEST_ID).iter();
+    let named = ids.next()?;
+    ids.all(|other| other == named).then(|| named.to_str().ok()).flatten()
 }
 
 fn success(exchanged: &Exchanged) -> RunnerAnswer {
--- a/crates/edge/src/runner/client.rs
+++ b/crates/edge/src/runner/client.rs
@@ -12,8 +12,8 @@
 use hyper::{Request, StatusCode};
 use tokio::time::{Instant, Sleep, sleep};
 
-use super::answer::{is_trusted, judge, load_of, other_message};
-use super::connection::{ExchangeError, RunnerConnection};
+use super::answer::{is_trusted, judge, load_of};
+use super::connection::{Exchange, ExchangeError, RunnerConnection};
 use super::exchange::Exchanged;
 use super::pool::{OwnerRef, Permit, Pool, Pooled};
 use super::{
@@ -183,9 +183,6 @@
         let build = || request::delivery(delivery);
         let limit_ms = delivery.deadline_ms.saturating_add(self.settings.answer_margin_ms);
         let answered = self.send(target, build, limit_ms, new_connection).await?;
-        if let Some(other) = other_message(&answered.exchanged.headers, &delivery.request_id) {
-            answered.pooled.connection.log_answer_to_another(&delivery.request_id, other);
-        }
         let answer = judge(&answered.exchanged, &delivery.request_id);
         let trusted = is_trusted(&answer);
         // An answer of another message says nothing about the runner now.
@@ -236,10 +233,9 @@
         request: Request<Full<Bytes>>,
         limit: Pin<&mut Sleep>,
     ) -> Result<Exchanged, ExchangeError> {
-        if let Some(request_id) = target.request_id {
-            pooled.connection.note_carried(request_id);
-        }
-        pooled.connection.exchange(request, self.settings.max_answer_bytes, limit).await
+        let exchange =
+            Exchange { request, request_id: target.request_id, most: self.settings.max_answer_bytes };
+        pooled.connection.exchange(exchange, limit).await
     }
 
     /// An idle connection that is still open and has not carried this message.
--- a/crates/edge/src/runner/connection.rs
+++ b/crates/edge/src/runner/connection.rs
@@ -1,33 +1,25 @@
 //! One connection to a runner, driven by whoever waits for an answer on it.
 
-use std::cell::Cell;
 use std::error::Error as _;
-use std::future::{Future, poll_fn};
 use std::io;
-use std::pin::{Pin, pin};
-use std::task::Poll;
+use std::pin::Pin;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
+use hyper::{Method, Request, Response};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep};
 
 use super::UnclearReason;
+use super::answer::only_message;
 use super::carried::Carried;
+use super::connection_io::ConnectionIo;
 use super::exchange::{Exchanged, framing_is_certain, keep_alive_ms};
+use super::http::{HttpConnection, Progress, TimedOut};
 use super::stream::Socket;
 
-/// Looks at an exchange whose time is over that bring nothing new before it is given up: what the first hands over between
-/// connection and request is seen by the second.
-const LAST_LOOKS: u32 = 2;
-
-type Driver = http1::Connection<TokioIo<Socket>, Full<Bytes>>;
-
 /// Why there is no head of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ExchangeError {
@@ -37,15 +29,20 @@
     Unclear(UnclearReason),
 }
 
-/// The time limit has passed.
-struct TimedOut;
+/// What an exchange sends, and the bounds of its answer.
+pub(super) struct Exchange<'exchange> {
+    /// The request.
+    pub(super) request: Request<Full<Bytes>>,
+    /// The id of the message, which its answer repeats; none where requests have none.
+    pub(super) request_id: Option<&'exchange str>,
+    /// The longest body that is read, in bytes.
+    pub(super) most: usize,
+}
 
 /// A connection.
 pub(super) struct RunnerConnection {
     socket: Socket,
-    sender: SendRequest<Full<Bytes>>,
-    /// Gone once hyper has ended the connection.
-    driver: Option<Driver>,
+    http: HttpConnection,
     carried: Carried,
     /// When the connection came up, or its newest exchange ended.
     idle_since: Instant,
@@ -57,12 +54,10 @@
     /// On a socket that has just come up.
     pub(super) async fn new(stream: TcpStream) -> hyper::Result<Self> {
         let socket = Socket::new(stream);
-        let io = TokioIo::new(socket.clone());
-        let (sender, driver) = http1::Builder::new().title_case_headers(true).handshake(io).await?;
+        let http = HttpConnection::new(ConnectionIo::new(socket.clone())).await?;
         Ok(Self {
             socket,
-            sender,
-            driver: Some(driver),
+            http,
             carried: Carried::default(),
             idle_since: Instant::now(),
             idle_before: Duration::ZERO,
@@ -71,7 +66,7 @@
 
     /// Whether an idle connection can be used: it is open, and nothing has come on it.
     pub(super) fn is_usable(&self) -> bool {
-        self.driver.is_some() && self.socket.is_quiet()
+        self.http.is_open() && self.socket.is_quiet()
     }
 
     /// Whether a message was sent on this connection before.
@@ -79,127 +74,106 @@
         self.carried.contains(request_id)
     }
 
-    /// A message is to be sent on this connection.
-    pub(super) fn note_carried(&mut self, request_id: &str) {
-        self.carried.note(request_id);
-    }
-
-    /// Logs that an answer came which names another message than the one that was sent.
-    pub(super) fn log_answer_to_another(&self, request_id: &str, answered: &str) {
-        tracing::warn!(
-            message = request_id,
-            answered,
-            messages_since = self.carried.sent_since(answered),
-            idle_ms = self.idle_before.as_millis(),
-            "an answer belongs to another message"
-        );
+    /// Sends a request and reads its answer with the body. The connection must be dropped afterwards unless the answer
+    /// says that it can be kept.
+    ///
+    /// A runner in trouble may send a second answer to an earlier message, however much later, and before the answer to
+    /// this one. Such an answer is passed over.
+    pub(super) async fn exchange(
+        &mut self,
+        exchange: Exchange<'_>,
+        mut limit: Pin<&mut Sleep>,
+    ) -> Result<Exchanged, ExchangeError> {
+        let Exchange { mut request, request_id, most } = exchange;
+        let method = request.method().clone();
+        self.idle_before = self.idle_since.elapsed();
+        if let Some(request_id) = request_id {
+            self.carried.note(request_id);
+        }
+        self.socket.nothing_written();
+        let mut passed_over = false;
+        loop {
+            let mut answer = self.answer(request, most, limit.as_mut()).await?;
+            answer.behind_another = passed_over;
+            let earlier = request_id.and_then(|request_id| self.earlier_message(&answer, request_id));
+            let Some(earlier) = earlier else {
+                answer.reusable &= !passed_over;
+                self.idle_since = Instant::now();
+                return Ok(answer);
+            };
+            // A message has one second answer.
+            self.carried.forget(&earlier);
+            self.resume().await?;
+            request = placeholder(&method);
+            passed_over = true;
+        }
     }
 
-    /// Sends a request and reads the answer with its body, of which no more than `most` bytes. The connection must be
-    /// dropped afterwards unless the answer says that it can be kept.
-    pub(super) async fn exchange(
+    /// Sends a request and reads the next answer, whichever message it is for.
+    async fn answer(
         &mut self,
         request: Request<Full<Bytes>>,
         most: usize,
         mut limit: Pin<&mut Sleep>,
     ) -> Result<Exchanged, ExchangeError> {
-        self.idle_before = self.idle_since.elapsed();
-        self.socket.nothing_written();
-        let response = self.sender.send_request(request);
+        let response = self.http.send(request);
         let progress = Progress::of(&self.socket);
-        let response = match drive(&mut self.driver, limit.as_mut(), &progress, response).await {
+        let response = match self.http.drive(limit.as_mut(), &progress, response).await {
             Ok(Ok(response)) => response,
             Ok(Err(error)) => return Err(self.failure(reason_of(&error))),
             Err(TimedOut) => return Err(self.failure(UnclearReason::Timeout)),
         };
         let (parts, body) = Response::into_parts(response);
-        let body = drive(&mut self.driver, limit, &progress, read_away(body, most, &progress)).await;
+        let body = self.http.drive(limit, &progress, read_away(body, most, &progress)).await;
         let body = body.unwrap_or(Err(UnclearReason::Timeout));
-        let reusable = body.is_ok() && self.is_ready().await;
-        self.idle_since = Instant::now();
+        let reusable = body.is_ok() && self.http.is_ready().await;
         Ok(Exchanged {
             status: parts.status,
             framing_certain: framing_is_certain(parts.status, &parts.headers),
             keep_alive_ms: keep_alive_ms(&parts.headers),
             headers: parts.headers,
             body,
+            behind_another: false,
             reusable,
         })
     }
 
-    fn failure(&self, reason: UnclearReason) -> ExchangeError {
-        if self.socket.was_written() { ExchangeError::Unclear(reason) } else { ExchangeError::NotWritten }
-    }
-
-    /// Whether the next request could be sent at once.
-    async fn is_ready(&mut self) -> bool {
-        poll_fn(|context| {
-            if let Some(driver) = &mut self.driver
-                && Pin::new(driver).poll(context).is_ready()
-            {
-                self.driver = None;
-            }
-            let ready = matches!(self.sender.poll_ready(context), Poll::Ready(Ok(())));
-            Poll::Ready(ready && self.driver.is_some())
-        })
-        .await
-    }
-}
-
-/// How far an exchange has come: bytes that were read from the socket, and frames of the body that were taken.
-struct Progress<'socket> {
-    socket: &'socket Socket,
-    frames: Cell<u64>,
-}
-
-impl<'socket> Progress<'socket> {
-    fn of(socket: &'socket Socket) -> Self {
-        Self { socket, frames: Cell::new(0) }
+    /// The message that this connection carried before, if an answer is whole and belongs to it. The request must have been
+    /// sent whole, too: hyper, which would send the rest, ends here.
+    fn earlier_message(&self, answer: &Exchanged, request_id: &str) -> Option<String> {
+        let other = only_message(&answer.headers).filter(|named| *named != request_id)?;
+        let messages_since = self.carried.sent_since(other);
+        let was_sent = answer.reusable || !self.http.is_open();
+        let passed_over = messages_since.is_some() && answer.is_whole() && was_sent;
+        tracing::warn!(
+            message = request_id,
+            answered = other,
+            passed_over,
+            ?messages_since,
+            idle_ms = self.idle_before.as_millis(),
+            "an answer belongs to another message"
+        );
+        passed_over.then(|| other.to_owned())
     }
 
-    fn took_frame(&self) {
-        self.frames.set(self.frames.get().wrapping_add(1));
+    /// Reads on behind the newest answer.
+    async fn resume(&mut self) -> Result<(), ExchangeError> {
+        let unclear = ExchangeError::Unclear(UnclearReason::Closed);
+        let io = ConnectionIo::resumed(self.socket.clone(), self.http.take_unread());
+        self.http = HttpConnection::new(io).await.map_err(|_| unclear)?;
+        Ok(())
     }
 
-    fn now(&self) -> (u64, u64) {
-        (self.socket.bytes_read(), self.frames.get())
+    fn failure(&self, reason: UnclearReason) -> ExchangeError {
+        if self.socket.was_written() { ExchangeError::Unclear(reason) } else { ExchangeError::NotWritten }
     }
 }
 
-/// Waits for `future` while the connection works. A connection that has ended is dropped at once: that tells `future`.
-///
-/// When the limit is reached, what the system has received until then still counts: a process that was held up finds the
-/// answer and the end of its time in the same turn, and an answer in pieces takes several steps between connection and
-/// `future`. So the exchange goes on until it comes no further.
-async fn drive<T>(
-    driver: &mut Option<Driver>,
-    mut limit: Pin<&mut Sleep>,
-    progress: &Progress<'_>,
-    future: impl Future<Output = T>,
-) -> Result<T, TimedOut> {
-    let mut future = pin!(future);
-    poll_fn(|context| {
-        let mut fruitless_looks = 0;
-        loop {
-            let before = progress.now();
-            if let Some(connection) = driver
-                && Pin::new(connection).poll(context).is_ready()
-            {
-                *driver = None;
-            }
-            if let Poll::Ready(output) = future.as_mut().poll(context) {
-                return Poll::Ready(Ok(output));
-            }
-            if limit.as_mut().poll(context).is_pending() {
-                return Poll::Pending;
-            }
-            fruitless_looks = if progress.now() == before { fruitless_looks + 1 } else { 0 };
-            if fruitless_looks == LAST_LOOKS {
-                return Poll::Ready(Err(TimedOut));
-            }
-        }
-    })
-    .await
+/// What a resumed connection discards: of a request, only the method decides how its answer is read.
+fn placeholder(method: &Method) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::default());
+    method.clone_into(request.method_mut());
+    request
 }
 
 /// Reads a body to its end and drops it.
--- a/crates/edge/src/runner/exchange.rs
+++ b/crates/edge/src/runner/exchange.rs
@@ -23,6 +23,8 @@
     pub(super) framing_certain: bool,
     /// Whether the body came whole.
     pub(super) body: Result<(), UnclearReason>,
+    /// Whether an answer to an earlier message was passed over before it.
+    pub(super) behind_another: bool,
     /// How long the other side keeps the connection idle, in milliseconds, where it says so.
     pub(super) keep_alive_ms: Option<u64>,
     /// Whether the next request could be sent on this connection.
--- a/crates/edge/src/runner/stream.rs
+++ b/crates/edge/src/runner/stream.rs
@@ -40,11 +40,17 @@
         Self { stream: Rc::new(RefCell::new(stream)), written: Rc::default(), bytes_read: Rc::default() }
     }
 
-    /// Bytes that were read since the connection came up.
+    /// Bytes that were read since the connection came up, those that were read once more counted again.
     pub(super) fn bytes_read(&self) -> u64 {
         self.bytes_read.get()
     }
 
+    /// Bytes that had been read before are read once more by another.
+    pub(super) fn note_read(&self, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        self.bytes_read.set(self.bytes_read.get().wrapping_add(count));
+    }
+
     /// A new exchange begins.
     pub(super) fn nothing_written(&self) {
         self.written.set(false);
@@ -81,8 +87,7 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let result = Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, buffer);
-        let count = u64::try_from(buffer.filled().len() - before).unwrap_or(u64::MAX);
-        self.bytes_read.set(self.bytes_read.get().wrapping_add(count));
+        self.note_read(buffer.filled().len() - before);
         result
     }
 }
--- a/crates/edge/src/runner/tests.rs
+++ b/crates/edge/src/runner/tests.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::carried::Carried;
-use super::connection::{ExchangeError, RunnerConnection};
+use super::connection::{Exchange, ExchangeError, RunnerConnection};
 use super::pool::{OwnerRef, Permit, Pool, Pooled};
 use super::request;
 
@@ -48,7 +48,8 @@
 async fn failure(mut connection: RunnerConnection) -> Option<ExchangeError> {
     let request = request::health(address(1), "/health").expect("a request");
     let limit = pin!(sleep(Duration::from_secs(60)));
-    connection.exchange(request, 0, limit).await.err()
+    let exchange = Exchange { request, request_id: None, most: 0 };
+    connection.exchange(exchange, limit).await.err()
 }
 
 #[tokio::test]
--- a/crates/edge/tests/http_support/mod.rs
+++ b/crates/edge/tests/http_support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod drawn_answers;
 pub mod runner_rig;
 
 use std::future::Future;
