A message that did not run comes again at the pace of the service that it was sent to

Callers see a retry that comes too late or too early after a route has moved. Cause: the wait was taken from the service that the message was accepted for. A job keeps the one that its delivery is started for now. Evidence: the test failed before: 375 ms, the longest pause of a service without runners, instead of 62.

--- a/crates/edge/src/core/deliveries.rs
+++ b/crates/edge/src/core/deliveries.rs
@@ -20,6 +20,8 @@
     group: GroupId,
     lease: LeaseId,
     message: Arc<NewMessage>,
+    /// The service that its delivery was started for: a route may lead elsewhere since the message was accepted.
+    service: Option<String>,
 }
 
 /// All leased messages.
@@ -94,7 +96,7 @@
         }
         self.deliveries.last += 1;
         let number = self.deliveries.last;
-        self.deliveries.jobs.insert(number, Job { group, lease, message });
+        self.deliveries.jobs.insert(number, Job { group, lease, message, service: None });
         if self.leaving {
             return self.report(number, DeliveryOutcome::NotRun { retry_after_ms: 0 });
         }
@@ -103,11 +105,12 @@
 
     /// Hands a job to the decisions, or asks for a permit first where it was counted elsewhere than it has to be.
     pub(super) fn begin_delivery(&mut self, number: u64, counted: &Counted) {
-        let Some(Job { message, .. }) = self.deliveries.jobs.get(&number) else { return };
+        let Some(Job { message, service, .. }) = self.deliveries.jobs.get_mut(&number) else { return };
         let route = self.routes.as_ref().and_then(|routes| routes.find(&message.host, &message.path));
         let Some(route) = route.cloned() else {
             return self.report(number, DeliveryOutcome::RouteGone);
         };
+        *service = Some(route.backend.clone());
         if let Some(wanted) = self.uncounted(&route, counted) {
             self.end_permit(number, None);
             return self.ask_permit(number, &route, wanted);
@@ -171,17 +174,23 @@
     pub(super) fn delivery_ended(&mut self, job: JobNumber, result: &DeliveryResult) {
         let steps =
             self.dispatch.finished(self.now, job.0, dispatch_outcome(&result.answer), result.load.map(load));
-        self.log_unclear(job, result);
-        let service = self.deliveries.jobs.get(&job.0).map(|job| job.message.service.clone());
-        let retry = service.map_or(0, |service| self.dispatch.retry_after(self.now, &service));
-        self.report(job.0, outcome(&result.answer, retry));
+        match self.deliveries.jobs.get(&job.0) {
+            Some(Job { service, .. }) => {
+                let retry_ms =
+                    service.as_deref().map_or(0, |service| self.dispatch.retry_after(self.now, service));
+                self.log_unclear(job, result);
+                self.report(job.0, outcome(&result.answer, retry_ms));
+            }
+            // Nothing is known that brings this about: a success would be lost here, and its message run again.
+            None => tracing::warn!(answer = ?result.answer, "a delivery ended whose lease was given back"),
+        }
         self.take_steps(steps);
     }
 
     /// Logs an attempt of which it is not known whether it ran: the message runs again.
     fn log_unclear(&self, job: JobNumber, result: &DeliveryResult) {
         let RunnerAnswer::Unclear { reason } = result.answer else { return };
-        let Some(Job { group, lease, message }) = self.deliveries.jobs.get(&job.0) else { return };
+        let Some(Job { group, lease, message, .. }) = self.deliveries.jobs.get(&job.0) else { return };
         let elapsed_ms = result.elapsed_ms;
         let (group, message) = (group.0, message.id.0.as_str());
         tracing::info!(group, message, ?lease, %reason, elapsed_ms, "an attempt is unclear");
@@ -195,7 +204,7 @@
     /// Tells the shard's leader the outcome of a job.
     pub(super) fn report(&mut self, number: u64, outcome: DeliveryOutcome) {
         self.end_permit(number, Some(&outcome));
-        let Some(Job { group, lease, message }) = self.deliveries.jobs.remove(&number) else { return };
+        let Some(Job { group, lease, message, .. }) = self.deliveries.jobs.remove(&number) else { return };
         self.tell_outcome(group, message.id.clone(), lease, outcome);
     }
 
--- a/crates/edge/tests/core_moved_routes.rs
+++ b/crates/edge/tests/core_moved_routes.rs
@@ -4,8 +4,10 @@
 
 use core_support::{CONFIGURATION, Play, accepted, group, message, store};
 use ruddervalve_edge::core::{EdgeOutput, JobNumber};
-use ruddervalve_edge::runner::{DeliveryResult, RunnerAnswer};
-use ruddervalve_protocol::{EdgeToStore, Grant, GrantedLease, GroupId, LeaseId, StoreToEdge};
+use ruddervalve_edge::runner::{DeliveryResult, NotRunReason, RunnerAnswer};
+use ruddervalve_protocol::{
+    DeliveryOutcome, EdgeToStore, Grant, GrantedLease, GroupId, LeaseId, StoreToEdge,
+};
 
 /// The services that the ordered route leads to in turn: one without a limit, one with a rate, a single endpoint.
 const OTHER_SERVICES: [&str; 3] = [
@@ -50,6 +52,17 @@
     }
 }
 
+/// Store 1 grants a message that was accepted for `work` and goes to `books` now.
+fn grant_for_books(play: &mut Play, number: u64) {
+    let lease = GrantedLease { id: LeaseId { term: 1, number }, service: "books".to_owned() };
+    let grant = Box::new(Grant { lease, message: message(&format!("m{number}")) });
+    play.says(1, StoreToEdge::Deliver { group: group(1), grant });
+}
+
+fn result(answer: RunnerAnswer) -> DeliveryResult {
+    DeliveryResult { answer, load: None, new_connection: false, elapsed_ms: 1 }
+}
+
 /// What a store may still grant of a service, as the edge has told it.
 struct StoreCredits {
     left: u32,
@@ -83,14 +96,33 @@
     for number in 1..=50 {
         assert!(credits.left > 0, "the store may grant no more after {} messages", number - 1);
         credits.left -= 1;
-        let lease = GrantedLease { id: LeaseId { term: 1, number }, service: "books".to_owned() };
-        let grant = Box::new(Grant { lease, message: message(&format!("m{number}")) });
-        play.says(1, StoreToEdge::Deliver { group: group(1), grant });
+        grant_for_books(&mut play, number);
         let jobs = credits.take(play.outputs(), "books");
         assert_eq!(jobs.len(), 1);
         let answer = RunnerAnswer::Succeeded { signature: "done".to_owned() };
-        let result = DeliveryResult { answer, load: None, new_connection: false, elapsed_ms: 1 };
-        play.core.delivered(play.now, jobs[0], &result);
+        play.core.delivered(play.now, jobs[0], &result(answer));
         credits.take(play.outputs(), "books");
     }
 }
+
+#[test]
+fn a_message_that_did_not_run_comes_again_at_the_pace_of_the_service_that_it_was_sent_to() {
+    /// A sixteenth of the route's `ScheduleTargetMs`: there are runners, none of them in doubt.
+    const RETRY_MS: u64 = 1_000 / 16;
+    let mut play = Play::serving();
+    play.configure(2, &moved_to("books", OTHER_SERVICES[0]));
+    play.list_runners(2, &["books"]);
+    play.outputs();
+    grant_for_books(&mut play, 1);
+    let delivered = play.outputs().into_iter().find_map(|output| match output {
+        EdgeOutput::Deliver(order) => Some(order.job),
+        _ => None,
+    });
+    let answer = RunnerAnswer::NotRun { reason: NotRunReason::Full503, retry_after_ms: None };
+    play.core.delivered(play.now, delivered.expect("a delivery"), &result(answer));
+    let outcome = play.outputs().into_iter().find_map(|output| match output {
+        EdgeOutput::Send(_, EdgeToStore::Outcome { outcome, .. }) => Some(outcome),
+        _ => None,
+    });
+    assert_eq!(outcome, Some(DeliveryOutcome::NotRun { retry_after_ms: RETRY_MS }));
+}
