--- a/crates/loopback/src/http_connection.rs
+++ b/crates/loopback/src/http_connection.rs
@@ -45,13 +45,15 @@
 pub struct HttpConnection {
     stream: TcpStream,
     buffer: Vec<u8>,
+    /// Bytes that go before the next answer.
+    owed: Vec<u8>,
 }
 
 impl HttpConnection {
     /// Over this connection.
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buffer: Vec::new() }
+        Self { stream, buffer: Vec::new(), owed: Vec::new() }
     }
 
     /// The next request; none where the connection was closed between two.
@@ -110,12 +112,24 @@
         self.write_bytes(&request.to_bytes()).await
     }
 
-    /// Writes an answer.
+    /// Writes an answer, and before it what is owed.
     ///
     /// # Errors
     /// The connection failed.
     pub async fn write_response(&mut self, response: &HttpResponse) -> Result<(), HttpError> {
-        self.write_bytes(&response.to_bytes()).await
+        let mut bytes = std::mem::take(&mut self.owed);
+        bytes.extend(response.to_bytes());
+        self.write_bytes(&bytes).await
+    }
+
+    /// Holds an answer back until the next one is written.
+    pub fn owe(&mut self, response: &HttpResponse) {
+        self.owed = response.to_bytes();
+    }
+
+    /// Whether an answer is held back.
+    pub fn owes(&self) -> bool {
+        !self.owed.is_empty()
     }
 
     /// Writes bytes as they are.
--- a/crates/loopback/src/runner.rs
+++ b/crates/loopback/src/runner.rs
@@ -69,6 +69,8 @@
     CutAnswer,
     /// It runs, and the same answer is sent twice.
     SecondAnswer,
+    /// It runs, and the same answer is sent a second time before the next answer on its connection.
+    LateSecondAnswer,
     /// It fails, and a success of another message is sent in the place of its answer.
     ForeignAnswer,
     /// It fails, and a success without a signature is sent.
@@ -89,6 +91,8 @@
     pub connections: AtomicU32,
     pub draining: AtomicBool,
     pub misbehaviours: Mutex<VecDeque<Misbehaviour>>,
+    /// Second answers that were sent before the answer to another message.
+    pub late_second_answers: AtomicU64,
     pub log: RunLog,
 }
 
@@ -145,6 +149,7 @@
             connections: AtomicU32::new(0),
             draining: AtomicBool::new(false),
             misbehaviours: Mutex::default(),
+            late_second_answers: AtomicU64::new(0),
             log: log.clone(),
         });
         let served = Arc::clone(&state);
@@ -167,6 +172,11 @@
         self.state.misbehaviours.lock().unwrap_or_else(PoisonError::into_inner).push_back(misbehaviour);
     }
 
+    /// How many second answers it has sent before the answer to another message.
+    pub fn late_second_answers(&self) -> u64 {
+        self.state.late_second_answers.load(Ordering::Relaxed)
+    }
+
     /// Stands on the list as draining, and calls itself unwell; it serves on.
     pub fn drain(&self) {
         self.state.draining.store(true, Ordering::Relaxed);
--- a/crates/loopback/src/runner_exchange.rs
+++ b/crates/loopback/src/runner_exchange.rs
@@ -65,6 +65,9 @@
     let Some(slot) = slot(connection, state).await else {
         return answer(connection, not_executed(503, id)).await;
     };
+    if connection.owes() {
+        state.late_second_answers.fetch_add(1, Ordering::Relaxed);
+    }
     let run = Running::begin(state, request, id);
     let outcome = work(connection, state, request, misbehaviour).await;
     let next = conclude(connection, state, &run, outcome, misbehaviour).await;
@@ -141,6 +144,11 @@
             let _ = connection.write_bytes(&twice).await;
             Next::GoOn
         }
+        Some(Misbehaviour::LateSecondAnswer) => {
+            let next = answer(connection, right.clone()).await;
+            connection.owe(&right);
+            next
+        }
         Some(Misbehaviour::ForeignAnswer) => {
             let foreign = succeeded(state, "0000foreign", "toy.of-another-message");
             answer(connection, foreign).await
--- a/crates/loopback/tests/whole_system/runners.rs
+++ b/crates/loopback/tests/whole_system/runners.rs
@@ -55,6 +55,25 @@
     stage.ends_well(&all);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn success_behind_a_late_second_answer_is_not_run_again() {
+    let mut stage = Stage::set_up().await;
+    let runner = stage.runner(RunnerPlan::of(LETTERS)).await;
+    let mut all = Vec::new();
+    for _ in 0..MESSAGES {
+        runner.misbehave(Misbehaviour::LateSecondAnswer);
+        let message = stage.send(&letter()).await;
+        stage.succeeds(&message).await;
+        all.push(message);
+    }
+    assert!(runner.late_second_answers() > 0, "no connection was used again");
+    for message in &all {
+        let runs = stage.log.of(&message.request_id);
+        assert_eq!(runs.len(), 1, "{runs:?}");
+    }
+    stage.ends_well(&all);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_runner_that_drains_gets_nothing_more() {
     let mut stage = Stage::set_up().await;
