The test of a submitter that leaves unseen waits until its end has come before the process goes on

It failed once beside load on 2 December and is not traced. It wakes the process right after it has closed the submitter's connection and takes for granted that the system has delivered the close by then; now it waits for that, and is as strict otherwise.

--- a/crates/dispatcher/tests/process/crossings.rs
+++ b/crates/dispatcher/tests/process/crossings.rs
@@ -35,13 +35,7 @@
 
     /// Whether somebody's connection to it is on its way: the first word was said.
     fn asked_now(&self) -> bool {
-        let (port, table) =
-            (format!(":{:04X}", self.address.port()), std::fs::read_to_string("/proc/net/tcp"));
-        // The third column is the other side, the fourth the state.
-        table.unwrap().lines().any(|line| {
-            let mut fields = line.split_whitespace().skip(2);
-            fields.next().is_some_and(|to| to.ends_with(&port)) && fields.next() == Some("02")
-        })
+        has_connection_to(self.address, "02")
     }
 
     fn asked(&self) {
@@ -68,6 +62,17 @@
     }
 }
 
+/// Whether the system has a connection to this address in this state, as `/proc/net/tcp` numbers them: 02 for one that
+/// comes up, 08 for one that the other side has closed.
+fn has_connection_to(address: SocketAddr, state: &str) -> bool {
+    let port = format!(":{:04X}", address.port());
+    // The third column is the other side, the fourth the state.
+    std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(|line| {
+        let mut fields = line.split_whitespace().skip(2);
+        fields.next().is_some_and(|to| to.ends_with(&port)) && fields.next() == Some(state)
+    })
+}
+
 /// All that is said on a connection.
 fn heard(mut stream: TcpStream) -> String {
     let mut said = Vec::new();
@@ -390,7 +395,9 @@
     let mut stream = None;
     held_still(&rig, || {
         stream = Some(late.accept());
+        let submitter = held.get_ref().local_addr().unwrap();
         drop(held);
+        until("the submitter's end has come", || has_connection_to(submitter, "08").then_some(()));
     });
     assert_eq!(heard(stream.unwrap()), "");
     assert_eq!(rig.counters("answers"), ["answers.submitter_left=1"]);
