--- a/crates/edge/tests/http_second_answers.rs
+++ b/crates/edge/tests/http_second_answers.rs
@@ -43,6 +43,13 @@
         Self { peer, earlier, answer, delivering }
     }
 
+    /// The runner reads the request and sends these bytes.
+    async fn gets(mut self, bytes: impl AsRef<[u8]>) -> (DeliveryResult, Peer) {
+        self.peer.request().await;
+        self.peer.send(bytes).await;
+        self.result().await
+    }
+
     async fn result(self) -> (DeliveryResult, Peer) {
         (self.delivering.await.expect("delivered"), self.peer)
     }
@@ -52,10 +59,9 @@
 async fn success_behind_a_second_answer_to_an_earlier_message_counts() {
     local(async {
         let rig = Rig::new().await;
-        let mut next = Next::new(&rig).await;
-        next.peer.request().await;
-        next.peer.send(format!("{}{}", next.earlier, next.answer)).await;
-        let (result, mut peer) = next.result().await;
+        let next = Next::new(&rig).await;
+        let bytes = format!("{}{}", next.earlier, next.answer);
+        let (result, mut peer) = next.gets(bytes).await;
         assert_eq!(result.answer, succeeded());
         assert!(!result.new_connection);
         peer.assert_ended().await;
@@ -93,12 +99,11 @@
     for (status, field, expected) in kinds {
         local(async {
             let rig = Rig::new().await;
-            let mut next = Next::new(&rig).await;
-            next.peer.request().await;
+            let next = Next::new(&rig).await;
             let answer =
                 format!("HTTP/1.1 {status}\r\nRequest-Id: r-102\r\n{field}Content-Length: 0\r\n\r\n");
-            next.peer.send(format!("{}{answer}", next.earlier)).await;
-            let (result, _peer) = next.result().await;
+            let bytes = format!("{}{answer}", next.earlier);
+            let (result, _peer) = next.gets(bytes).await;
             assert_eq!(result.answer, expected, "{status}");
         })
         .await;
@@ -134,10 +139,9 @@
     ] {
         local(async {
             let rig = Rig::new().await;
-            let mut next = Next::new(&rig).await;
-            next.peer.request().await;
-            next.peer.send(format!("{answer}{}", next.answer)).await;
-            let (result, _peer) = next.result().await;
+            let next = Next::new(&rig).await;
+            let bytes = format!("{answer}{}", next.answer);
+            let (result, _peer) = next.gets(bytes).await;
             assert_eq!(result.answer, unclear(UnclearReason::Garbled), "{answer}");
             assert_eq!(result.load, None);
             assert_eq!(rig.client.open_connections(rig.address), 0);
@@ -150,10 +154,9 @@
 async fn message_has_one_second_answer() {
     local(async {
         let rig = Rig::new().await;
-        let mut next = Next::new(&rig).await;
-        next.peer.request().await;
-        next.peer.send(format!("{0}{0}{1}", next.earlier, next.answer)).await;
-        let (result, _peer) = next.result().await;
+        let next = Next::new(&rig).await;
+        let bytes = format!("{0}{0}{1}", next.earlier, next.answer);
+        let (result, _peer) = next.gets(bytes).await;
         assert_eq!(result.answer, unclear(UnclearReason::Garbled));
     })
     .await;
@@ -181,11 +184,10 @@
 async fn answer_without_an_id_behind_a_second_one_counts_for_nothing() {
     local(async {
         let rig = Rig::new().await;
-        let mut next = Next::new(&rig).await;
-        next.peer.request().await;
+        let next = Next::new(&rig).await;
         let answer = "HTTP/1.1 200 OK\r\nResponse-Signature: s.1\r\nContent-Length: 0\r\n\r\n";
-        next.peer.send(format!("{}{answer}", next.earlier)).await;
-        let (result, _peer) = next.result().await;
+        let bytes = format!("{}{answer}", next.earlier);
+        let (result, _peer) = next.gets(bytes).await;
         assert_eq!(result.answer, unclear(UnclearReason::Garbled));
     })
     .await;
