Shards lie whole in one region where its loss need not be borne; nearness has three steps

Change: without a region's loss to be borne, a shard's replicas stand in one region as far as they can, the first one in a region that can hold all of them, while its stores hold no more than three even shares; the leader stands where most members do, and comes home. Distance is one type of three steps (zone, region, beyond) for the choice of a shard, of an edge for a grant, of callers and of an endpoint's edge. A loss of zones or regions that has to be borne goes first, as before.

--- a/crates/coordinator/src/placement.rs
+++ b/crates/coordinator/src/placement.rs
@@ -3,7 +3,9 @@
 use displaydoc::Display;
 use ruddervalve_protocol::{GroupId, ReplicaId, ShardPlacement};
 
-use crate::placement_spread::{Load, SpreadRules, pick_leader, pick_member, tolerates_losses};
+use crate::placement_spread::{
+    Load, SpreadRules, pick_first_member, pick_leader, pick_member, tolerates_losses,
+};
 
 /// A store as the placement sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -135,7 +137,9 @@
     if left < needed {
         return Err(RetireFault::TooFewLeft { left, needed });
     }
-    let is_borne = |stores: &[&StoreView]| tolerates_losses(&pick_members(stores, rules), rules.spread());
+    let is_borne = |stores: &[&StoreView]| {
+        tolerates_losses(&pick_members(stores, rules, &Load::new(stores)), rules.spread())
+    };
     if is_borne(&before) && !is_borne(&after) {
         return Err(RetireFault::SpreadLost);
     }
@@ -148,16 +152,11 @@
     rules: &PlacementRules,
     load: &mut Load,
 ) -> ShardPlacement {
-    let mut members: Vec<&StoreView> = Vec::new();
-    for _ in 0..rules.replicas() {
-        if let Some(member) = pick_member(eligible, &members, rules.spread(), load) {
-            members.push(member);
-        }
-    }
+    let members = pick_members(eligible, rules, load);
     for member in &members {
         load.add_replica(&member.node);
     }
-    let leader = pick_leader(&members, load);
+    let leader = pick_leader(&members, &members, rules.spread(), load);
     if let Some(leader) = leader {
         load.add_leader(&leader.node);
     }
@@ -166,14 +165,12 @@
     ShardPlacement { group, founders, wanted: leader_first(names, leader.map(|leader| leader.node.as_str())) }
 }
 
-/// The members that a shard would get if there were no other.
-fn pick_members<'a>(stores: &[&'a StoreView], rules: &PlacementRules) -> Vec<&'a StoreView> {
-    let load = Load::new(stores);
+/// The members of a new shard.
+fn pick_members<'a>(stores: &[&'a StoreView], rules: &PlacementRules, load: &Load) -> Vec<&'a StoreView> {
     let mut members = Vec::new();
-    for _ in 0..rules.replicas() {
-        if let Some(member) = pick_member(stores, &members, rules.spread(), &load) {
-            members.push(member);
-        }
+    members.extend(pick_first_member(stores, rules, load));
+    for _ in 1..rules.replicas() {
+        members.extend(pick_member(stores, &members, rules.spread(), load));
     }
     members
 }
--- a/crates/coordinator/src/placement_improve.rs
+++ b/crates/coordinator/src/placement_improve.rs
@@ -9,7 +9,7 @@
 use ruddervalve_protocol::{GroupId, ShardPlacement};
 
 use crate::placement::{PlacementRules, StoreView, leader_first};
-use crate::placement_spread::{Crowding, Load, crowding, pick_leader, pick_member};
+use crate::placement_spread::{Crowding, Load, crowding, is_outside_home, pick_leader, pick_member};
 
 /// By how many the fullest and the emptiest store may differ: less cannot be reached where numbers don't divide.
 const TOLERATED_DIFFERENCE: u32 = 1;
@@ -292,8 +292,15 @@
         let present = self.shards.get(index)?.wanted.first()?;
         let eligible: Vec<&StoreView> =
             self.members(index).into_iter().filter(|store| store.is_eligible()).collect();
-        let next = pick_leader(&eligible, &self.load)?;
-        let difference = self.load.of(present).leaders.saturating_sub(self.load.of(&next.node).leaders);
+        let members = self.members(index);
+        let spread = self.rules.spread();
+        let next = pick_leader(&eligible, &members, spread, &self.load)?;
+        let is_outside = |store: &StoreView| is_outside_home(store, &members, spread);
+        let comes_home = self.store(present).is_some_and(is_outside) && !is_outside(next);
+        let difference = match comes_home {
+            true => u32::MAX,
+            false => self.load.of(present).leaders.saturating_sub(self.load.of(&next.node).leaders),
+        };
         Some(Handover { shard: index, leader: next.node.clone(), difference })
     }
 
@@ -320,7 +327,8 @@
             .into_iter()
             .filter(|store| store.is_eligible() && store.node != joining)
             .collect();
-        if let Some(leader) = pick_leader(&settled, &self.load) {
+        let members = self.members(index);
+        if let Some(leader) = pick_leader(&settled, &members, self.rules.spread(), &self.load) {
             let leader = leader.node.clone();
             self.set_leader(index, &leader);
         }
@@ -372,7 +380,7 @@
 struct Handover {
     shard: usize,
     leader: String,
-    /// By how many the present leader leads more shards than the next one.
+    /// By how many the present leader leads more shards than the next one; the most there is for one that comes home.
     difference: u32,
 }
 
--- a/crates/coordinator/src/placement_spread.rs
+++ b/crates/coordinator/src/placement_spread.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::placement::StoreView;
+use crate::placement::{PlacementRules, StoreView};
 
 /// Which losses beyond those of single stores a shard has to bear.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,14 +28,20 @@
     pub leaders: u32,
 }
 
-/// How crowded the replicas of a shard stand; less is better. Regions count only where the loss of one has to be borne:
-/// a quorum over regions costs their distance with every message.
+/// How crowded the replicas of a shard stand; less is better. Losses that have to be borne come first. Where no region's
+/// loss is among them the replicas stand in one region as far as they can: a quorum over regions costs their distance, and
+/// copies of every entry over it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Crowding {
-    regions: u64,
+    borne_regions: u64,
+    borne_zones: u64,
+    outside_home: usize,
     zones: u64,
 }
 
+/// How many replicas of its even share a store may hold at most for the sake of shards that lie whole in one region.
+const MOST_EVEN_SHARES: u32 = 3;
+
 impl Load {
     /// Nothing yet, for each of `stores`.
     pub fn new(stores: &[&StoreView]) -> Self {
@@ -91,20 +97,61 @@
     candidates.iter().filter(is_new).min_by_key(cost).copied()
 }
 
-/// The member that shall lead fewest shards, then the one that holds fewest, then the first by name.
-pub fn pick_leader<'a>(members: &[&'a StoreView], load: &Load) -> Option<&'a StoreView> {
-    let cost = |member: &&&StoreView| {
-        let held = load.of(&member.node);
-        (held.leaders, held.replicas, member.node.clone())
+/// The first member of a new shard: in a region that can hold all its replicas as long as the stores there have not too
+/// much, then the one that holds least, then the first by name.
+pub fn pick_first_member<'a>(
+    candidates: &[&'a StoreView],
+    rules: &PlacementRules,
+    load: &Load,
+) -> Option<&'a StoreView> {
+    let needed = usize::try_from(rules.replicas()).unwrap_or(usize::MAX);
+    let even_share = rules.replicas().saturating_mul(rules.shards_per_store.max(1));
+    let in_region = |region: &str| candidates.iter().filter(|store| store.region == region).count();
+    let cost = |candidate: &&&StoreView| {
+        let held = load.of(&candidate.node).replicas;
+        let is_full = held >= even_share.saturating_mul(MOST_EVEN_SHARES);
+        let missing = needed.saturating_sub(in_region(&candidate.region));
+        let outside = if rules.lost_regions > 0 { 0 } else { missing };
+        (is_full, outside, held, candidate.node.clone())
     };
-    members.iter().min_by_key(cost).copied()
+    candidates.iter().min_by_key(cost).copied()
+}
+
+/// The candidate among the members that shall lead fewest shards, then the one that holds fewest, then the first by name. Where no region's loss
+/// has to be borne it is one in the region of most members, whose quorum waits for no other region.
+pub fn pick_leader<'a>(
+    candidates: &[&'a StoreView],
+    members: &[&StoreView],
+    rules: SpreadRules,
+    load: &Load,
+) -> Option<&'a StoreView> {
+    let cost = |candidate: &&&StoreView| {
+        let held = load.of(&candidate.node);
+        let is_outside = is_outside_home(candidate, members, rules);
+        (is_outside, held.leaders, held.replicas, candidate.node.clone())
+    };
+    candidates.iter().min_by_key(cost).copied()
+}
+
+/// Whether a store lies in another region than most members do, and that counts.
+pub fn is_outside_home(store: &StoreView, members: &[&StoreView], rules: SpreadRules) -> bool {
+    let regions = tally(members.iter().map(|member| member.region.as_str()));
+    let most = regions.values().max().copied().unwrap_or_default();
+    rules.lost_regions == 0 && regions.get(store.region.as_str()) != Some(&most)
 }
 
 /// How crowded these members stand.
 pub fn crowding(members: &[&StoreView], rules: SpreadRules) -> Crowding {
     let zones = squares(members.iter().map(|member| member.zone.as_str()));
-    let regions = squares(members.iter().map(|member| member.region.as_str()));
-    Crowding { regions: if rules.lost_regions > 0 { regions } else { 0 }, zones }
+    let regions = tally(members.iter().map(|member| member.region.as_str()));
+    let at_home = regions.values().max().map_or(0, |most| usize::try_from(*most).unwrap_or(usize::MAX));
+    let region_squares = regions.values().map(|count| count * count).sum();
+    Crowding {
+        borne_regions: if rules.lost_regions > 0 { region_squares } else { 0 },
+        borne_zones: if rules.lost_zones > 0 { zones } else { 0 },
+        outside_home: if rules.lost_regions > 0 { 0 } else { members.len().saturating_sub(at_home) },
+        zones,
+    }
 }
 
 /// Whether a majority of these members remains after the loss of any zones and any regions that have to be borne.
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -20,7 +20,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use ruddervalve_configuration::{Configuration, RouteTable};
+use ruddervalve_configuration::{Configuration, Locality, RouteTable};
 use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::{
     ConfigurationUpdate, Directory, EdgeToStore, Grant, GroupId, InventoryItem, ReplicaId, RunnerList,
@@ -46,8 +46,8 @@
 /// What an edge is told at its start. Times are milliseconds.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EdgeSettings {
-    /// Its zone.
-    pub zone: String,
+    /// Where it stands.
+    pub locality: Locality,
     /// For draws; different at each edge and start.
     pub seed: u64,
     /// How many other edges there may be, until [`EdgeCore::set_edges`].
@@ -95,7 +95,7 @@
     /// An edge that knows nothing yet.
     pub fn new(settings: EdgeSettings) -> Self {
         let dispatch = DispatchSettings {
-            zone: settings.zone.clone(),
+            locality: settings.locality.clone(),
             seed: settings.seed,
             other_edges: settings.other_edges,
         };
@@ -103,7 +103,7 @@
             now: 0,
             routes: None,
             configuration: None,
-            shards: Shards::new(settings.zone.clone(), settings.seed),
+            shards: Shards::new(settings.locality.clone(), settings.seed),
             health: Health::new(settings.suspect_after_ms),
             dispatch: Dispatch::new(dispatch),
             held: HeldRequests::default(),
--- a/crates/edge/src/core/shards.rs
+++ b/crates/edge/src/core/shards.rs
@@ -6,6 +6,7 @@
 use fnv::FnvHasher;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
+use ruddervalve_configuration::{Distance, Locality};
 use ruddervalve_protocol::{Directory, GroupId, ReplicaId};
 
 /// Who leads a shard.
@@ -18,7 +19,7 @@
 /// All shards and stores, as the directory and the stores tell.
 #[derive(Debug)]
 pub struct Shards {
-    zone: String,
+    locality: Locality,
     random: ChaCha8Rng,
     version: u64,
     /// In the order of the directory, which never changes: keys are spread over it.
@@ -31,9 +32,9 @@
 }
 
 impl Shards {
-    pub fn new(zone: String, seed: u64) -> Self {
+    pub fn new(locality: Locality, seed: u64) -> Self {
         Self {
-            zone,
+            locality,
             random: ChaCha8Rng::seed_from_u64(seed),
             version: 0,
             groups: Vec::new(),
@@ -141,23 +142,23 @@
         self.groups.get(usize::try_from(place).ok()?).copied()
     }
 
-    /// A shard for a message that may go to any: one that has a leader that is well, in this zone if possible, and is not
-    /// `not`.
+    /// A shard for a message that may go to any: one that is not `not` and has a leader that is well, as near as possible.
     pub fn for_any(&mut self, not: Option<GroupId>, is_well: impl Fn(ReplicaId) -> bool) -> Option<GroupId> {
-        let led: Vec<(GroupId, bool)> = self
+        let led: Vec<(GroupId, Distance)> = self
             .leaders
             .iter()
             .filter(|(group, leadership)| Some(**group) != not && is_well(leadership.store))
-            .map(|(group, leadership)| (*group, self.is_near(leadership.store)))
+            .map(|(group, leadership)| (*group, self.distance(leadership.store)))
             .collect();
-        let near = led.iter().any(|(_, near)| *near);
+        let nearest = led.iter().map(|(_, distance)| *distance).min()?;
         let candidates: Vec<GroupId> =
-            led.into_iter().filter(|(_, is_near)| !near || *is_near).map(|(group, _)| group).collect();
-        let place = self.random.random_range(0..candidates.len().max(1));
+            led.into_iter().filter(|(_, distance)| *distance == nearest).map(|(group, _)| group).collect();
+        let place = self.random.random_range(0..candidates.len());
         candidates.get(place).copied()
     }
 
-    fn is_near(&self, store: ReplicaId) -> bool {
-        self.zones.get(&store).is_some_and(|zone| *zone == self.zone)
+    /// How far a store is; one that the directory does not name is taken for far.
+    pub fn distance(&self, store: ReplicaId) -> Distance {
+        self.zones.get(&store).map_or(Distance::Beyond, |zone| self.locality.distance_to(zone))
     }
 }
--- a/crates/edge/src/dispatch/pool.rs
+++ b/crates/edge/src/dispatch/pool.rs
@@ -53,7 +53,7 @@
             pacing: Pacing::of(None),
             max_connections: 1,
             retired: false,
-            runners: RunnerTable::new(&settings.zone),
+            runners: RunnerTable::new(settings.locality.clone()),
             jobs: JobTable::default(),
             trials: None,
             loads: LoadReader::default(),
--- a/crates/edge/src/dispatch/runners.rs
+++ b/crates/edge/src/dispatch/runners.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use ruddervalve::{Availability, Machine};
+use ruddervalve_configuration::{Distance, Locality};
 use ruddervalve_protocol::{Runner, RunnerPhase};
 
 use super::settings::{ELSEWHERE, HOME};
@@ -11,8 +12,8 @@
 /// The runners of one service, and those that have left the list with messages of this edge still there.
 #[derive(Debug)]
 pub(crate) struct RunnerTable {
-    /// The zone of this edge.
-    zone: String,
+    /// Where this edge stands.
+    locality: Locality,
     runners: BTreeMap<String, Standing>,
     /// The list as the decisions have it.
     machines: Vec<Machine>,
@@ -46,8 +47,8 @@
 
 impl RunnerTable {
     /// No runners yet.
-    pub(crate) fn new(zone: &str) -> Self {
-        Self { zone: zone.to_owned(), runners: BTreeMap::new(), machines: Vec::new() }
+    pub(crate) fn new(locality: Locality) -> Self {
+        Self { locality, runners: BTreeMap::new(), machines: Vec::new() }
     }
 
     /// Takes the runners as they are listed now.
@@ -82,7 +83,8 @@
     }
 
     fn machine(&self, runner: &Runner) -> Machine {
-        let zone = if runner.zone == self.zone { HOME } else { ELSEWHERE };
+        let is_home = self.locality.distance_to(&runner.zone) == Distance::SameZone;
+        let zone = if is_home { HOME } else { ELSEWHERE };
         Machine {
             name: runner.uid.clone(),
             availability: availability(runner.phase),
--- a/crates/edge/src/dispatch/settings.rs
+++ b/crates/edge/src/dispatch/settings.rs
@@ -3,6 +3,7 @@
 use ruddervalve::{
     ClassSettings, Discovery, Effect, Limits, Names, Reporting, Rules, SECOND, Settings, ZoneId,
 };
+use ruddervalve_configuration::Locality;
 
 /// The one class of jobs in a service's decisions: the queue has ranked the messages already.
 pub(crate) const CLASS: &str = "message";
@@ -18,8 +19,8 @@
 /// What the decisions of one edge are told at its start.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DispatchSettings {
-    /// The zone of this edge.
-    pub zone: String,
+    /// Where this edge stands.
+    pub locality: Locality,
     /// Seeds the draws. Edges must have different ones, or they all draw the same runners.
     pub seed: u64,
     /// How many other edges deliver to the same runners, until [`super::Dispatch::set_other_edges`]: connections are
--- a/crates/edge/src/role.rs
+++ b/crates/edge/src/role.rs
@@ -147,7 +147,7 @@
 impl Edge {
     fn start(boot: Boot, clock: Clock) -> (Self, mpsc::UnboundedReceiver<Event>) {
         let settings = EdgeSettings {
-            zone: boot.settings.zone.clone(),
+            locality: boot.settings.locality(),
             seed: draw_seed(),
             other_edges: OTHER_EDGES,
             ack_timeout_ms: boot.settings.bounds.ack_timeout_ms,
--- a/crates/edge/tests/core_appends.rs
+++ b/crates/edge/tests/core_appends.rs
@@ -13,7 +13,7 @@
 
 fn edge() -> EdgeCore {
     let settings = EdgeSettings {
-        zone: "z".into(),
+        locality: ruddervalve_configuration::Locality::new("z", Vec::new()),
         seed: 1,
         other_edges: 1,
         ack_timeout_ms: 5000,
--- a/crates/edge/tests/core_support/mod.rs
+++ b/crates/edge/tests/core_support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use bytes::Bytes;
+use ruddervalve_configuration::Locality;
 use ruddervalve_edge::core::{ClientNumber, EdgeCore, EdgeOutput, EdgeSettings};
 use ruddervalve_edge::front::{FrontRequest, FrontResponse, Method, StatusCode};
 use ruddervalve_protocol::{
@@ -41,7 +42,7 @@
     /// An edge that knows nothing.
     pub fn new() -> Self {
         let settings = EdgeSettings {
-            zone: "north".to_owned(),
+            locality: Locality::new("north", Vec::new()),
             seed: 5,
             other_edges: 1,
             ack_timeout_ms: 5_000,
--- a/crates/edge/tests/dispatch_common/mod.rs
+++ b/crates/edge/tests/dispatch_common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 use ruddervalve_configuration::Configuration;
+use ruddervalve_configuration::Locality;
 use ruddervalve_edge::dispatch::{Dispatch, DispatchOutcome, DispatchSettings, DispatchStep, RunnerLoad};
 use ruddervalve_protocol::{Runner, RunnerList, RunnerPhase};
 
@@ -78,7 +79,7 @@
 
 /// An edge at home that knows nothing.
 pub fn edge(seed: u64, other_edges: u32) -> Dispatch {
-    Dispatch::new(DispatchSettings { zone: HOME.to_owned(), seed, other_edges })
+    Dispatch::new(DispatchSettings { locality: Locality::new(HOME, Vec::new()), seed, other_edges })
 }
 
 /// An edge at home that knows one service and its runners, at time 0.
--- a/crates/edge/tests/dispatch_simulation.rs
+++ b/crates/edge/tests/dispatch_simulation.rs
@@ -8,6 +8,7 @@
 use dispatch_common::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use ruddervalve_configuration::Locality;
 use ruddervalve_edge::dispatch::{Dispatch, DispatchOutcome, DispatchSettings, DispatchStep};
 
 const SERVICE: &str = "service";
@@ -101,7 +102,11 @@
 fn simulated_edge(play: &Play, number: usize) -> Dispatch {
     let others = u32::try_from(play.edges - 1).unwrap();
     let seed = 1_000 + number as u64;
-    let mut edge = Dispatch::new(DispatchSettings { zone: zone(number), seed, other_edges: others });
+    let mut edge = Dispatch::new(DispatchSettings {
+        locality: Locality::new(zone(number), Vec::new()),
+        seed,
+        other_edges: others,
+    });
     edge.set_configuration(0, &configuration(1, &[ServiceLine::listed(SERVICE)]));
     let runner = |number: usize| runner(SERVICE, &number.to_string(), &zone(number), play.slots);
     edge.set_runners(0, &list(1, &(0..play.runners).map(runner).collect::<Vec<_>>()));
--- a/crates/queue/src/callbacks.rs
+++ b/crates/queue/src/callbacks.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use ruddervalve_configuration::Distance;
 use ruddervalve_protocol::{Incarnation, MessageId};
 
 use crate::Action;
@@ -237,7 +238,7 @@
             return reporter;
         }
         let making = |edge: Incarnation| self.held.get(&edge).map_or(0, BTreeSet::len);
-        let least = callers.into_iter().min_by_key(|caller| (making(caller.edge), !caller.near));
+        let least = callers.into_iter().min_by_key(|caller| (making(caller.edge), caller.distance));
         least.map(|caller| caller.edge)
     }
 }
@@ -247,7 +248,7 @@
 struct Caller {
     rank: u64,
     edge: Incarnation,
-    near: bool,
+    distance: Distance,
 }
 
 /// The edges that call a receiver: the first few in the receiver's own order of edges, which is the same for all shards.
@@ -258,7 +259,7 @@
         .map(|(incarnation, edge)| Caller {
             rank: rendezvous(name_hash, edge.node_hash),
             edge: incarnation,
-            near: edge.near,
+            distance: edge.distance,
         })
         .collect();
     if callers.len() > MOST_CALLERS {
--- a/crates/queue/src/edges.rs
+++ b/crates/queue/src/edges.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use ruddervalve_configuration::Distance;
 use ruddervalve_protocol::Incarnation;
 
 use crate::backoff::{mixed, name_hash};
@@ -23,7 +24,7 @@
 pub(crate) struct Edge {
     pub(crate) node: String,
     pub(crate) node_hash: u64,
-    pub(crate) near: bool,
+    pub(crate) distance: Distance,
     pub(crate) connected: bool,
     /// Its place among attachments, once its `AttachEdge` is applied.
     pub(crate) attached: Option<u64>,
@@ -78,7 +79,7 @@
         self.edges.entry(incarnation).or_insert_with(|| Edge {
             node: node.to_owned(),
             node_hash: name_hash(node),
-            near: false,
+            distance: Distance::Beyond,
             connected: false,
             attached: None,
             inventoried: false,
--- a/crates/queue/src/leader/connections.rs
+++ b/crates/queue/src/leader/connections.rs
@@ -28,12 +28,12 @@
             self.supersede(now_ms, other);
         }
         self.drop_permits(edge);
-        let near = session.zone == self.settings.zone;
+        let distance = self.settings.locality.distance_to(&session.zone);
         let known = self.edges.entry(now_ms, edge, &session.node);
         known.connected = true;
         known.inventoried = false;
         known.leaving = false;
-        known.near = near;
+        known.distance = distance;
         known.last_heard_ms = now_ms;
         self.attach(edge);
         self.edges.check_at(now_ms.saturating_add(self.settings.visibility_timeout_ms), edge);
@@ -70,7 +70,7 @@
         let Some(known) = self.edges.get(edge).filter(|known| known.connected && !known.leaving) else {
             return;
         };
-        let near = known.near;
+        let distance = known.distance;
         let policy = self.policy.as_ref();
         let offered = credits.iter().filter(|(_, count)| *count > 0);
         let by_index: Vec<_> = offered
@@ -79,7 +79,7 @@
                 (self.services.index(name, || service), *count)
             })
             .collect();
-        self.services.set_credits(edge, near, &by_index);
+        self.services.set_credits(edge, distance, &by_index);
     }
 
     /// All that the edge holds or has not had acknowledged, once on each connection and before its other messages about
--- a/crates/queue/src/leader/dispatching.rs
+++ b/crates/queue/src/leader/dispatching.rs
@@ -1,5 +1,6 @@
 //! Grants: which message goes to which edge now.
 
+use ruddervalve_configuration::Distance;
 use ruddervalve_protocol::{Incarnation, LeaseId, MessageId};
 
 use super::ShardLeader;
@@ -100,7 +101,11 @@
         let preferred = edges.min_by_key(|(incarnation, edge)| {
             let outstanding = service.outstanding_at(*incarnation);
             let crowding = outstanding.saturating_sub(many - 1);
-            (crowding, std::cmp::Reverse(rendezvous(service.name_hash, edge.node_hash)))
+            (
+                edge.distance == Distance::Beyond,
+                crowding,
+                std::cmp::Reverse(rendezvous(service.name_hash, edge.node_hash)),
+            )
         });
         preferred.map(|(incarnation, _)| incarnation)
     }
--- a/crates/queue/src/services.rs
+++ b/crates/queue/src/services.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 
+use ruddervalve_configuration::Distance;
 use ruddervalve_protocol::Incarnation;
 
 use crate::backoff::{Jitter, name_hash};
@@ -230,11 +231,16 @@
     }
 
     /// Replaces all credits of an edge.
-    pub(crate) fn set_credits(&mut self, edge: Incarnation, near: bool, credits: &[(ServiceIndex, u32)]) {
+    pub(crate) fn set_credits(
+        &mut self,
+        edge: Incarnation,
+        distance: Distance,
+        credits: &[(ServiceIndex, u32)],
+    ) {
         self.withdraw(edge);
         for (index, count) in credits {
             let Some(service) = self.get_mut(*index) else { continue };
-            service.credits.set(edge, near, *count);
+            service.credits.set(edge, distance, *count);
             self.look_at(*index);
         }
         self.credited.insert(edge, credits.iter().map(|(index, _)| *index).collect());
--- a/crates/queue/src/settings.rs
+++ b/crates/queue/src/settings.rs
@@ -1,6 +1,7 @@
 //! Limits that follow from the settings of the process.
 
 use nanoserde::{DeBin, SerBin};
+use ruddervalve_configuration::Locality;
 
 /// How long a shard keeps what has ended. Part of the replicated state, as replicas must forget at the same entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
@@ -26,8 +27,8 @@
 /// What a shard's leader goes by. All times are milliseconds.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LeaderSettings {
-    /// The zone of this store; edges there are preferred.
-    pub zone: String,
+    /// Where this store stands: near edges are preferred.
+    pub locality: Locality,
     /// For jitter: draw it anew for each leader.
     pub seed: u64,
     /// `VisibilityTimeoutMs`: a lease is free again after its edge was silent for so long.
--- a/crates/queue/tests/support/mod.rs
+++ b/crates/queue/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use ruddervalve_configuration::Locality;
 use ruddervalve_protocol::{
     Blob, DeliveryOutcome, EndPhase, Incarnation, InventoryItem, LeaseId, MessageId, MessagePhase, NewMessage,
 };
@@ -94,7 +95,7 @@
 
 pub fn settings() -> LeaderSettings {
     LeaderSettings {
-        zone: "near".to_owned(),
+        locality: Locality::new("near", Vec::new()),
         seed: 7,
         visibility_timeout_ms: VISIBILITY_MS,
         reconnect_ms: VISIBILITY_MS,
--- a/crates/simulation/src/edge_process.rs
+++ b/crates/simulation/src/edge_process.rs
@@ -45,7 +45,7 @@
         effects: &mut Vec<Effect>,
     ) -> Self {
         let edge_settings = EdgeSettings {
-            zone: settings.zone.clone(),
+            locality: settings.locality(),
             seed,
             other_edges: 2,
             ack_timeout_ms: settings.bounds.ack_timeout_ms,
--- a/crates/store/src/core/mod.rs
+++ b/crates/store/src/core/mod.rs
@@ -91,7 +91,7 @@
         callback_keep_ms: bounds.status_ttl_ms.saturating_mul(CALLBACK_KEEP_TTLS),
     };
     let leader = LeaderSettings {
-        zone: settings.zone.clone(),
+        locality: settings.locality(),
         seed: 0,
         visibility_timeout_ms: bounds.visibility_timeout_ms,
         reconnect_ms: (bounds.liveness_ms / RECONNECTS_PER_LIVENESS).max(1),
