Edges share the connections of runners that accept fewer than there are edges

Cause: each edge keeps a connection to each runner. Change: where there are more edges than connections an edge delivers to as many runners only as three quarters of all connections allow, the nearest first, equally near ones by a draw of its own. Deployments whose runners accept more connections than there are edges are not touched.

--- a/crates/edge/src/dispatch/engine.rs
+++ b/crates/edge/src/dispatch/engine.rs
@@ -64,7 +64,7 @@
     }
 
     fn open_listed(&mut self, now: u64, out: &mut Vec<DispatchStep>) {
-        for (name, max_connections, pacing) in self.plan.listed() {
+        for (name, plan, pacing) in self.plan.listed() {
             if !self.pools.contains_key(name) {
                 match Pool::new(&self.settings, name) {
                     Ok(pool) => drop(self.pools.insert(name.to_owned(), pool)),
@@ -73,7 +73,7 @@
                 }
             }
             let Some(pool) = self.pools.get_mut(name) else { continue };
-            pool.configure(pacing, max_connections);
+            pool.configure(pacing, plan);
             pool.list(now, self.roster.runners(name), out);
         }
     }
--- a/crates/edge/src/dispatch/mod.rs
+++ b/crates/edge/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 //! What is added here, because messages are kept in the queue and not at the edge:
 //! - A message that finds no slot for a while is given back; the queue brings it again.
 //! - A service all of whose runners have failed gets single trials, paced, and no others.
+//! - Where runners accept fewer connections than there are edges, each edge delivers to some of them only, near ones first.
 //! - A runner that answers for another instance is out until a newer list names it again.
 //! - An endpoint that stands in the configuration is not chosen at all: its messages go there.
 //!
@@ -25,6 +26,7 @@
 mod roster;
 mod runners;
 mod settings;
+mod share;
 mod step;
 
 pub use engine::Dispatch;
--- a/crates/edge/src/dispatch/plan.rs
+++ b/crates/edge/src/dispatch/plan.rs
@@ -5,6 +5,7 @@
 use ruddervalve_configuration::{Configuration, Service};
 
 use super::pacing::Pacing;
+use super::share::RunnerShare;
 
 /// Part of an endpoint's connections that one edge may use: half, so that the edge that takes an endpoint's messages over
 /// from another finds room beside what that one still has open. How many messages are out is the queue's to bound.
@@ -32,6 +33,8 @@
     pub(crate) target: Target,
     /// Connections to one address of it that this edge may have open.
     pub(crate) max_connections: u32,
+    /// How the edges share the connections of its runners.
+    pub(crate) share: RunnerShare,
 }
 
 /// The services of a configuration, and which route leads to which.
@@ -68,9 +71,9 @@
     }
 
     /// Services whose runners are listed, with their plans and waits.
-    pub(crate) fn listed(&self) -> impl Iterator<Item = (&str, u32, Pacing)> {
+    pub(crate) fn listed(&self) -> impl Iterator<Item = (&str, &ServicePlan, Pacing)> {
         self.services.iter().filter_map(|(name, plan)| match plan.target {
-            Target::Runners { pacing } => Some((name.as_str(), plan.max_connections, pacing)),
+            Target::Runners { pacing } => Some((name.as_str(), plan, pacing)),
             Target::Endpoint { .. } => None,
         })
     }
@@ -85,7 +88,8 @@
         Target::Endpoint { .. } => ENDPOINT_PART,
         Target::Runners { .. } => edges,
     };
-    ServicePlan { target, max_connections: part(service.max_connections, parts) }
+    let share = RunnerShare { edges, connections: service.max_connections };
+    ServicePlan { target, max_connections: part(service.max_connections, parts), share }
 }
 
 /// This edge's part of the connections; at least one. 0 means that no limit is known.
--- a/crates/edge/src/dispatch/pool.rs
+++ b/crates/edge/src/dispatch/pool.rs
@@ -3,14 +3,17 @@
 use std::collections::VecDeque;
 
 use ruddervalve::{Facade, JobFacts, ListKind, LoadReport, Outcome, Report, SettingsError, Step, WorkerId};
+use ruddervalve_configuration::Locality;
 use ruddervalve_protocol::Runner;
 
 use super::errors::ErrorShare;
 use super::jobs::JobTable;
 use super::loads::LoadReader;
 use super::pacing::{Pacing, Trials};
+use super::plan::ServicePlan;
 use super::runners::RunnerTable;
 use super::settings::{CLASS, DispatchSettings, LONGEST_MS, names};
+use super::share::RunnerShare;
 use super::step::{DispatchOutcome, DispatchStep, RunnerLoad};
 
 /// Jobs of a service that may wait here at once: enough for beliefs that were a little too high. All that wait are looked
@@ -25,6 +28,10 @@
     facts: JobFacts,
     pacing: Pacing,
     max_connections: u32,
+    /// Which of the runners this edge delivers to.
+    share: RunnerShare,
+    locality: Locality,
+    seed: u64,
     /// The configuration names the service no more: what is out ends, nothing new starts.
     retired: bool,
     runners: RunnerTable,
@@ -52,6 +59,9 @@
             facts: facts(),
             pacing: Pacing::of(None),
             max_connections: 1,
+            share: RunnerShare::ALL,
+            locality: settings.locality.clone(),
+            seed,
             retired: false,
             runners: RunnerTable::new(settings.locality.clone()),
             jobs: JobTable::default(),
@@ -63,9 +73,10 @@
     }
 
     /// The service stands in the configuration with these values.
-    pub(crate) fn configure(&mut self, pacing: Pacing, max_connections: u32) {
+    pub(crate) fn configure(&mut self, pacing: Pacing, plan: &ServicePlan) {
         self.pacing = pacing;
-        self.max_connections = max_connections;
+        self.max_connections = plan.max_connections;
+        self.share = plan.share;
         self.retired = false;
     }
 
@@ -99,7 +110,8 @@
         listed: impl Iterator<Item = &'a Runner>,
         out: &mut Vec<DispatchStep>,
     ) {
-        let news = self.runners.list(listed);
+        let chosen = self.share.select(&self.locality, self.seed, listed);
+        let news = self.runners.list(chosen.into_iter());
         if let Some(machines) = news.machines {
             let steps = self.facade.list(now as f64, ListKind::Full, &machines);
             self.take(now, steps, out);
