--- a/crates/configuration/src/locality.rs
+++ b/crates/configuration/src/locality.rs
@@ -1,6 +1,6 @@
 //! How far places are from a process.
 
-use crate::settings::{Settings, ZoneRegion};
+use crate::settings::{Settings, ZoneRegion, region_of};
 
 /// How far a place is; nearer ones come first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -26,25 +26,16 @@
         Self { zone: zone.into(), zones }
     }
 
-    /// The zone of the process.
-    pub fn zone(&self) -> &str {
-        &self.zone
-    }
-
     /// How far a zone is. Zones that are named with no region count as one region together.
     pub fn distance_to(&self, zone: &str) -> Distance {
         if zone == self.zone {
             Distance::SameZone
-        } else if self.region(zone) == self.region(&self.zone) {
+        } else if region_of(&self.zones, zone) == region_of(&self.zones, &self.zone) {
             Distance::SameRegion
         } else {
             Distance::Beyond
         }
     }
-
-    fn region(&self, zone: &str) -> Option<&str> {
-        self.zones.iter().find(|known| known.zone == zone).map(|known| known.region.as_str())
-    }
 }
 
 impl Settings {
--- a/crates/configuration/src/settings.rs
+++ b/crates/configuration/src/settings.rs
@@ -134,10 +134,15 @@
 
     /// The region of a zone, where the settings name it.
     pub fn region(&self, zone: &str) -> Option<&str> {
-        self.zones.iter().find(|known| known.zone == zone).map(|known| known.region.as_str())
+        region_of(&self.zones, zone)
     }
 }
 
+/// The region of a zone among those that are known.
+pub(crate) fn region_of<'a>(zones: &'a [ZoneRegion], zone: &str) -> Option<&'a str> {
+    zones.iter().find(|known| known.zone == zone).map(|known| known.region.as_str())
+}
+
 /// Reads all fields. Stand-ins for needed fields get nowhere: each has a fault noted beside it.
 fn read_settings(value: &Value, faults: &mut FaultList) -> Option<Settings> {
     let root = Section::new(value, Place::ROOT, faults)?;
--- a/crates/coordinator/src/placement_spread.rs
+++ b/crates/coordinator/src/placement_spread.rs
@@ -117,8 +117,8 @@
     candidates.iter().min_by_key(cost).copied()
 }
 
-/// The candidate among the members that shall lead fewest shards, then the one that holds fewest, then the first by name. Where no region's loss
-/// has to be borne it is one in the region of most members, whose quorum waits for no other region.
+/// The candidate among the members that shall lead fewest shards, then the one that holds fewest, then the first by name.
+/// Where no region's loss has to be borne it is one in the region of most members, whose quorum waits for no other region.
 pub fn pick_leader<'a>(
     candidates: &[&'a StoreView],
     members: &[&StoreView],
--- a/crates/edge/src/core/shards.rs
+++ b/crates/edge/src/core/shards.rs
@@ -24,7 +24,8 @@
     version: u64,
     /// In the order of the directory, which never changes: keys are spread over it.
     groups: Vec<GroupId>,
-    zones: BTreeMap<ReplicaId, String>,
+    /// How far each store is that the directory names.
+    distances: BTreeMap<ReplicaId, Distance>,
     connected: BTreeSet<ReplicaId>,
     leaders: BTreeMap<GroupId, Leadership>,
     /// The newest term in which each shard was led: a leader of an older one is not believed any more.
@@ -38,7 +39,7 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             version: 0,
             groups: Vec::new(),
-            zones: BTreeMap::new(),
+            distances: BTreeMap::new(),
             connected: BTreeSet::new(),
             leaders: BTreeMap::new(),
             newest_terms: BTreeMap::new(),
@@ -53,8 +54,9 @@
         self.version = directory.version;
         self.groups = directory.shards.iter().map(|shard| shard.group).collect();
         self.groups.sort_unstable();
-        let zone = |store: &ruddervalve_protocol::StoreMember| (store.replica, store.zone.clone());
-        self.zones = directory.stores.iter().map(zone).collect();
+        let distances =
+            directory.stores.iter().map(|store| (store.replica, self.locality.distance_to(&store.zone)));
+        self.distances = distances.collect();
         true
     }
 
@@ -112,7 +114,7 @@
 
     /// How many stores there are, connected or not.
     pub fn store_count(&self) -> usize {
-        self.zones.len()
+        self.distances.len()
     }
 
     pub fn has_leader(&self) -> bool {
@@ -159,6 +161,6 @@
 
     /// How far a store is; one that the directory does not name is taken for far.
     pub fn distance(&self, store: ReplicaId) -> Distance {
-        self.zones.get(&store).map_or(Distance::Beyond, |zone| self.locality.distance_to(zone))
+        self.distances.get(&store).copied().unwrap_or(Distance::Beyond)
     }
 }
--- a/crates/edge/src/dispatch/loads.rs
+++ b/crates/edge/src/dispatch/loads.rs
@@ -8,6 +8,25 @@
 /// count the message that they answer. An answer that shows an empty one ends that belief for good.
 const ANSWERS_BEFORE_BELIEF: u32 = 32;
 
+/// What bounds the messages that this edge can have at a runner, whatever the runner says of itself.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RunnerLimits {
+    /// The slots that the list gives the runner.
+    pub(crate) capacity: u32,
+    /// Connections that this edge may have open to it; each carries one message at a time.
+    pub(crate) connections: u32,
+    /// Messages of this edge that are there.
+    pub(crate) out: u32,
+}
+
+impl RunnerLimits {
+    /// Of the slots that seem free, those that this edge can use.
+    fn usable(self, free_slots: u32) -> u32 {
+        let free_connections = self.connections.saturating_sub(self.out);
+        free_slots.min(self.capacity).min(free_connections)
+    }
+}
+
 /// Reads the loads that runners of one service report with their answers.
 ///
 /// Runners may or may not count the message that is answered as one that runs; idle tokens return only if that is known.
@@ -18,27 +37,26 @@
 }
 
 impl LoadReader {
-    /// What a load with the answer to a message tells; `own_left`: messages of this edge that are still there. No more
-    /// slots are believed free than the list gives the runner, whatever it says.
-    pub(crate) fn read(&mut self, load: RunnerLoad, own_left: u32, capacity: u32) -> LoadReport {
+    /// What a load with the answer to a message tells, once that message is off the runner.
+    pub(crate) fn read(&mut self, load: RunnerLoad, limits: RunnerLimits) -> LoadReport {
         if load.running == 0 && load.waiting == 0 {
             self.empty_seen = true;
-        } else if own_left == 0 {
+        } else if limits.out == 0 {
             self.busy_answers = self.busy_answers.saturating_add(1);
         }
         let counts_answered = !self.empty_seen && self.busy_answers >= ANSWERS_BEFORE_BELIEF;
         let running = load.running.saturating_sub(u32::from(counts_answered));
-        report(load.slots.saturating_sub(running).min(capacity), load.waiting)
+        report(limits.usable(load.slots.saturating_sub(running)), load.waiting)
     }
 
     /// What a load by itself, with no message, tells.
-    pub(crate) fn read_probe(load: RunnerLoad, capacity: u32) -> LoadReport {
-        report(load.slots.saturating_sub(load.running).min(capacity), load.waiting)
+    pub(crate) fn read_probe(load: RunnerLoad, limits: RunnerLimits) -> LoadReport {
+        report(limits.usable(load.slots.saturating_sub(load.running)), load.waiting)
     }
 
     /// What is believed of a runner that tells no load: the slots that the list gives it, less what this edge has there.
-    pub(crate) fn own_traffic(capacity: u32, own: u32) -> LoadReport {
-        report(capacity.saturating_sub(own), 0)
+    pub(crate) fn own_traffic(limits: RunnerLimits) -> LoadReport {
+        report(limits.usable(limits.capacity.saturating_sub(limits.out)), 0)
     }
 }
 
--- a/crates/edge/src/dispatch/pool.rs
+++ b/crates/edge/src/dispatch/pool.rs
@@ -3,12 +3,11 @@
 use std::collections::VecDeque;
 
 use ruddervalve::{Facade, JobFacts, ListKind, LoadReport, Outcome, Report, SettingsError, Step, WorkerId};
-use ruddervalve_configuration::Locality;
 use ruddervalve_protocol::Runner;
 
 use super::errors::ErrorShare;
 use super::jobs::JobTable;
-use super::loads::LoadReader;
+use super::loads::{LoadReader, RunnerLimits};
 use super::pacing::{Pacing, Trials};
 use super::plan::ServicePlan;
 use super::runners::RunnerTable;
@@ -30,7 +29,6 @@
     max_connections: u32,
     /// Which of the runners this edge delivers to.
     share: RunnerShare,
-    locality: Locality,
     seed: u64,
     /// The configuration names the service no more: what is out ends, nothing new starts.
     retired: bool,
@@ -60,7 +58,6 @@
             pacing: Pacing::of(None),
             max_connections: 1,
             share: RunnerShare::ALL,
-            locality: settings.locality.clone(),
             seed,
             retired: false,
             runners: RunnerTable::new(settings.locality.clone()),
@@ -110,7 +107,7 @@
         listed: impl Iterator<Item = &'a Runner>,
         out: &mut Vec<DispatchStep>,
     ) {
-        let chosen = self.share.select(&self.locality, self.seed, listed);
+        let chosen = self.share.select(self.runners.locality(), self.seed, listed);
         let news = self.runners.list(chosen.into_iter());
         if let Some(machines) = news.machines {
             let steps = self.facade.list(now as f64, ListKind::Full, &machines);
@@ -122,10 +119,15 @@
         self.review(now);
     }
 
+    fn limits(&self, uid: &str) -> Option<RunnerLimits> {
+        let runner = self.runners.get(uid)?;
+        Some(RunnerLimits { capacity: runner.capacity, connections: self.max_connections, out: runner.out })
+    }
+
     /// Of a runner that has told nothing yet, all slots that the list gives it are believed free.
     fn suppose_capacity(&mut self, now: u64, uid: &str, out: &mut Vec<DispatchStep>) {
-        let Some(runner) = self.runners.get(uid) else { return };
-        let load = LoadReader::own_traffic(runner.capacity, runner.out);
+        let Some(limits) = self.limits(uid) else { return };
+        let load = LoadReader::own_traffic(limits);
         self.load(now, uid, load, out);
     }
 
@@ -232,10 +234,10 @@
 
     /// A message that a runner ended its work on tells of the slots there.
     fn learn(&mut self, now: u64, uid: &str, load: Option<RunnerLoad>, out: &mut Vec<DispatchStep>) {
-        let Some(runner) = self.runners.get(uid) else { return };
+        let Some(limits) = self.limits(uid) else { return };
         let report = match load {
-            Some(load) => self.loads.read(load, runner.out, runner.capacity),
-            None => LoadReader::own_traffic(runner.capacity, runner.out),
+            Some(load) => self.loads.read(load, limits),
+            None => LoadReader::own_traffic(limits),
         };
         self.load(now, uid, report, out);
     }
@@ -250,8 +252,8 @@
         out: &mut Vec<DispatchStep>,
     ) {
         let outcome = if healthy { Outcome::Served } else { Outcome::Error };
-        let capacity = self.runners.get(uid).map_or(0, |runner| runner.capacity);
-        let report = load.map(|load| LoadReader::read_probe(load, capacity));
+        let limits = self.limits(uid);
+        let report = load.zip(limits).map(|(load, limits)| LoadReader::read_probe(load, limits));
         let steps = self.facade.probed(now as f64, uid, outcome, report);
         self.take(now, steps, out);
         self.review(now);
--- a/crates/edge/src/dispatch/runners.rs
+++ b/crates/edge/src/dispatch/runners.rs
@@ -51,6 +51,11 @@
         Self { locality, runners: BTreeMap::new(), machines: Vec::new() }
     }
 
+    /// Where this edge stands.
+    pub(crate) fn locality(&self) -> &Locality {
+        &self.locality
+    }
+
     /// Takes the runners as they are listed now.
     pub(crate) fn list<'a>(&mut self, listed: impl Iterator<Item = &'a Runner>) -> ListNews {
         let mut machines = Vec::new();
--- a/crates/edge/tests/dispatch_share.rs
+++ b/crates/edge/tests/dispatch_share.rs
@@ -6,7 +6,7 @@
 
 use dispatch_common::{ServiceLine, configuration, delivered, list, runner};
 use ruddervalve_configuration::{Locality, ZoneRegion};
-use ruddervalve_edge::dispatch::{Dispatch, DispatchSettings};
+use ruddervalve_edge::dispatch::{Dispatch, DispatchOutcome, DispatchSettings, RunnerLoad};
 use ruddervalve_protocol::{Runner, RunnerPhase};
 
 const SERVICE: &str = "service";
@@ -113,3 +113,31 @@
     let used = used(&mut edge("xa", 1, 45, 24, &runners));
     assert_eq!(used.len(), 2, "6 x 18 / 45: {used:?}");
 }
+
+#[test]
+fn an_edge_offers_no_more_slots_than_it_has_connections() {
+    let runners = runners_in_each_zone(3);
+    // Four runners of three slots, one connection to each.
+    let mut edge = edge("xa", 7, 45, 24, &runners);
+    assert_eq!(edge.startable(0, SERVICE), 4);
+    for job in 0..4 {
+        assert!(delivered(&edge.start(0, job, SERVICE, SERVICE), job).is_some(), "job {job}");
+    }
+    assert_eq!(edge.startable(0, SERVICE), 0);
+    let idle = RunnerLoad { running: 0, waiting: 0, slots: SLOTS };
+    edge.finished(1, 0, DispatchOutcome::Served, Some(idle));
+    assert_eq!(edge.startable(1, SERVICE), 1, "one connection is free again, whatever the runner says");
+    edge.finished(1, 1, DispatchOutcome::Served, None);
+    assert_eq!(edge.startable(1, SERVICE), 2);
+}
+
+#[test]
+fn a_probe_does_not_make_an_edge_offer_slots_that_it_has_no_connection_for() {
+    let runners = runners_in_each_zone(3);
+    let mut edge = edge("xa", 7, 45, 24, &runners);
+    for uid in used(&mut edge) {
+        let idle = RunnerLoad { running: 0, waiting: 0, slots: SLOTS };
+        edge.probed(1, SERVICE, &uid, true, Some(idle));
+    }
+    assert_eq!(edge.startable(1, SERVICE), 0);
+}
--- a/crates/loopback/src/lib.rs
+++ b/crates/loopback/src/lib.rs
@@ -10,6 +10,7 @@
 mod callbacks;
 mod client;
 mod configuration;
+mod disk_folder;
 mod entry_point;
 mod eventually;
 mod http_connection;
--- a/crates/runtime/src/control.rs
+++ b/crates/runtime/src/control.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::{Boot, KnownCoordinators, backoff, draw_seed, link_settings};
+use crate::{Boot, KnownCoordinators, backoff, draw_seed, heartbeat_interval, link_settings};
 
 /// Something that coordinators said.
 #[derive(Debug)]
@@ -120,7 +120,7 @@
 
     /// How often [`ControlLinks::heartbeat`] has to be called: a third of the silence after which a link is given up.
     pub fn heartbeat_interval(&self) -> Duration {
-        Duration::from_millis((self.settings.silence_ms / 3).max(1))
+        heartbeat_interval(&self.settings)
     }
 
     /// Keeps the links alive.
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -23,6 +23,6 @@
 pub use replicas::{ReplicaInput, ReplicaOutput, Replicas};
 pub use signals::{ProcessSignal, Signals};
 pub use times::{
-    accepted_replica_link_settings, backoff, consensus_timing, heartbeat_interval_ms, link_settings,
+    accepted_replica_link_settings, backoff, consensus_timing, heartbeat_interval, link_settings,
     lost_after_ms, replica_link_settings, retained_log_bytes,
 };
--- a/crates/runtime/src/replica_links.rs
+++ b/crates/runtime/src/replica_links.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-use crate::{accepted_replica_link_settings, heartbeat_interval_ms};
+use crate::{accepted_replica_link_settings, heartbeat_interval, link_settings};
 
 /// Takes what a peer sends on a connection that it has opened and greeted on, until the connection ends; returns why it did.
 pub async fn serve_replica_link(
@@ -22,7 +22,7 @@
 ) -> RpcError {
     let limits = accepted_replica_link_settings(settings);
     let outbox = Outbox::new(limits.max_queued_bytes);
-    let interval = Duration::from_millis(heartbeat_interval_ms(settings));
+    let interval = heartbeat_interval(&link_settings(settings));
     tokio::select! {
         error = run(stream, &limits, &outbox, on_envelopes) => error,
         never = send_heartbeats(&outbox, interval) => match never {},
--- a/crates/runtime/src/times.rs
+++ b/crates/runtime/src/times.rs
@@ -1,5 +1,7 @@
 //! Times and limits that follow from the settings.
 
+use std::time::Duration;
+
 use ruddervalve_configuration::Settings;
 use ruddervalve_consensus::Timing;
 use ruddervalve_mutation::{Mutation, is_active};
@@ -91,9 +93,9 @@
     LinkSettings { silence_ms, ..link_settings(settings) }
 }
 
-/// How often a process says something on a link whose other end gives it up for silence, in milliseconds.
-pub fn heartbeat_interval_ms(settings: &Settings) -> u64 {
-    (link_settings(settings).silence_ms / HEARTBEATS_PER_SILENCE).max(1)
+/// How often a process says something on a link with these settings, so that the other end does not give it up for silence.
+pub fn heartbeat_interval(link: &LinkSettings) -> Duration {
+    Duration::from_millis((link.silence_ms / HEARTBEATS_PER_SILENCE).max(1))
 }
 
 /// Bytes of its log that each replica may keep for followers that lag.
