--- a/crates/loopback/src/lib.rs
+++ b/crates/loopback/src/lib.rs
@@ -10,7 +10,6 @@
 mod callbacks;
 mod client;
 mod configuration;
-mod disk_folder;
 mod entry_point;
 mod eventually;
 mod http_connection;
--- a/crates/loopback/src/system.rs
+++ b/crates/loopback/src/system.rs
@@ -11,7 +11,6 @@
 use crate::addresses::AddressSpace;
 use crate::bounds::{Bounds, FaultTolerance};
 use crate::client::Client;
-use crate::disk_folder::disk_folder;
 use crate::entry_point::{EdgeAddress, EntryPoint, is_ready};
 use crate::eventually::{TimedOut, eventually};
 use crate::instance_list::{InstanceList, ListPlan};
@@ -74,7 +73,7 @@
     /// # Errors
     /// Files, addresses or processes cannot be had.
     pub async fn start(plan: SystemPlan) -> Result<Self, RigError> {
-        let folder = disk_folder()?;
+        let folder = TempDir::with_prefix("ruddervalve-")?;
         let addresses = AddressSpace::take().map_err(RigError::NoAddress)?;
         let list = Arc::new(InstanceList::start(addresses.next_ip(), plan.list).await?);
         let machines = machines(&plan, &addresses);
