--- a/crates/coordinator/src/placement_improve.rs
+++ b/crates/coordinator/src/placement_improve.rs
@@ -290,9 +290,8 @@
     /// The handover of a shard to the member that leads fewest.
     fn handover_of(&self, index: usize) -> Option<Handover> {
         let present = self.shards.get(index)?.wanted.first()?;
-        let eligible: Vec<&StoreView> =
-            self.members(index).into_iter().filter(|store| store.is_eligible()).collect();
         let members = self.members(index);
+        let eligible: Vec<&StoreView> = members.iter().copied().filter(|store| store.is_eligible()).collect();
         let spread = self.rules.spread();
         let next = pick_leader(&eligible, &members, spread, &self.load)?;
         let is_outside = |store: &StoreView| is_outside_home(store, &members, spread);
@@ -322,12 +321,9 @@
 
     /// The preferred leader has left: one of the members that already hold the shard follows, as the new one is empty.
     fn choose_settled_leader(&mut self, index: usize, joining: &str) {
-        let settled: Vec<&StoreView> = self
-            .members(index)
-            .into_iter()
-            .filter(|store| store.is_eligible() && store.node != joining)
-            .collect();
         let members = self.members(index);
+        let settled: Vec<&StoreView> =
+            members.iter().copied().filter(|store| store.is_eligible() && store.node != joining).collect();
         if let Some(leader) = pick_leader(&settled, &members, self.rules.spread(), &self.load) {
             let leader = leader.node.clone();
             self.set_leader(index, &leader);
--- a/crates/coordinator/src/placement_spread.rs
+++ b/crates/coordinator/src/placement_spread.rs
@@ -142,12 +142,11 @@
 
 /// How crowded these members stand.
 pub fn crowding(members: &[&StoreView], rules: SpreadRules) -> Crowding {
-    let zones = squares(members.iter().map(|member| member.zone.as_str()));
+    let zones = squares(&tally(members.iter().map(|member| member.zone.as_str())));
     let regions = tally(members.iter().map(|member| member.region.as_str()));
     let at_home = regions.values().max().map_or(0, |most| usize::try_from(*most).unwrap_or(usize::MAX));
-    let region_squares = regions.values().map(|count| count * count).sum();
     Crowding {
-        borne_regions: if rules.lost_regions > 0 { region_squares } else { 0 },
+        borne_regions: if rules.lost_regions > 0 { squares(&regions) } else { 0 },
         borne_zones: if rules.lost_zones > 0 { zones } else { 0 },
         outside_home: if rules.lost_regions > 0 { 0 } else { members.len().saturating_sub(at_home) },
         zones,
@@ -163,8 +162,8 @@
 }
 
 /// The sum of the squares of how often each name occurs: lowest where they are spread most evenly.
-fn squares<'a>(names: impl Iterator<Item = &'a str>) -> u64 {
-    tally(names).values().map(|count| count * count).sum()
+fn squares(counts: &BTreeMap<&str, u64>) -> u64 {
+    counts.values().map(|count| count * count).sum()
 }
 
 /// How often the `most` commonest names occur together.
--- a/crates/edge/src/core/shards.rs
+++ b/crates/edge/src/core/shards.rs
@@ -160,7 +160,7 @@
     }
 
     /// How far a store is; one that the directory does not name is taken for far.
-    pub fn distance(&self, store: ReplicaId) -> Distance {
+    fn distance(&self, store: ReplicaId) -> Distance {
         self.distances.get(&store).copied().unwrap_or(Distance::Beyond)
     }
 }
--- a/crates/runtime/src/times.rs
+++ b/crates/runtime/src/times.rs
@@ -29,7 +29,7 @@
 const QUEUED_PART_OF_MEMORY: u64 = 16;
 /// The part of a process's memory that each replica may keep of its log for followers that lag.
 const RETAINED_PART_OF_MEMORY: u64 = 128;
-/// A process that says nothing for this part of `LivenessMs` is given up; it says something twice as often.
+/// A process that says nothing for this part of `LivenessMs` is given up; [`HEARTBEATS_PER_SILENCE`] tells how often it says something.
 const SILENCES_PER_LIVENESS: u64 = 3;
 /// The opener of a replica's link is silent while its groups have nothing to say, as only leaders send heartbeats. The
 /// acceptor gives it up only after this multiple of `LivenessMs`.
