Tests of the whole system on loopback keep its disks in the rig's memory; log lines for the phases of a start

Cause: processes of these tests waited for fdatasync on a disk that others write to, and 800 ms without an acknowledgement are an honest 504: 2 to 4 of 22 tests failed beside a file of 3 GB being written.

Change: the rig serves disks from its memory over loopback; a role of the test program takes such a folder in place of DataDir. The verdict no longer depends on what other processes write. The demonstration keeps its files. Every process says when it starts and how long its data folder took to read.

--- a/crates/loopback/src/bin/demonstration.rs
+++ b/crates/loopback/src/bin/demonstration.rs
@@ -3,12 +3,15 @@
 
 use std::ffi::OsString;
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::time::Duration;
 
 use displaydoc::Display;
+use ruddervalve_disk::Folder;
 use ruddervalve_loopback::{
-    Accepted, CallbackReceiver, Client, ConfigurationPlan, Message, MessageState, Misbehaviour, Outcome,
-    ReceiverPlan, RigError, Route, RunLog, Runner, RunnerPlan, Service, System, SystemPlan, eventually,
+    Accepted, CallbackReceiver, Client, ConfigurationPlan, MemoryFolder, Message, MessageState, Misbehaviour,
+    Outcome, ReceiverPlan, RigError, Route, RunLog, Runner, RunnerPlan, Service, System, SystemPlan,
+    eventually,
 };
 use rustix::process::{Signal, set_parent_process_death_signal};
 use tokio::time::Instant;
@@ -51,7 +54,15 @@
         return demonstrate();
     }
     end_with_parent();
-    ruddervalve_system::run(arguments).unwrap_or_else(usage)
+    let folder = match MemoryFolder::of_this_process() {
+        Ok(folder) => folder,
+        Err(error) => {
+            eprintln!("demonstration: the disk in memory cannot be reached: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let folder = folder.map(|folder| Arc::new(folder) as Arc<dyn Folder>);
+    ruddervalve_system::run_on(arguments, folder).unwrap_or_else(usage)
 }
 
 /// A role that a rig started ends when the rig's thread does, even where the rig was killed and could not see to it.
--- a/crates/loopback/src/process.rs
+++ b/crates/loopback/src/process.rs
@@ -1,6 +1,7 @@
 //! One role as a real process.
 
 use std::fs::File;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use crate::addresses::NoAddress;
 use crate::client::ClientError;
 use crate::eventually::{TimedOut, eventually};
+use crate::memory_disk;
 use crate::operator::OperatorError;
 use crate::settings::Machine;
 
@@ -97,14 +99,17 @@
 pub struct Process {
     machine: Machine,
     folder: PathBuf,
+    /// Where its disk is served, if that is in memory.
+    disks: Option<SocketAddr>,
     child: Option<Child>,
     started_at: Option<Instant>,
 }
 
 impl Process {
-    /// The process of a machine, with its files in this folder. It does not run yet.
-    pub(crate) fn new(machine: Machine, folder: PathBuf) -> Self {
-        Self { machine, folder, child: None, started_at: None }
+    /// The process of a machine, with its files in this folder, but for its disk if that is served in memory. It does not run
+    /// yet.
+    pub(crate) fn new(machine: Machine, folder: PathBuf, disks: Option<SocketAddr>) -> Self {
+        Self { machine, folder, disks, child: None, started_at: None }
     }
 
     /// The machine.
@@ -202,6 +207,9 @@
         let log = File::options().create(true).append(true).open(self.log_file())?;
         let mut command = Command::new(program);
         command.arg(self.machine.role.command()).env(SETTINGS_VARIABLE, settings_file);
+        if let Some(disks) = self.disks.filter(|_| self.machine.role.has_disk()) {
+            command.env(memory_disk::VARIABLE, format!("{disks}/{}", self.machine.name));
+        }
         if let Some(level) = std::env::var_os(LOG_VARIABLE) {
             command.env(LOG_VARIABLE, level);
         }
--- a/crates/loopback/src/system.rs
+++ b/crates/loopback/src/system.rs
@@ -15,6 +15,7 @@
 use crate::eventually::{TimedOut, eventually};
 use crate::instance_list::{InstanceList, ListPlan};
 use crate::machines::{common, machines};
+use crate::memory_disk::MemoryDisks;
 use crate::operator::Operator;
 use crate::process::{Process, ProcessSignal, RigError};
 use crate::settings::{Common, Machine, MachineRole, settings};
@@ -39,6 +40,17 @@
     pub tolerance: FaultTolerance,
     /// How the platform's list behaves.
     pub list: ListPlan,
+    /// Where its disks are.
+    pub disks: DiskKind,
+}
+
+/// Where the disks of a system are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DiskKind {
+    /// Among the temporary files.
+    Files,
+    /// In the memory of the rig, so that no process waits for what others write.
+    Memory,
 }
 
 impl SystemPlan {
@@ -52,6 +64,7 @@
             bounds: Bounds::default(),
             tolerance: FaultTolerance::default(),
             list: ListPlan::default(),
+            disks: DiskKind::Files,
         }
     }
 }
@@ -64,6 +77,7 @@
     addresses: AddressSpace,
     processes: Vec<Process>,
     list: Arc<InstanceList>,
+    disks: Option<MemoryDisks>,
     _folder: TempDir,
 }
 
@@ -78,12 +92,17 @@
         let list = Arc::new(InstanceList::start(addresses.next_ip(), plan.list).await?);
         let machines = machines(&plan, &addresses);
         let common = common(&plan, &addresses, &machines, list.address());
+        let disks = match plan.disks {
+            DiskKind::Files => None,
+            DiskKind::Memory => Some(MemoryDisks::start()?),
+        };
+        let disk_address = disks.as_ref().map(MemoryDisks::address);
         let process = |machine: Machine| {
             let files = folder.path().join(&machine.name);
-            Process::new(machine, files)
+            Process::new(machine, files, disk_address)
         };
         let processes = machines.into_iter().map(process).collect();
-        let mut system = Self { plan, common, addresses, processes, list, _folder: folder };
+        let mut system = Self { plan, common, addresses, processes, list, disks, _folder: folder };
         system.start_all(true)?;
         Ok(system)
     }
@@ -211,7 +230,11 @@
     pub fn lose_disk(&mut self, name: &str) -> Result<(), RigError> {
         let process = self.process_mut(name)?;
         process.kill()?;
-        process.empty_disk()
+        process.empty_disk()?;
+        if let Some(disks) = &self.disks {
+            disks.erase(name);
+        }
+        Ok(())
     }
 
     /// Processes that have ended by themselves although nobody asked them to.
--- a/crates/runtime/src/boot.rs
+++ b/crates/runtime/src/boot.rs
@@ -1,9 +1,12 @@
 //! The start of a role: settings, identity of this life, logs.
 
+use std::fmt;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use displaydoc::Display;
 use ruddervalve_configuration::{Settings, SettingsError};
+use ruddervalve_disk::Folder;
 use ruddervalve_protocol::{Channel, Greeting, Incarnation, PROTOCOL_VERSION};
 use tokio::task::LocalSet;
 use tracing_subscriber::EnvFilter;
@@ -28,6 +31,16 @@
 
 impl std::error::Error for BootError {}
 
+/// A folder that takes the place of the one that the settings name.
+#[derive(Clone)]
+struct GivenFolder(Arc<dyn Folder>);
+
+impl fmt::Debug for GivenFolder {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("GivenFolder")
+    }
+}
+
 /// The settings in force and where they come from.
 #[derive(Debug, Clone)]
 pub struct Boot {
@@ -36,6 +49,7 @@
     /// This life of the process.
     pub incarnation: Incarnation,
     path: PathBuf,
+    folder: Option<GivenFolder>,
 }
 
 impl Boot {
@@ -46,12 +60,24 @@
     pub fn read() -> Result<Self, BootError> {
         let path = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from).ok_or(BootError::NoVariable)?;
         let settings = Settings::read(&path).map_err(BootError::Settings)?;
-        Ok(Self { settings, incarnation: draw_incarnation(), path })
+        Ok(Self { settings, incarnation: draw_incarnation(), path, folder: None })
     }
 
     /// Settings that were read already, from the file at this path.
     pub fn new(settings: Settings, incarnation: Incarnation, path: PathBuf) -> Self {
-        Self { settings, incarnation, path }
+        Self { settings, incarnation, path, folder: None }
+    }
+
+    /// The same with this folder for the data, in place of `DataDir`.
+    #[must_use]
+    pub fn with_folder(mut self, folder: Option<Arc<dyn Folder>>) -> Self {
+        self.folder = folder.map(GivenFolder);
+        self
+    }
+
+    /// The folder that takes the place of `DataDir`, if there is one.
+    pub(crate) fn given_folder(&self) -> Option<Arc<dyn Folder>> {
+        self.folder.as_ref().map(|folder| Arc::clone(&folder.0))
     }
 
     /// Reads the file again. What is faulty leaves all as it was and is logged. True if something changed.
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use displaydoc::Display;
 use ruddervalve_configuration::Settings;
 use ruddervalve_consensus::TimingError;
-use ruddervalve_disk::{Completion, DiskError, DiskWorker, Opened, Options, ProcessState, RealFolder, open};
+use ruddervalve_disk::{
+    Completion, DiskError, DiskWorker, Folder, Opened, Options, ProcessState, RealFolder, open,
+};
 use ruddervalve_protocol::{Channel, GroupId, ReplicaId};
 use ruddervalve_replication::{Checkpoint, Envelope, RestoreError};
 use ruddervalve_rpc::{LinkEvent, Outbox, Peer};
@@ -94,14 +97,14 @@
     pub fn start(boot: &Boot, founding: Option<ReplicaId>) -> Result<StartedNode, NodeError> {
         let settings = &boot.settings;
         consensus_timing(settings).validate().map_err(NodeError::Timing)?;
-        let path = settings.data_dir.clone().ok_or(NodeError::NoDataDir)?;
-        std::fs::create_dir_all(&path).map_err(NodeError::Folder)?;
-        let opened = open(Arc::new(RealFolder::new(path)), Options::default()).map_err(NodeError::Disk)?;
+        let begun = Instant::now();
+        let opened = open(data_folder(boot)?, Options::default()).map_err(NodeError::Disk)?;
         for warning in &opened.report.warnings {
             tracing::warn!(?warning, "the data folder was mended");
         }
         let is_new = opened.state.is_none();
         let (recovered, disk, completions) = start_disk(opened, founding).map_err(NodeError::Disk)?;
+        tracing::info!(took_ms = begun.elapsed().as_millis() as u64, is_new, "data folder read");
         let (sender, events) = mpsc::unbounded_channel();
         let node = Self {
             identity: recovered.identity,
@@ -266,6 +269,15 @@
     }
 }
 
+fn data_folder(boot: &Boot) -> Result<Arc<dyn Folder>, NodeError> {
+    if let Some(folder) = boot.given_folder() {
+        return Ok(folder);
+    }
+    let path = boot.settings.data_dir.clone().ok_or(NodeError::NoDataDir)?;
+    std::fs::create_dir_all(&path).map_err(NodeError::Folder)?;
+    Ok(Arc::new(RealFolder::new(path)))
+}
+
 fn least_log_bytes(settings: &Settings) -> u64 {
     settings.limits.disk_mb * BYTES_PER_MB / CHECKPOINT_PART_OF_DISK
 }
--- a/crates/system/src/roles.rs
+++ b/crates/system/src/roles.rs
@@ -2,30 +2,36 @@
 
 use std::fmt::Display;
 use std::process::ExitCode;
+use std::sync::Arc;
 
+use ruddervalve_disk::Folder;
 use ruddervalve_runtime::{Boot, BootError, log_to_stderr, run_role};
 
 use crate::FAULTY;
 
 /// Runs an edge.
 pub fn edge() -> ExitCode {
-    start(|boot| run_role(ruddervalve_edge::run_edge(boot)))
+    start(None, |boot| run_role(ruddervalve_edge::run_edge(boot)))
 }
 
 /// Runs a coordinator.
-pub fn coordinator() -> ExitCode {
-    start(|boot| run_role(ruddervalve_coordinator::run_coordinator(boot)))
+pub fn coordinator(folder: Option<Arc<dyn Folder>>) -> ExitCode {
+    start(folder, |boot| run_role(ruddervalve_coordinator::run_coordinator(boot)))
 }
 
 /// Runs a store.
-pub fn store() -> ExitCode {
-    start(|boot| run_role(ruddervalve_store::run_store(boot)))
+pub fn store(folder: Option<Arc<dyn Folder>>) -> ExitCode {
+    start(folder, |boot| run_role(ruddervalve_store::run_store(boot)))
 }
 
-fn start<E: Display>(role: impl FnOnce(Boot) -> Result<Result<(), E>, BootError>) -> ExitCode {
+fn start<E: Display>(
+    folder: Option<Arc<dyn Folder>>,
+    role: impl FnOnce(Boot) -> Result<Result<(), E>, BootError>,
+) -> ExitCode {
     log_to_stderr();
+    tracing::info!("process starts");
     let boot = match Boot::read() {
-        Ok(boot) => boot,
+        Ok(boot) => boot.with_folder(folder),
         Err(error) => return failed(&error, FAULTY),
     };
     match role(boot) {
