While a leader answers, processes keep links to the control group's members only; a lone voter leads at once after a restart

Cause: every edge, store and coordinator kept a link to every coordinator and sent each three heartbeats within a third of LivenessMs, of which all but one were answered by "I don't lead". The leading coordinator also copied the whole directory for every call of its sessions.

Change: the leader tells the addresses of the control group's members, as the next leader is one of them, and links to others are closed. When no leader has answered three heartbeats, all known coordinators are asked as before. The directory is copied when it changes.

Tests: runtime/known_coordinators.rs. After a restart a group of one has nobody to ask and campaigns at once; the tests of replication asked for that.

--- a/crates/consensus/src/restart.rs
+++ b/crates/consensus/src/restart.rs
@@ -80,6 +80,7 @@
         for member in self.other_members() {
             self.send(member, Body::PreVote(request));
         }
+        self.campaign_if_vouched();
     }
 
     /// What this replica says to a pre-vote of a candidate that it would vote for or not, of leaders.
@@ -105,6 +106,11 @@
         if ran_before && !round.answers.iter().any(|(member, _)| *member == from) {
             round.answers.push((from, answer));
         }
+        self.campaign_if_vouched();
+    }
+
+    /// Campaigns if nobody is left to be heard; at once if there is no other member.
+    fn campaign_if_vouched(&mut self) {
         if let Some(vouched) = self.vouched_voters() {
             self.start_vouched_campaign(&vouched);
         }
--- a/crates/consensus/tests/behaviour/restarts.rs
+++ b/crates/consensus/tests/behaviour/restarts.rs
@@ -33,6 +33,15 @@
     }
 }
 
+#[test]
+fn a_lone_voter_leads_at_once() {
+    let mut group = restarted(&[A]);
+    let now = group.replica(A).next_wake();
+    group.run(now);
+    assert_eq!(leaders(&group), [A]);
+    assert_eq!(group.now, 0, "it has nobody to wait for");
+}
+
 #[test]
 fn a_member_that_is_away_may_lead_so_the_others_wait() {
     let mut group = restarted(&[A, B, C]);
--- a/crates/coordinator/src/core/agreement.rs
+++ b/crates/coordinator/src/core/agreement.rs
@@ -2,7 +2,7 @@
 
 use ruddervalve_consensus::{Entry, Payload};
 use ruddervalve_mutation::{Mutation, is_active};
-use ruddervalve_protocol::GroupId;
+use ruddervalve_protocol::{ControlMembers, GroupId};
 use ruddervalve_replication::{GroupChange, GroupSnapshot};
 
 use super::{CoordinatorCore, CoordinatorOutput};
@@ -120,13 +120,35 @@
     }
 
     fn tell(&mut self) {
-        let (configuration, directory) = (self.state.configuration(), self.state.directory());
+        self.update_told();
+        let configuration = self.state.configuration();
         let in_force = InForce {
             term: self.term(),
             configuration: configuration.as_ref(),
-            directory: &directory,
+            directory: &self.directory,
             runners: self.duties.runners(),
+            members: &self.members,
         };
         self.sessions.tell(&in_force);
     }
+
+    /// Works out anew what sessions are told, where it has changed: there are many calls between two changes.
+    fn update_told(&mut self) {
+        let membership =
+            self.replicas.host.replica(GroupId::CONTROL).map(|replica| replica.membership().clone());
+        let membership = membership.unwrap_or_default();
+        let is_new_directory = self.directory.version != self.state.directory_version();
+        if is_new_directory {
+            self.directory = self.state.directory();
+        }
+        if is_new_directory || self.membership != membership {
+            let known = self.coordinators();
+            let address = |member| known.iter().find(|(id, _)| *id == member).map(|(_, at)| at.to_string());
+            let addresses: Vec<String> = membership.members().filter_map(address).collect();
+            self.membership = membership;
+            if self.members.addresses != addresses {
+                self.members = ControlMembers { version: self.members.version + 1, addresses };
+            }
+        }
+    }
 }
--- a/crates/coordinator/src/core/mod.rs
+++ b/crates/coordinator/src/core/mod.rs
@@ -14,9 +14,11 @@
 use std::net::SocketAddr;
 
 use ruddervalve_configuration::Settings;
-use ruddervalve_consensus::Replica;
+use ruddervalve_consensus::{Membership, Replica};
 use ruddervalve_disk::ProcessState;
-use ruddervalve_protocol::{CoordinatorMember, CoordinatorReply, Directory, GroupId, ReplicaId};
+use ruddervalve_protocol::{
+    ControlMembers, CoordinatorMember, CoordinatorReply, Directory, GroupId, ReplicaId,
+};
 use ruddervalve_replication::{Checkpoint, GroupSnapshot, ReplicaHost};
 use ruddervalve_runtime::{
     NodeError, ReplicaInput, ReplicaOutput, Replicas, consensus_timing, retained_log_bytes,
@@ -82,6 +84,11 @@
     pending: BTreeMap<u64, Pending>,
     /// Calls that wait until this coordinator is confirmed to lead.
     reads: Vec<WaitingRead>,
+    /// The agreed state's directory as sessions are told it.
+    directory: Directory,
+    /// The control group's membership as sessions are told it, and the addresses that it comes to.
+    membership: Membership,
+    members: ControlMembers,
     /// The directory as the leader told it, for one that joins and has none of its own yet.
     told: Option<Directory>,
     /// The leader's internal address as its answers to heartbeats show it, and when the last came.
@@ -141,6 +148,9 @@
             heard_of: links::logged_members(recovered),
             pending: BTreeMap::new(),
             reads: Vec::new(),
+            directory: Directory::default(),
+            membership: Membership::default(),
+            members: ControlMembers::default(),
             told: None,
             told_leader: None,
             ending_since: None,
--- a/crates/coordinator/src/sessions.rs
+++ b/crates/coordinator/src/sessions.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use ruddervalve_protocol::{ConfigurationUpdate, CoordinatorReply, Directory, Registration, RunnerList};
+use ruddervalve_protocol::{
+    ConfigurationUpdate, ControlMembers, CoordinatorReply, Directory, Registration, RunnerList,
+};
 
 /// What is in force: sessions are told what they do not know of it.
 #[derive(Debug)]
@@ -15,6 +17,8 @@
     pub directory: &'a Directory,
     /// The runners; none before the first list.
     pub runners: Option<&'a RunnerList>,
+    /// The members of the control group; of version 0 while none of them is known by address.
+    pub members: &'a ControlMembers,
 }
 
 /// What a session was told, by version.
@@ -24,6 +28,7 @@
     configuration: u64,
     directory: u64,
     runners: u64,
+    members: u64,
 }
 
 #[derive(Debug)]
@@ -127,5 +132,9 @@
             send(CoordinatorReply::Runners(runners.clone()));
             self.told.runners = runners.sequence;
         }
+        if now.members.version > self.told.members {
+            send(CoordinatorReply::Members(now.members.clone()));
+            self.told.members = now.members.version;
+        }
     }
 }
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -79,6 +79,17 @@
     Directory(Directory),
     /// The runners, whole.
     Runners(RunnerList),
+    /// Where the next leader may come from.
+    Members(ControlMembers),
+}
+
+/// The members of the control group, whose leader says so.
+#[derive(Debug, Clone, PartialEq, Eq, Default, SerBin, DeBin)]
+pub struct ControlMembers {
+    /// Grows with each change in a term.
+    pub version: u64,
+    /// Their internal addresses, `ip:port`.
+    pub addresses: Vec<String>,
 }
 
 /// A configuration as the operator sent it.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -11,8 +11,8 @@
 
 pub use blob::Blob;
 pub use control::{
-    ConfigurationUpdate, CoordinatorMember, CoordinatorReply, CoordinatorRequest, Directory, Registration,
-    Runner, RunnerList, RunnerPhase, ShardMembers, ShardPlacement, StoreMember,
+    ConfigurationUpdate, ControlMembers, CoordinatorMember, CoordinatorReply, CoordinatorRequest, Directory,
+    Registration, Runner, RunnerList, RunnerPhase, ShardMembers, ShardPlacement, StoreMember,
 };
 pub use delivery::{
     AppendOutcome, DeliveryOutcome, EdgeToStore, EndPhase, Grant, GrantedLease, InventoryItem, LeaseId,
--- a/crates/runtime/src/control.rs
+++ b/crates/runtime/src/control.rs
@@ -1,4 +1,4 @@
-//! Links of an edge, a store or a coordinator to all coordinators: whichever leads sends its updates.
+//! Links of an edge, a store or a coordinator to coordinators: whichever leads sends its updates.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -26,7 +26,7 @@
     outbox: Option<Outbox>,
 }
 
-/// Links to all coordinators that are known.
+/// Links to coordinators.
 #[derive(Debug)]
 pub struct ControlLinks {
     links: BTreeMap<SocketAddr, Link>,
@@ -61,13 +61,13 @@
         }
     }
 
-    /// Opens links to these addresses, and closes those to others that are not needed to find the leader.
+    /// These coordinators are known to the owner: links to others are closed unless they are needed to find the leader.
     pub fn set_addresses(&mut self, addresses: &[SocketAddr]) {
         self.known.set_listed(addresses);
         self.update_links();
     }
 
-    /// Keeps links to all coordinators that are known, and to no others.
+    /// Keeps links to the coordinators that are needed to hear the leader and to find the next one, and to no others.
     fn update_links(&mut self) {
         let addresses = self.known.addresses();
         self.links.retain(|address, _| addresses.contains(address));
@@ -126,11 +126,15 @@
     /// Keeps the links alive.
     pub fn heartbeat(&mut self) {
         self.send(&CoordinatorRequest::Heartbeat);
+        if self.known.heartbeat_sent() {
+            self.update_links();
+        }
         self.log_missing_leader();
     }
 
     /// The process itself leads: no other answers as leader, and none is missing.
     pub fn leads_itself(&mut self) {
+        self.known.leads_itself();
         self.leader_heard_at = Instant::now();
     }
 
@@ -152,7 +156,7 @@
         tracing::warn!(known = self.links.len(), connected, "no coordinator that leads answers");
     }
 
-    /// Tells all coordinators something.
+    /// Tells all coordinators that a link is kept to something.
     pub fn send(&self, request: &CoordinatorRequest) {
         for outbox in self.links.values().filter_map(|link| link.outbox.as_ref()) {
             outbox.send(request);
--- a/crates/runtime/src/times.rs
+++ b/crates/runtime/src/times.rs
@@ -35,7 +35,7 @@
 /// acceptor gives it up only after this multiple of `LivenessMs`.
 const QUIET_REPLICA_LIVENESS: u64 = 15;
 /// Heartbeats that fit into the silence after which a link is given up: one may be late.
-const HEARTBEATS_PER_SILENCE: u64 = 3;
+pub(crate) const HEARTBEATS_PER_SILENCE: u32 = 3;
 /// Opening a connection may take this part of `LivenessMs`: many times the way to the farthest region and back, and short
 /// beside what a machine needs to start, as a try that began before it was up hangs.
 const CONNECTS_PER_LIVENESS: u64 = 20;
@@ -95,7 +95,7 @@
 
 /// How often a process says something on a link with these settings, so that the other end does not give it up for silence.
 pub fn heartbeat_interval(link: &LinkSettings) -> Duration {
-    Duration::from_millis((link.silence_ms / HEARTBEATS_PER_SILENCE).max(1))
+    Duration::from_millis((link.silence_ms / u64::from(HEARTBEATS_PER_SILENCE)).max(1))
 }
 
 /// Bytes of its log that each replica may keep for followers that lag.
--- a/crates/runtime/tests/known_coordinators.rs
+++ b/crates/runtime/tests/known_coordinators.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use ruddervalve_protocol::{CoordinatorMember, CoordinatorReply, Incarnation, Registration, ReplicaId};
+use ruddervalve_protocol::{
+    ControlMembers, CoordinatorMember, CoordinatorReply, Incarnation, Registration, ReplicaId,
+};
 use ruddervalve_runtime::KnownCoordinators;
 
 fn address(number: u8) -> SocketAddr {
@@ -106,3 +108,65 @@
     known.hear(address(2), &CoordinatorReply::NotLeader { candidates: many });
     assert!(known.addresses().len() < 2_000);
 }
+
+fn members(version: u64, numbers: &[u8]) -> CoordinatorReply {
+    let addresses = numbers.iter().map(|number| address(*number).to_string()).collect();
+    CoordinatorReply::Members(ControlMembers { version, addresses })
+}
+
+/// An edge that hears the leader 3, and that the members of the control group are 3, 4 and 5.
+fn settled_edge() -> KnownCoordinators {
+    let mut known = edge();
+    known.set_listed(&[1, 2, 3, 4, 5, 6, 7].map(address));
+    known.hear(address(3), &alive());
+    assert!(known.hear(address(3), &members(1, &[3, 4, 5])));
+    known
+}
+
+#[test]
+fn while_a_leader_answers_the_members_of_its_group_are_enough() {
+    let mut known = settled_edge();
+    assert_eq!(known.addresses(), addresses(&[3, 4, 5]));
+    for _ in 0..10 {
+        assert!(!known.heartbeat_sent());
+        assert!(!known.hear(address(3), &alive()));
+    }
+    assert_eq!(known.addresses(), addresses(&[3, 4, 5]));
+}
+
+#[test]
+fn another_member_that_leads_is_heard_at_once() {
+    let mut known = settled_edge();
+    known.heartbeat_sent();
+    assert!(known.hear(address(4), &alive()));
+    assert!(known.hear(address(4), &members(1, &[4, 5, 6])));
+    assert_eq!(known.addresses(), addresses(&[4, 5, 6]));
+}
+
+#[test]
+fn all_coordinators_are_asked_when_no_leader_has_answered_for_a_silence() {
+    let mut known = settled_edge();
+    let news: Vec<bool> = (0..6).map(|_| known.heartbeat_sent()).collect();
+    assert_eq!(news, [false, false, false, true, false, false]);
+    assert_eq!(known.addresses(), addresses(&[1, 2, 3, 4, 5, 6, 7]));
+    known.hear(address(6), &alive());
+    known.hear(address(6), &members(1, &[5, 6, 7]));
+    assert_eq!(known.addresses(), addresses(&[5, 6, 7]));
+}
+
+#[test]
+fn members_without_an_address_that_can_be_read_leave_all_coordinators_asked() {
+    let mut known = settled_edge();
+    let unknown = ControlMembers { version: 2, addresses: vec!["nowhere".to_owned()] };
+    assert!(known.hear(address(3), &CoordinatorReply::Members(unknown)));
+    assert_eq!(known.addresses(), addresses(&[1, 2, 3, 4, 5, 6, 7]));
+}
+
+#[test]
+fn a_coordinator_that_leads_does_not_miss_a_leader() {
+    let mut known = settled_edge();
+    for _ in 0..10 {
+        known.leads_itself();
+        assert!(!known.heartbeat_sent());
+    }
+}
--- a/crates/simulation/src/coordinator_process.rs
+++ b/crates/simulation/src/coordinator_process.rs
@@ -5,7 +5,7 @@
 use ruddervalve_configuration::Settings;
 use ruddervalve_coordinator::{CoordinatorCore, CoordinatorError, CoordinatorOutput};
 use ruddervalve_disk::ProcessState;
-use ruddervalve_protocol::{Channel, CoordinatorRequest, Registration};
+use ruddervalve_protocol::{Channel, Registration};
 use ruddervalve_replication::{Checkpoint, ReplicaHost};
 use ruddervalve_runtime::{InternalPort, internal_address};
 
@@ -68,7 +68,7 @@
 
     fn take(&mut self, now: u64, input: Input, effects: &mut Vec<Effect>) {
         match input {
-            Input::Heartbeat => self.links.tell(&CoordinatorRequest::Heartbeat, effects),
+            Input::Heartbeat => self.links.heartbeat(self.core.leads(now), effects),
             Input::LinkUp(link, connection) => self.links.up(link, connection, effects),
             Input::LinkDown(link) => {
                 if let Some(input) = self.links.down(link) {
--- a/crates/simulation/src/edge_process.rs
+++ b/crates/simulation/src/edge_process.rs
@@ -6,9 +6,7 @@
 use ruddervalve_configuration::Settings;
 use ruddervalve_edge::core::{ClientNumber, EdgeCore, EdgeOutput, EdgeSettings};
 use ruddervalve_edge::runner::RunnerSettings;
-use ruddervalve_protocol::{
-    CoordinatorReply, CoordinatorRequest, Directory, EdgeToStore, Incarnation, Registration, ReplicaId,
-};
+use ruddervalve_protocol::{CoordinatorReply, Directory, EdgeToStore, Incarnation, Registration, ReplicaId};
 use ruddervalve_runtime::seed_addresses;
 
 use crate::process::{ConnectionId, Effect, Input, Link, Payload, Process};
@@ -103,7 +101,7 @@
     fn take(&mut self, now: u64, input: Input, effects: &mut Vec<Effect>) {
         match input {
             Input::Heartbeat => {
-                self.links.tell(&CoordinatorRequest::Heartbeat, effects);
+                self.links.heartbeat(false, effects);
                 for connection in self.stores.values().filter_map(|(_, connection)| *connection) {
                     effects.push(Effect::Send(connection, Payload::ToStore(EdgeToStore::Heartbeat)));
                 }
--- a/crates/simulation/src/replica_links.rs
+++ b/crates/simulation/src/replica_links.rs
@@ -108,7 +108,18 @@
         }
     }
 
-    /// Tells all coordinators.
+    /// Sends a heartbeat to coordinators. `leads`: the owner leads the control group itself.
+    pub fn heartbeat(&mut self, leads: bool, effects: &mut Vec<Effect>) {
+        if leads {
+            self.known.leads_itself();
+        }
+        self.tell(&CoordinatorRequest::Heartbeat, effects);
+        if self.known.heartbeat_sent() {
+            self.keep(effects);
+        }
+    }
+
+    /// Tells all coordinators that a link is kept to.
     pub fn tell(&self, request: &CoordinatorRequest, effects: &mut Vec<Effect>) {
         for connection in self.control.values() {
             effects.push(Effect::Send(*connection, Payload::Request(request.clone())));
--- a/crates/simulation/src/store_process.rs
+++ b/crates/simulation/src/store_process.rs
@@ -4,7 +4,7 @@
 
 use ruddervalve_configuration::Settings;
 use ruddervalve_disk::ProcessState;
-use ruddervalve_protocol::{Channel, CoordinatorRequest, Registration, StoreMember};
+use ruddervalve_protocol::{Channel, Registration, StoreMember};
 use ruddervalve_replication::{Checkpoint, ReplicaHost};
 use ruddervalve_runtime::{InternalPort, internal_address, seed_addresses};
 use ruddervalve_store::{EdgeNumber, StoreCore, StoreError, StoreOutput};
@@ -78,7 +78,7 @@
 
     fn take(&mut self, now: u64, input: Input, effects: &mut Vec<Effect>) {
         match input {
-            Input::Heartbeat => self.links.tell(&CoordinatorRequest::Heartbeat, effects),
+            Input::Heartbeat => self.links.heartbeat(false, effects),
             Input::LinkUp(link, connection) => self.links.up(link, connection, effects),
             Input::LinkDown(link) => {
                 if let Some(input) = self.links.down(link) {
