--- a/crates/coordinator/tests/placement_regions.rs
+++ b/crates/coordinator/tests/placement_regions.rs
@@ -1,39 +1,19 @@
 //! Which stores hold which shards, where stores lie in several regions.
 
+mod placing;
+
 use std::collections::{BTreeMap, BTreeSet};
 
+use placing::{GONE_AFTER_MS, rules, settled, store};
 use proptest::prelude::*;
 use ruddervalve_coordinator::placement::{PlacementRules, StoreView, found};
 use ruddervalve_coordinator::placement_improve::improve;
-use ruddervalve_protocol::{ReplicaId, ShardPlacement};
-
-/// More steps than any placement here takes to settle.
-const MOST_STEPS: usize = 500;
-
-fn rules(lost_nodes: u32) -> PlacementRules {
-    PlacementRules {
-        lost_nodes,
-        lost_zones: 0,
-        lost_regions: 0,
-        shards_per_store: 1,
-        away_after_ms: 1_000,
-        gone_after_ms: 30_000,
-        moves_at_once: 1,
-    }
-}
+use ruddervalve_protocol::ShardPlacement;
 
 /// So many stores in each of these (region, zone).
 fn stores(counts: &[(&str, &str, usize)]) -> Vec<StoreView> {
     let places = counts.iter().flat_map(|(region, zone, count)| (0..*count).map(move |_| (*region, *zone)));
-    let store = |(number, (region, zone)): (u64, (&str, &str))| StoreView {
-        node: format!("s{number:02}"),
-        replica: ReplicaId(number),
-        zone: zone.to_owned(),
-        region: region.to_owned(),
-        is_retiring: false,
-        dead_for_ms: 0,
-    };
-    (1..).zip(places).map(store).collect()
+    (1..).zip(places).map(|(number, (region, zone))| store(number, region, zone)).collect()
 }
 
 /// Three regions of two zones each, of which the first has one store more.
@@ -54,21 +34,6 @@
     counts
 }
 
-/// Improves a placement until nothing changes, each step being carried out before the next.
-fn settled(
-    stores: &[StoreView],
-    rules: &PlacementRules,
-    mut shards: Vec<ShardPlacement>,
-) -> Vec<ShardPlacement> {
-    for _ in 0..MOST_STEPS {
-        match improve(stores, rules, &shards, &BTreeSet::new()) {
-            Some(next) => shards = next,
-            None => return shards,
-        }
-    }
-    panic!("the placement does not settle: {shards:?}");
-}
-
 #[test]
 fn shards_lie_whole_in_the_region_that_can_hold_them() {
     let stores = three_regions();
@@ -141,7 +106,7 @@
     let mut stores = three_regions();
     let rules = rules(2);
     let shards = found(&stores, &rules).expect("they are enough");
-    stores[0].dead_for_ms = 100_000;
+    stores[0].dead_for_ms = GONE_AFTER_MS;
     let without = settled(&stores, &rules, shards);
     for shard in &without {
         assert!(!shard.wanted.contains(&"s01".to_owned()), "{shard:?}");
@@ -193,7 +158,7 @@
                 prop_assert_eq!(distinct.len(), needed);
             }
             let shards = settled(&stores, &rules, shards);
-            stores.iter_mut().take(dead).for_each(|store| store.dead_for_ms = 100_000);
+            stores.iter_mut().take(dead).for_each(|store| store.dead_for_ms = GONE_AFTER_MS);
             let without = settled(&stores, &rules, shards);
             prop_assert!(without.iter().all(|shard| shard.wanted.len() == needed));
             stores.iter_mut().for_each(|store| store.dead_for_ms = 0);
--- a/crates/coordinator/tests/placement_zones.rs
+++ b/crates/coordinator/tests/placement_zones.rs
@@ -1,44 +1,19 @@
 //! Which stores hold which shards, where no zone's loss has to be borne.
 
+mod placing;
+
 use std::collections::{BTreeMap, BTreeSet};
 
+use placing::{AWAY_AFTER_MS, GONE_AFTER_MS, rules, settled, store};
 use proptest::prelude::*;
 use ruddervalve_coordinator::placement::{PlacementRules, StoreView, found};
 use ruddervalve_coordinator::placement_improve::improve;
-use ruddervalve_protocol::{ReplicaId, ShardPlacement};
-
-const AWAY_AFTER_MS: u64 = 1_000;
-const GONE_AFTER_MS: u64 = 30_000;
-/// More steps than any placement here takes to settle.
-const MOST_STEPS: usize = 800;
-
-fn rules(lost_nodes: u32) -> PlacementRules {
-    PlacementRules {
-        lost_nodes,
-        lost_zones: 0,
-        lost_regions: 0,
-        shards_per_store: 1,
-        away_after_ms: AWAY_AFTER_MS,
-        gone_after_ms: GONE_AFTER_MS,
-        moves_at_once: 2,
-    }
-}
-
-fn store(number: u64, zone: &str) -> StoreView {
-    StoreView {
-        node: format!("s{number:02}"),
-        replica: ReplicaId(number),
-        zone: zone.to_owned(),
-        region: "r".to_owned(),
-        is_retiring: false,
-        dead_for_ms: 0,
-    }
-}
+use ruddervalve_protocol::ShardPlacement;
 
 /// So many stores in each zone of one region.
 fn stores(counts: &[(&str, usize)]) -> Vec<StoreView> {
     let zones = counts.iter().flat_map(|(zone, count)| (0..*count).map(move |_| *zone));
-    (1_u64..).zip(zones).map(|(number, zone)| store(number, zone)).collect()
+    (1_u64..).zip(zones).map(|(number, zone)| store(number, "r", zone)).collect()
 }
 
 fn zone_of<'a>(stores: &'a [StoreView], node: &str) -> &'a str {
@@ -67,21 +42,6 @@
     counts
 }
 
-/// Improves a placement until nothing changes, each step being carried out before the next.
-fn settled(
-    stores: &[StoreView],
-    rules: &PlacementRules,
-    mut shards: Vec<ShardPlacement>,
-) -> Vec<ShardPlacement> {
-    for _ in 0..MOST_STEPS {
-        match improve(stores, rules, &shards, &BTreeSet::new()) {
-            Some(next) => shards = next,
-            None => return shards,
-        }
-    }
-    panic!("the placement does not settle: {shards:?}");
-}
-
 #[test]
 fn shards_lie_whole_in_one_zone_and_all_zones_that_can_hold_them_hold_some() {
     let stores = stores(&[("a", 5), ("b", 6), ("c", 5)]);
@@ -177,8 +137,8 @@
     let mut stores = stores(&[("a", 5), ("b", 5)]);
     let rules = rules(2);
     let shards = found(&stores, &rules).expect("they are enough");
-    stores.push(store(20, "b"));
-    stores.push(store(21, "a"));
+    stores.push(store(20, "r", "b"));
+    stores.push(store(21, "r", "a"));
     for store in stores.iter_mut().filter(|store| store.node == "s01") {
         store.dead_for_ms = AWAY_AFTER_MS;
     }
