--- a/review/standins-2/src/large_bodies.rs
+++ b/review/standins-2/src/large_bodies.rs
@@ -31,6 +31,9 @@
 const WATCHED: Duration = Duration::from_secs(35);
 /// Messages to the other endpoint, each second until the end of the day.
 const SMALL_PER_S: f64 = 10.0;
+/// How long a message may be pending without a runner while no other succeeds either, and how long no other has to succeed.
+const WITHOUT_RUNNER: Duration = Duration::from_secs(6);
+const WITHOUT_SUCCESS: Duration = Duration::from_secs(4);
 /// How often each edge is asked for a body at the end of the day, and the time between.
 const TRIES: usize = 4;
 /// Messages that are asked for then.
@@ -101,7 +104,7 @@
     record.line(&format!(
         "{served} of {small} small messages to {COUNTER}, sent from RecoveryS on, were accepted"
     ));
-    sleep_until(end).await;
+    sleep_until(end + WITHOUT_SUCCESS).await;
 
     let verdict = judge(record, &system, &fronts, &log, &accepted).await;
     if std::env::var_os("REVIEW_LOGS").is_some() {
@@ -147,7 +150,8 @@
     answers
 }
 
-/// Broken if a message that no runner has ended is nowhere to be had at the end of the day.
+/// Broken if at the end of the day a message that no runner has ended is nowhere to be had, or is pending though its
+/// endpoint idles.
 async fn judge(
     record: &Record,
     system: &System,
@@ -186,36 +190,42 @@
             tokio::spawn(async move { look_for(&entry, &edges, &message).await })
         })
         .collect();
-    let mut missing = 0;
+    let (mut missing, mut pending) = (0, 0);
     for asked in asked {
         let Ok(found) = asked.await else { continue };
         record.line(&found.tells);
         missing += usize::from(!found.is_returned);
+        pending += usize::from(found.is_pending && quiet > WITHOUT_RUNNER);
     }
-    record.line(&format!("{missing} of the bodies asked for are not returned"));
-    if missing > 0 { Verdict::Broken } else { Verdict::Held }
+    record.line(&format!(
+        "{missing} of the bodies asked for are not returned; {pending} are pending without a runner"
+    ));
+    if missing + pending > 0 { Verdict::Broken } else { Verdict::Held }
 }
 
 struct Found {
+    is_pending: bool,
     is_returned: bool,
     tells: String,
 }
 
 /// Asks all edges for a message, again and again.
 async fn look_for(client: &Client, edges: &[SocketAddr], message: &Accepted) -> Found {
+    let mut is_pending = false;
     let mut tells = format!("{}:", message.request_id);
     for _ in 0..TRIES {
         for edge in edges {
             let (state, body) = tokio::join!(client.state_at(*edge, message), client.body_at(*edge, message));
+            is_pending |= state.as_ref().is_some_and(|state| state.phase == "pending");
             let phase = state.map_or_else(|| "not told".to_owned(), |state| state.phase);
             let is_returned = body.is_some_and(|body| body.len() == BODY_BYTES);
             tells +=
                 &format!(" state {phase}, body {};", if is_returned { "returned" } else { "not returned" });
             if is_returned {
-                return Found { is_returned, tells };
+                return Found { is_pending, is_returned, tells };
             }
         }
         sleep(BETWEEN_TRIES).await;
     }
-    Found { is_returned: false, tells }
+    Found { is_pending, is_returned: false, tells }
 }
