--- a/crates/coordinator/src/role.rs
+++ b/crates/coordinator/src/role.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ruddervalve_protocol::{Channel, CoordinatorRequest, Registration};
+use ruddervalve_protocol::{Channel, CoordinatorReply, CoordinatorRequest, Registration};
 use ruddervalve_rpc::{Outbox, run};
 use ruddervalve_runtime::{
     Accepted, Boot, Clock, ControlEvent, ControlLinks, InternalListener, InternalPort, NodeEvent,
@@ -215,11 +215,7 @@
     fn settle(&mut self) -> Result<(), CoordinatorError> {
         self.core.settle(self.clock.now())?;
         self.node.carry_out(self.core.replica_outputs());
-        for (number, reply) in self.core.session_outputs() {
-            if let Some(outbox) = self.outboxes.get(&number) {
-                outbox.send(&reply);
-            }
-        }
+        self.send_to_sessions();
         for output in self.core.outputs() {
             self.carry_out(output);
         }
@@ -229,6 +225,21 @@
         Ok(())
     }
 
+    fn send_to_sessions(&mut self) {
+        let mut configurations = 0;
+        for (number, reply) in self.core.session_outputs() {
+            let Some(outbox) = self.outboxes.get(&number) else { continue };
+            if outbox.send(&reply) && matches!(reply, CoordinatorReply::Configuration(_)) {
+                configurations += 1;
+            }
+        }
+        if configurations > 0 {
+            let version = self.core.state().configuration_version();
+            let queued_bytes: usize = self.outboxes.values().map(Outbox::queued_bytes).sum();
+            tracing::info!(version, sessions = configurations, queued_bytes, "configuration sent");
+        }
+    }
+
     fn carry_out(&mut self, output: CoordinatorOutput) {
         match output {
             CoordinatorOutput::Reply(caller, reply) => {
--- a/crates/rpc/src/outbox.rs
+++ b/crates/rpc/src/outbox.rs
@@ -69,6 +69,11 @@
         self.shared.closed.get()
     }
 
+    /// Bytes that wait to be written.
+    pub fn queued_bytes(&self) -> usize {
+        self.shared.queued.borrow().len()
+    }
+
     pub(crate) fn limit(&self) -> usize {
         self.shared.limit
     }
--- a/crates/runtime/src/control.rs
+++ b/crates/runtime/src/control.rs
@@ -39,6 +39,8 @@
     leader_heard_at: Instant,
     /// Whether it was logged that no leader answers.
     missing_leader_logged: bool,
+    /// The newest configuration that has come.
+    received_configuration: u64,
     sender: mpsc::UnboundedSender<(SocketAddr, LinkEvent<CoordinatorReply>)>,
     events: mpsc::UnboundedReceiver<(SocketAddr, LinkEvent<CoordinatorReply>)>,
 }
@@ -56,6 +58,7 @@
             backoff: backoff(&boot.settings, draw_seed()),
             leader_heard_at: Instant::now(),
             missing_leader_logged: false,
+            received_configuration: 0,
             sender,
             events,
         }
@@ -104,8 +107,14 @@
                     if self.known.hear(from, &reply) {
                         self.update_links();
                     }
-                    if let CoordinatorReply::Alive { term, .. } = reply {
-                        self.heard_leader(from, term);
+                    match &reply {
+                        CoordinatorReply::Alive { term, configuration, .. } => {
+                            self.heard_leader(from, *term, *configuration);
+                        }
+                        CoordinatorReply::Configuration(update) => {
+                            self.received_configuration = self.received_configuration.max(update.version);
+                        }
+                        _ => {}
                     }
                     return ControlEvent { from, reply: Some(reply) };
                 }
@@ -138,8 +147,12 @@
         self.leader_heard_at = Instant::now();
     }
 
-    fn heard_leader(&mut self, from: SocketAddr, term: u64) {
+    fn heard_leader(&mut self, from: SocketAddr, term: u64, configuration: u64) {
         self.leader_heard_at = Instant::now();
+        let received = self.received_configuration;
+        if configuration > received {
+            tracing::warn!(leader = %from, term, configuration, received, "the leader's configuration has not come");
+        }
         if std::mem::take(&mut self.missing_leader_logged) {
             tracing::info!(leader = %from, term, "a coordinator that leads answers");
         }
--- a/crates/store/src/core/coordinators.rs
+++ b/crates/store/src/core/coordinators.rs
@@ -51,6 +51,7 @@
                 self.policy = Some(Arc::clone(&policy));
                 let shards = self.shards.values_mut();
                 shards.for_each(|shard| shard.set_policy(now, Some(Arc::clone(&policy))));
+                tracing::info!(version = update.version, "configuration in force");
             }
             Err(error) => {
                 tracing::error!(version = update.version, %error, "the configuration cannot be read")
