--- a/crates/coordinator/tests/world/mod.rs
+++ b/crates/coordinator/tests/world/mod.rs
@@ -6,11 +6,15 @@
 pub mod chance;
 pub mod disk;
 pub mod history;
+pub mod processes;
+pub mod uplink;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use chance::Chance;
 use disk::Disk;
+use nanoserde::SerBin as _;
+use processes::Process;
 use ruddervalve_configuration::Settings;
 use ruddervalve_coordinator::founding::founder_identity;
 use ruddervalve_coordinator::operator::OperatorCall;
@@ -19,6 +23,7 @@
 use ruddervalve_protocol::{CoordinatorReply, CoordinatorRequest, GroupId, Registration};
 use ruddervalve_replication::Envelope;
 use ruddervalve_runtime::{InternalPort, ReplicaInput, ReplicaOutput, internal_address};
+use uplink::{Connection, Uplink};
 
 use crate::group::settings;
 
@@ -30,14 +35,17 @@
 const LONGEST_WAY_MS: u64 = 6;
 /// The longest that a disk takes; ms.
 const LONGEST_SYNC_MS: u64 = 8;
+const BYTES_PER_MS_IN_MBPS: f64 = 125.0;
 
 /// What travels.
 #[derive(Debug)]
-enum Parcel {
+pub enum Parcel {
     Consensus(Envelope),
     Call(CallerNumber, OperatorCall),
     /// None: the connection ended without an answer.
     Answer(CallerNumber, Option<OperatorReply>),
+    /// To a session.
+    Told(u64, CoordinatorReply),
 }
 
 #[derive(Debug)]
@@ -85,6 +93,10 @@
     ended: BTreeMap<CallerNumber, CallEnd>,
     /// What was ever in force at any machine, in order: the version, its body, and when it was first seen.
     pub in_force: Vec<(u64, Vec<u8>, u64)>,
+    /// The links of the machines, where these are limited; else all that is sent leaves at once.
+    uplinks: BTreeMap<u8, Uplink>,
+    /// Edges that are connected to all coordinators.
+    pub processes: Vec<Process>,
 }
 
 impl World {
@@ -103,6 +115,8 @@
             calls: 0,
             ended: BTreeMap::new(),
             in_force: Vec::new(),
+            uplinks: BTreeMap::new(),
+            processes: Vec::new(),
         };
         for machine in MACHINES {
             let place = &world.settings[&machine];
@@ -219,6 +233,21 @@
         self.disks.get_mut(&machine).unwrap()
     }
 
+    /// From now on all machines have a link of this `BandwidthMbps` for what goes to other coordinators and to sessions.
+    pub fn limit_links(&mut self, bandwidth_mbps: f64) {
+        for (machine, settings) in &mut self.settings {
+            settings.limits.bandwidth_mbps = bandwidth_mbps;
+            self.running.get_mut(machine).unwrap().core.set_settings(settings);
+            let bytes_per_ms = (bandwidth_mbps * BYTES_PER_MS_IN_MBPS) as u64;
+            self.uplinks.insert(*machine, Uplink::new(bytes_per_ms));
+        }
+    }
+
+    /// The most bytes that ever waited for a machine's link.
+    pub fn most_queued_bytes(&self, machine: u8) -> u64 {
+        self.uplinks[&machine].most_queued_bytes
+    }
+
     // The operator.
 
     /// Sends a call to a machine.
@@ -300,7 +329,13 @@
         let flight = self.flights.keys().next().map_or(u64::MAX, |(due, _)| *due);
         let wakes = self.running.values().map(|running| self.next_wake(running));
         let due = wakes.min().unwrap_or(u64::MAX).min(flight);
+        let heartbeat = self.processes.iter().map(|process| process.next_heartbeat()).min();
+        let due = due.min(heartbeat.unwrap_or(u64::MAX));
+        let is_sending = self.uplinks.values().any(|uplink| !uplink.is_idle());
+        let due = if is_sending { self.now + 1 } else { due };
         self.now = due.clamp(self.now + 1, end.max(self.now + 1));
+        self.leave_links();
+        self.send_heartbeats();
         // A process that has both in hand may take either first.
         if self.chance.happens(0.5) {
             self.wake_all();
@@ -355,13 +390,47 @@
         self.flights.insert((due, self.sent), Flight { from, to, parcel });
     }
 
+    /// Sends over the link of a machine, if that is limited, and at once if not.
+    fn send_over_link(&mut self, from: u8, connection: Connection, bytes: u64, parcel: Parcel) {
+        let now = self.now;
+        match self.uplinks.get_mut(&from) {
+            Some(uplink) => uplink.send(now, connection, bytes, parcel),
+            None => self.leave(from, connection, parcel),
+        }
+    }
+
+    /// Puts on its way what has left the machines' links.
+    fn leave_links(&mut self) {
+        let now = self.now;
+        let left: Vec<_> =
+            self.uplinks.iter_mut().map(|(machine, uplink)| (*machine, uplink.advance(now))).collect();
+        for (machine, parcels) in left {
+            for (connection, parcel) in parcels {
+                self.leave(machine, connection, parcel);
+            }
+        }
+    }
+
+    fn leave(&mut self, from: u8, connection: Connection, parcel: Parcel) {
+        match connection {
+            Connection::Peer(to) => self.send(from, to, parcel),
+            Connection::Session(_) => {
+                // Always as long: frames of a connection keep their order.
+                self.sent += 1;
+                self.flights.insert((self.now + 1, self.sent), Flight { from, to: from, parcel });
+            }
+        }
+    }
+
     fn arrive(&mut self, flight: Flight) {
         let Flight { from, to, parcel } = flight;
         if self.cuts.contains(&(from, to)) {
             return;
         }
-        if let Parcel::Answer(caller, reply) = parcel {
-            return self.answered(caller, reply);
+        match parcel {
+            Parcel::Answer(caller, reply) => return self.answered(caller, reply),
+            Parcel::Told(session, reply) => return self.process_is_told(from, session, reply),
+            _ => {}
         }
         let now = self.now;
         let Some(running) = self.running.get_mut(&to) else {
@@ -384,7 +453,7 @@
                 running.callers.insert(caller);
                 running.core.operator(now, caller, call);
             }
-            Parcel::Answer(..) => {}
+            Parcel::Answer(..) | Parcel::Told(..) => {}
         }
         self.settle(to);
     }
@@ -408,8 +477,11 @@
         running.core.settle(now).unwrap();
         let outputs = running.core.replica_outputs();
         let told = running.core.session_outputs();
-        running.told.extend(told);
         let calls = running.core.outputs();
+        match self.uplinks.contains_key(&machine) {
+            true => self.send_to_sessions(machine, told),
+            false => running.told.extend(told),
+        }
         for output in outputs {
             self.carry_out(machine, output);
         }
@@ -423,6 +495,13 @@
         self.note_in_force(machine);
     }
 
+    fn send_to_sessions(&mut self, machine: u8, told: Vec<(u64, CoordinatorReply)>) {
+        for (session, reply) in told {
+            let bytes = reply.serialize_bin().len() as u64;
+            self.send_over_link(machine, Connection::Session(session), bytes, Parcel::Told(session, reply));
+        }
+    }
+
     fn reply(&mut self, machine: u8, caller: CallerNumber, reply: Option<OperatorReply>) {
         let running = self.running.get_mut(&machine).unwrap();
         if running.callers.remove(&caller) {
@@ -443,7 +522,13 @@
                     let is_peer = |(_, disk): &(&u8, &Disk)| disk.state().identity == envelope.to;
                     let peer = self.disks.iter().find(is_peer).map(|(machine, _)| *machine);
                     if let Some(peer) = peer {
-                        self.send(machine, peer, Parcel::Consensus(envelope));
+                        let bytes = envelope.message.serialize_bin().len() as u64;
+                        self.send_over_link(
+                            machine,
+                            Connection::Peer(peer),
+                            bytes,
+                            Parcel::Consensus(envelope),
+                        );
                     }
                 }
             }
