--- a/crates/coordinator/src/core/agreement.rs
+++ b/crates/coordinator/src/core/agreement.rs
@@ -4,10 +4,11 @@
 use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::{ControlMembers, GroupId};
 use ruddervalve_replication::{GroupChange, GroupSnapshot};
+use ruddervalve_runtime::update_window;
 
 use super::{CoordinatorCore, CoordinatorOutput};
 use crate::error::CoordinatorError;
-use crate::sessions::InForce;
+use crate::session::InForce;
 use crate::state::ControlState;
 use crate::state_command::ControlCommand;
 
@@ -30,7 +31,7 @@
             }
         }
         if self.leads(now) || is_active(Mutation::LowerVersionTaken) {
-            self.tell();
+            self.tell(now);
         }
         self.answer_heartbeats(now);
         Ok(())
@@ -119,7 +120,7 @@
         proposed
     }
 
-    fn tell(&mut self) {
+    fn tell(&mut self, now: u64) {
         self.update_told();
         let configuration = self.state.configuration();
         let in_force = InForce {
@@ -129,7 +130,7 @@
             runners: self.duties.runners(),
             members: &self.members,
         };
-        self.sessions.tell(&in_force);
+        self.sessions.tell(now, &in_force, &update_window(&self.settings));
     }
 
     /// Works out anew what sessions are told, where it has changed: there are many calls between two changes.
--- a/crates/coordinator/src/core/mod.rs
+++ b/crates/coordinator/src/core/mod.rs
@@ -233,11 +233,13 @@
     /// When to call [`CoordinatorCore::settle`] at the latest.
     pub fn next_wake(&self, now: u64) -> u64 {
         let replicas = self.replicas.host.next_wake().unwrap_or(u64::MAX);
-        let duties = if self.leads(now) { self.duties.next_wake() } else { u64::MAX };
+        let leads = self.leads(now);
+        let duties = if leads { self.duties.next_wake() } else { u64::MAX };
+        let updates = if leads { self.sessions.next_wake() } else { u64::MAX };
         let longest = now + self.settings.bounds.liveness_ms;
         let end =
             self.ending_since.map_or(u64::MAX, |since| since + self.settings.bounds.grace_period_ms / 2);
-        replicas.min(duties).min(longest).min(end)
+        replicas.min(duties).min(updates).min(longest).min(end)
     }
 
     /// The process is to end: it hands its office over.
--- a/crates/coordinator/src/core/sessions.rs
+++ b/crates/coordinator/src/core/sessions.rs
@@ -31,7 +31,7 @@
         }
     }
 
-    /// Answers heartbeats, when all that is committed was applied and told: who gets this has had the configuration.
+    /// Answers heartbeats, when all that is committed was applied.
     pub(super) fn answer_heartbeats(&mut self, now: u64) {
         let heartbeats = std::mem::take(&mut self.heartbeats);
         if heartbeats.is_empty() {
@@ -52,12 +52,13 @@
 
     fn request(&mut self, number: u64, request: CoordinatorRequest) {
         match request {
-            CoordinatorRequest::Register(registration) => {
+            CoordinatorRequest::Register(registration, received) => {
                 if let Registration::Coordinator(member) = &registration {
                     self.hear_of(member);
                 }
-                self.sessions.register(number, registration);
+                self.sessions.register(number, registration, received);
             }
+            CoordinatorRequest::Received(received) => self.sessions.received(number, received),
             CoordinatorRequest::Heartbeat => self.heartbeats.push(number),
             CoordinatorRequest::ShardMembers(members) => self.duties.shard_members(members),
         }
--- a/crates/coordinator/tests/group/mod.rs
+++ b/crates/coordinator/tests/group/mod.rs
@@ -10,9 +10,10 @@
 use ruddervalve_coordinator::{CallerNumber, CoordinatorCore, CoordinatorOutput, OperatorReply};
 use ruddervalve_disk::ProcessState;
 use ruddervalve_protocol::{
-    CoordinatorReply, CoordinatorRequest, GroupId, Registration, ReplicaId, ShardMembers, StoreMember,
+    CoordinatorReply, CoordinatorRequest, GroupId, ReceivedUpdates, Registration, ReplicaId, ShardMembers,
+    StoreMember,
 };
-use ruddervalve_runtime::{InternalPort, ReplicaInput, ReplicaOutput, internal_address};
+use ruddervalve_runtime::{InternalPort, ReplicaInput, ReplicaOutput, internal_address, note_update};
 
 pub const LIVENESS_MS: u64 = 4_000;
 pub const SYNC_MS: u64 = 4_500;
@@ -26,6 +27,8 @@
     peers: BTreeMap<u64, u8>,
     /// What other sessions were told.
     pub told: Vec<(u64, CoordinatorReply)>,
+    /// What all sessions have received here; each confirms it at once.
+    received: BTreeMap<u64, ReceivedUpdates>,
     pub answers: BTreeMap<CallerNumber, OperatorReply>,
 }
 
@@ -81,8 +84,9 @@
         let seed = u64::from(number);
         let core =
             CoordinatorCore::start(&settings, disk, is_new, internal, control, seed, self.now).unwrap();
-        let (peers, told, answers) = (BTreeMap::new(), Vec::new(), BTreeMap::new());
-        let mut new = Member { core, peers, told, answers };
+        let (peers, told, received, answers) =
+            (BTreeMap::new(), Vec::new(), BTreeMap::new(), BTreeMap::new());
+        let mut new = Member { core, peers, told, received, answers };
         for (other, member) in &mut self.members {
             connect(self.now, number, &new.core, member);
             connect(self.now, *other, &member.core, &mut new);
@@ -159,7 +163,11 @@
         let now = self.now;
         let core = &mut self.member(at).core;
         let session = core.session_opened(now);
-        core.session_says(now, session, CoordinatorRequest::Register(registration));
+        core.session_says(
+            now,
+            session,
+            CoordinatorRequest::Register(registration, ReceivedUpdates::default()),
+        );
         session
     }
 
@@ -258,17 +266,29 @@
         let replies = member.core.session_outputs();
         let address = member.core.member().address.parse().unwrap();
         let peers = member.peers.clone();
+        let mut active = !outputs.is_empty();
         for (session, reply) in replies {
+            active |= self.confirm(number, session, &reply);
             match peers.get(&session).and_then(|peer| self.members.get_mut(peer)) {
                 Some(peer) => peer.core.coordinator_says(now, address, reply),
                 None => self.member(number).told.push((session, reply)),
             }
         }
-        let active = !outputs.is_empty();
         outputs.into_iter().for_each(|output| self.carry_out(number, output));
         active
     }
 
+    /// A process confirms an update that has come; whether it was one.
+    fn confirm(&mut self, at: u8, session: u64, reply: &CoordinatorReply) -> bool {
+        let received = self.member(at).received.entry(session).or_default();
+        let is_update = note_update(received, reply);
+        if is_update {
+            let received = *received;
+            self.says(at, session, CoordinatorRequest::Received(received));
+        }
+        is_update
+    }
+
     fn carry_out(&mut self, from: u8, output: ReplicaOutput) {
         let now = self.now;
         match output {
@@ -293,5 +313,9 @@
     let session = to.core.session_opened(now);
     to.peers.insert(session, number);
     let registration = Registration::Coordinator(from.member().clone());
-    to.core.session_says(now, session, CoordinatorRequest::Register(registration));
+    to.core.session_says(
+        now,
+        session,
+        CoordinatorRequest::Register(registration, ReceivedUpdates::default()),
+    );
 }
--- a/crates/coordinator/tests/restart.rs
+++ b/crates/coordinator/tests/restart.rs
@@ -8,7 +8,9 @@
 use ruddervalve_coordinator::CoordinatorCore;
 use ruddervalve_coordinator::state_command::ControlCommand;
 use ruddervalve_disk::{GroupState, ProcessState, StoredEntry};
-use ruddervalve_protocol::{CoordinatorMember, CoordinatorRequest, GroupId, Registration, ReplicaId};
+use ruddervalve_protocol::{
+    CoordinatorMember, CoordinatorRequest, GroupId, ReceivedUpdates, Registration, ReplicaId,
+};
 
 /// The kind of an entry with a command, as the replicas store it.
 const COMMAND: u8 = 1;
@@ -52,6 +54,6 @@
     let mut core = started(Vec::new());
     let session = core.session_opened(2);
     let successor = Registration::Coordinator(member("c2", 99, "10.0.0.7:7780"));
-    core.session_says(2, session, CoordinatorRequest::Register(successor));
+    core.session_says(2, session, CoordinatorRequest::Register(successor, ReceivedUpdates::default()));
     assert!(knows(&core, 99, "10.0.0.7:7780"));
 }
--- a/crates/coordinator/tests/world/mod.rs
+++ b/crates/coordinator/tests/world/mod.rs
@@ -20,7 +20,7 @@
 use ruddervalve_coordinator::operator::OperatorCall;
 use ruddervalve_coordinator::{CallerNumber, CoordinatorCore, CoordinatorOutput, OperatorReply};
 use ruddervalve_disk::Record;
-use ruddervalve_protocol::{CoordinatorReply, CoordinatorRequest, GroupId, Registration};
+use ruddervalve_protocol::{CoordinatorReply, CoordinatorRequest, GroupId, ReceivedUpdates, Registration};
 use ruddervalve_replication::Envelope;
 use ruddervalve_runtime::{InternalPort, ReplicaInput, ReplicaOutput, internal_address};
 use uplink::{Connection, Uplink};
@@ -288,7 +288,11 @@
         let now = self.now;
         let running = self.running.get_mut(&machine).unwrap();
         let session = running.core.session_opened(now);
-        running.core.session_says(now, session, CoordinatorRequest::Register(registration));
+        running.core.session_says(
+            now,
+            session,
+            CoordinatorRequest::Register(registration, ReceivedUpdates::default()),
+        );
         session
     }
 
--- a/crates/coordinator/tests/world/processes.rs
+++ b/crates/coordinator/tests/world/processes.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use ruddervalve_protocol::{CoordinatorReply, CoordinatorRequest, Incarnation, Registration};
+use ruddervalve_protocol::{
+    CoordinatorReply, CoordinatorRequest, Incarnation, ReceivedUpdates, Registration,
+};
+use ruddervalve_runtime::note_update;
 
 use super::{MACHINES, World};
 use crate::group::LIVENESS_MS;
@@ -17,6 +20,7 @@
     /// The configurations that came, each with when it did.
     pub configurations: Vec<(u64, u64)>,
     next_heartbeat: u64,
+    received: ReceivedUpdates,
 }
 
 impl Process {
@@ -70,5 +74,15 @@
         if let CoordinatorReply::Configuration(update) = &reply {
             process.configurations.push((update.version, now));
         }
+        if !note_update(&mut process.received, &reply) {
+            return;
+        }
+        let (received, sessions) = (process.received, process.sessions.clone());
+        for (machine, session) in sessions {
+            if let Some(running) = self.running.get_mut(&machine) {
+                running.core.session_says(now, session, CoordinatorRequest::Received(received));
+                self.settle(machine);
+            }
+        }
     }
 }
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -7,14 +7,28 @@
 /// To a coordinator.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub enum CoordinatorRequest {
-    /// Makes the sender known and asks for updates on this connection from now on. Sent again whenever it changes.
-    Register(Registration),
+    /// Makes the sender known and asks for updates on this connection from now on, those that it has received aside. Sent
+    /// again whenever the registration changes.
+    Register(Registration, ReceivedUpdates),
+    /// What the sender has received, from whichever coordinator: sent to all of them after each update.
+    Received(ReceivedUpdates),
     /// The sender is alive; each is answered by [`CoordinatorReply::Alive`].
     Heartbeat,
     /// The committed membership of a shard, told by its leader when it changes, and again from time to time.
     ShardMembers(ShardMembers),
 }
 
+/// The newest version of each update that a process has received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, SerBin, DeBin)]
+pub struct ReceivedUpdates {
+    /// Of the configuration; 0 before the first.
+    pub configuration: u64,
+    /// Of the directory; 0 before the first.
+    pub directory: u64,
+    /// Term and sequence of the list of runners; zeros before the first.
+    pub runners: (u64, u64),
+}
+
 /// Who registers.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub enum Registration {
@@ -64,11 +78,11 @@
         /// sender knows.
         candidates: Vec<String>,
     },
-    /// Answers a heartbeat, after all that was due on this connection: the sender still leads in this term.
+    /// Answers a heartbeat: the sender still leads in this term.
     Alive {
         /// The leader's term.
         term: u64,
-        /// The version of the configuration in force; 0 before the first. Whoever has another one has not had the newest.
+        /// The version of the configuration in force; 0 before the first. Whoever has another one has not had the newest yet.
         configuration: u64,
         /// Edges that are registered with the sender.
         edges: u32,
--- a/crates/protocol/src/greeting.rs
+++ b/crates/protocol/src/greeting.rs
@@ -5,7 +5,7 @@
 use crate::Incarnation;
 
 /// The version of all messages between processes; a process drops a connection that greets with another one.
-pub const PROTOCOL_VERSION: u32 = 6;
+pub const PROTOCOL_VERSION: u32 = 7;
 
 /// What a connection carries after its greeting.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, SerBin, DeBin)]
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -12,7 +12,8 @@
 pub use blob::Blob;
 pub use control::{
     ConfigurationUpdate, ControlMembers, CoordinatorMember, CoordinatorReply, CoordinatorRequest, Directory,
-    Registration, Runner, RunnerList, RunnerPhase, ShardMembers, ShardPlacement, StoreMember,
+    ReceivedUpdates, Registration, Runner, RunnerList, RunnerPhase, ShardMembers, ShardPlacement,
+    StoreMember,
 };
 pub use delivery::{
     AppendOutcome, DeliveryOutcome, EdgeToStore, EndPhase, Grant, GrantedLease, InventoryItem, LeaseId,
--- a/crates/runtime/src/control.rs
+++ b/crates/runtime/src/control.rs
@@ -4,12 +4,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ruddervalve_protocol::{Channel, CoordinatorReply, CoordinatorRequest, Greeting, Registration};
+use ruddervalve_protocol::{
+    Channel, CoordinatorReply, CoordinatorRequest, Greeting, ReceivedUpdates, Registration,
+};
 use ruddervalve_rpc::{Backoff, LinkEvent, LinkSettings, Outbox, Peer};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::{Boot, KnownCoordinators, backoff, draw_seed, heartbeat_interval, link_settings};
+use crate::{Boot, KnownCoordinators, backoff, draw_seed, heartbeat_interval, link_settings, note_update};
 
 /// Something that coordinators said.
 #[derive(Debug)]
@@ -39,8 +41,9 @@
     leader_heard_at: Instant,
     /// Whether it was logged that no leader answers.
     missing_leader_logged: bool,
-    /// The newest configuration that has come.
-    received_configuration: u64,
+    received: ReceivedUpdates,
+    /// Since when the leader names a configuration that has not come, and whether that was logged.
+    behind: Option<(Instant, bool)>,
     sender: mpsc::UnboundedSender<(SocketAddr, LinkEvent<CoordinatorReply>)>,
     events: mpsc::UnboundedReceiver<(SocketAddr, LinkEvent<CoordinatorReply>)>,
 }
@@ -58,7 +61,8 @@
             backoff: backoff(&boot.settings, draw_seed()),
             leader_heard_at: Instant::now(),
             missing_leader_logged: false,
-            received_configuration: 0,
+            received: ReceivedUpdates::default(),
+            behind: None,
             sender,
             events,
         }
@@ -98,7 +102,7 @@
             let Some(link) = self.links.get_mut(&from) else { continue };
             match event {
                 LinkEvent::Up(outbox) => {
-                    outbox.send(&CoordinatorRequest::Register(self.registration.clone()));
+                    outbox.send(&CoordinatorRequest::Register(self.registration.clone(), self.received));
                     outbox.send(&CoordinatorRequest::Heartbeat);
                     link.outbox = Some(outbox);
                     return ControlEvent { from, reply: None };
@@ -107,14 +111,12 @@
                     if self.known.hear(from, &reply) {
                         self.update_links();
                     }
-                    match &reply {
-                        CoordinatorReply::Alive { term, configuration, .. } => {
-                            self.heard_leader(from, *term, *configuration);
-                        }
-                        CoordinatorReply::Configuration(update) => {
-                            self.received_configuration = self.received_configuration.max(update.version);
-                        }
-                        _ => {}
+                    if let CoordinatorReply::Alive { term, configuration, .. } = reply {
+                        self.heard_leader(from, term);
+                        self.log_late_configuration(from, configuration);
+                    }
+                    if note_update(&mut self.received, &reply) {
+                        self.send(&CoordinatorRequest::Received(self.received));
                     }
                     return ControlEvent { from, reply: Some(reply) };
                 }
@@ -147,17 +149,27 @@
         self.leader_heard_at = Instant::now();
     }
 
-    fn heard_leader(&mut self, from: SocketAddr, term: u64, configuration: u64) {
+    fn heard_leader(&mut self, from: SocketAddr, term: u64) {
         self.leader_heard_at = Instant::now();
-        let received = self.received_configuration;
-        if configuration > received {
-            tracing::warn!(leader = %from, term, configuration, received, "the leader's configuration has not come");
-        }
         if std::mem::take(&mut self.missing_leader_logged) {
             tracing::info!(leader = %from, term, "a coordinator that leads answers");
         }
     }
 
+    /// Logs once that the leader has named a configuration for longer than a link may be silent, and it has not come.
+    fn log_late_configuration(&mut self, leader: SocketAddr, configuration: u64) {
+        let received = self.received.configuration;
+        if configuration <= received {
+            self.behind = None;
+            return;
+        }
+        let (since, is_logged) = self.behind.get_or_insert((Instant::now(), false));
+        let late_ms = since.elapsed().as_millis();
+        if late_ms >= u128::from(self.settings.silence_ms) && !std::mem::replace(is_logged, true) {
+            tracing::warn!(%leader, configuration, received, late_ms, "the leader's configuration has not come");
+        }
+    }
+
     /// Logs once that no leader has answered for longer than a link may be silent.
     fn log_missing_leader(&mut self) {
         let silent_ms = self.leader_heard_at.elapsed().as_millis();
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -11,6 +11,7 @@
 mod replicas;
 mod signals;
 mod times;
+mod updates;
 
 pub use boot::{Boot, BootError, SETTINGS_VARIABLE, draw_incarnation, draw_seed, log_to_stderr, run_role};
 pub use clock::Clock;
@@ -23,6 +24,7 @@
 pub use replicas::{ReplicaInput, ReplicaOutput, Replicas};
 pub use signals::{ProcessSignal, Signals};
 pub use times::{
-    accepted_replica_link_settings, backoff, consensus_timing, heartbeat_interval, link_settings,
-    lost_after_ms, replica_link_settings, retained_log_bytes,
+    UpdateWindow, accepted_replica_link_settings, backoff, consensus_timing, heartbeat_interval,
+    link_settings, lost_after_ms, replica_link_settings, retained_log_bytes, update_window,
 };
+pub use updates::note_update;
--- a/crates/runtime/src/times.rs
+++ b/crates/runtime/src/times.rs
@@ -44,7 +44,36 @@
 /// The first pause before a lost connection is opened again, in milliseconds: the way to the next zone and back.
 const FIRST_PAUSE_MS: u64 = 10;
 
+/// The part of a coordinator's memory that updates may take which processes have not confirmed.
+const UNCONFIRMED_PART_OF_MEMORY: u64 = 8;
+
 const BYTES_PER_MB: u64 = 1_024 * 1_024;
+/// Bytes that a link of one megabit a second carries in a millisecond.
+const BYTES_PER_MS_IN_MBPS: f64 = 125.0;
+
+/// How much a leader of the control group sends other processes at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UpdateWindow {
+    /// Bytes of updates that were sent lately and are not confirmed: while they leave, heartbeats of the group wait.
+    pub recent_bytes: u64,
+    /// For how long an update counts among them, in milliseconds: a process that does not answer holds others up no longer.
+    pub recent_ms: u64,
+    /// Bytes of updates that are not confirmed, sent at any time: they may all wait in memory.
+    pub unconfirmed_bytes: u64,
+}
+
+/// How much a leader of the control group sends other processes at once.
+pub fn update_window(settings: &Settings) -> UpdateWindow {
+    let timing = consensus_timing(settings);
+    let bytes_per_ms = settings.limits.bandwidth_mbps * BYTES_PER_MS_IN_MBPS;
+    UpdateWindow {
+        // A float beyond the range becomes its end.
+        recent_bytes: ((bytes_per_ms * timing.heartbeat_ms as f64) as u64).max(1),
+        recent_ms: timing.election_min_ms,
+        unconfirmed_bytes: settings.limits.memory_mb.saturating_mul(BYTES_PER_MB)
+            / UNCONFIRMED_PART_OF_MEMORY,
+    }
+}
 
 /// Times and limits of consensus groups.
 pub fn consensus_timing(settings: &Settings) -> Timing {
--- a/crates/runtime/tests/leader.rs
+++ b/crates/runtime/tests/leader.rs
@@ -28,7 +28,7 @@
             let (_, stream) = accept(stream, &limits).await.unwrap();
             let outbox = Outbox::new(limits.max_queued_bytes);
             let answer = |request| match request {
-                CoordinatorRequest::Register(_) => drop(told.send(address)),
+                CoordinatorRequest::Register(..) => drop(told.send(address)),
                 _ => drop(outbox.send(&reply).then_some(())),
             };
             run(stream, &limits, &outbox, answer).await;
--- a/crates/simulation/src/replica_links.rs
+++ b/crates/simulation/src/replica_links.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use ruddervalve_protocol::{CoordinatorReply, CoordinatorRequest, Registration, ReplicaId};
-use ruddervalve_runtime::{KnownCoordinators, ReplicaInput, ReplicaOutput};
+use ruddervalve_protocol::{CoordinatorReply, CoordinatorRequest, ReceivedUpdates, Registration, ReplicaId};
+use ruddervalve_runtime::{KnownCoordinators, ReplicaInput, ReplicaOutput, note_update};
 
 use crate::process::{ConnectionId, Effect, Input, Link, Payload, batches};
 
@@ -15,6 +15,7 @@
     replicas: BTreeMap<ReplicaId, ConnectionId>,
     control: BTreeMap<SocketAddr, ConnectionId>,
     known: KnownCoordinators,
+    received: ReceivedUpdates,
     /// Links to others than coordinators that the owner wants.
     asked: Vec<Link>,
     /// All links that are kept.
@@ -26,6 +27,7 @@
         Self {
             known: KnownCoordinators::new(&registration),
             registration,
+            received: ReceivedUpdates::default(),
             replicas: BTreeMap::new(),
             control: BTreeMap::new(),
             asked: Vec::new(),
@@ -60,6 +62,9 @@
         if self.known.hear(from, reply) {
             self.keep(effects);
         }
+        if note_update(&mut self.received, reply) {
+            self.tell(&CoordinatorRequest::Received(self.received), effects);
+        }
         Some(from)
     }
 
@@ -86,7 +91,7 @@
             }
             Link::Control(address) => {
                 self.control.insert(address, connection);
-                let register = CoordinatorRequest::Register(self.registration.clone());
+                let register = CoordinatorRequest::Register(self.registration.clone(), self.received);
                 effects.push(Effect::Send(connection, Payload::Request(register)));
             }
             Link::Delivery(..) => {}
