--- a/crates/coordinator/src/core/agreement.rs
+++ b/crates/coordinator/src/core/agreement.rs
@@ -6,11 +6,11 @@
 use ruddervalve_replication::{GroupChange, GroupSnapshot};
 use ruddervalve_runtime::update_window;
 
-use super::{CoordinatorCore, CoordinatorOutput};
+use super::{CoordinatorCore, CoordinatorOutput, changes_for};
 use crate::error::CoordinatorError;
 use crate::session::InForce;
 use crate::state::ControlState;
-use crate::state_command::ControlCommand;
+use crate::state_command::{ControlCommand, ControlResult};
 
 impl CoordinatorCore {
     /// Works out all that events led to.
@@ -61,6 +61,7 @@
         let known = self.state.coordinators().to_vec();
         known.iter().for_each(|member| self.hear_of(member));
         self.state = ControlState::default();
+        self.changes = changes_for(&self.settings);
         self.applied = 0;
     }
 
@@ -76,6 +77,11 @@
                     continue;
                 }
             };
+            if let ControlResult::Taken { .. } = result
+                && let Some(configuration) = self.state.configuration()
+            {
+                self.changes.note(&configuration);
+            }
             self.answer(entry.index, entry.term, &result);
         }
         if self.state.directory_version() != before {
@@ -123,14 +129,18 @@
     fn tell(&mut self, now: u64) {
         self.update_told();
         let configuration = self.state.configuration();
+        if let Some(configuration) = &configuration {
+            self.changes.note(configuration);
+        }
         let in_force = InForce {
             term: self.term(),
             configuration: configuration.as_ref(),
+            changes: &mut self.changes,
             directory: &self.directory,
             runners: self.duties.runners(),
             members: &self.members,
         };
-        self.sessions.tell(now, &in_force, &update_window(&self.settings));
+        self.sessions.tell(now, in_force, &update_window(&self.settings));
     }
 
     /// Works out anew what sessions are told, where it has changed: there are many calls between two changes.
--- a/crates/coordinator/src/core/mod.rs
+++ b/crates/coordinator/src/core/mod.rs
@@ -24,6 +24,7 @@
     NodeError, ReplicaInput, ReplicaOutput, Replicas, consensus_timing, retained_log_bytes,
 };
 
+use crate::changes::ConfigurationChanges;
 use crate::duties::Duties;
 use crate::error::CoordinatorError;
 use crate::founding::founders;
@@ -33,6 +34,10 @@
 use crate::state::ControlState;
 use reads::WaitingRead;
 
+const BYTES_PER_MB: u64 = 1_024 * 1_024;
+/// The part of a coordinator's memory that earlier configurations may take, to tell what has changed since.
+const EARLIER_PART_OF_MEMORY: u64 = 16;
+
 /// A call of the operator, counted by the owner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallerNumber(pub u64);
@@ -76,6 +81,8 @@
     state: ControlState,
     applied: u64,
     sessions: Sessions,
+    /// Configurations as changes of earlier ones.
+    changes: ConfigurationChanges,
     /// Sessions whose heartbeats are to be answered.
     heartbeats: Vec<u64>,
     duties: Duties,
@@ -98,6 +105,12 @@
     outputs: Vec<CoordinatorOutput>,
 }
 
+/// No configurations yet, and room for some.
+fn changes_for(settings: &Settings) -> ConfigurationChanges {
+    let bytes = settings.limits.memory_mb.saturating_mul(BYTES_PER_MB) / EARLIER_PART_OF_MEMORY;
+    ConfigurationChanges::new(usize::try_from(bytes).unwrap_or(usize::MAX))
+}
+
 impl CoordinatorCore {
     /// A coordinator that goes on with what its disk held, under that identity. `is_new`: the disk was empty. `address`
     /// and `control_address` are where it listens; `seed` is drawn anew for each start.
@@ -142,6 +155,7 @@
             state,
             applied,
             sessions: Sessions::default(),
+            changes: changes_for(settings),
             heartbeats: Vec::new(),
             // Another seed than that of the elections.
             duties: Duties::new(settings, !seed),
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -1,6 +1,7 @@
 //! The coordinator: configuration, members, placement of shards and the list of runners, agreed upon.
 
 mod absence;
+pub mod changes;
 mod core;
 pub mod duties;
 mod error;
@@ -18,7 +19,7 @@
 pub mod placement_return;
 pub mod placement_spread;
 mod role;
-pub mod session;
+mod session;
 mod sessions;
 pub mod state;
 pub mod state_command;
--- a/crates/coordinator/src/role.rs
+++ b/crates/coordinator/src/role.rs
@@ -226,17 +226,20 @@
     }
 
     fn send_to_sessions(&mut self) {
-        let mut configurations = 0;
+        let (mut whole, mut changes) = (0, 0);
         for (number, reply) in self.core.session_outputs() {
             let Some(outbox) = self.outboxes.get(&number) else { continue };
-            if outbox.send(&reply) && matches!(reply, CoordinatorReply::Configuration(_)) {
-                configurations += 1;
+            let is_sent = outbox.send(&reply);
+            match reply {
+                CoordinatorReply::Configuration(_) if is_sent => whole += 1,
+                CoordinatorReply::ConfigurationChange(_) if is_sent => changes += 1,
+                _ => {}
             }
         }
-        if configurations > 0 {
+        if whole + changes > 0 {
             let version = self.core.state().configuration_version();
             let queued_bytes: usize = self.outboxes.values().map(Outbox::queued_bytes).sum();
-            tracing::info!(version, sessions = configurations, queued_bytes, "configuration sent");
+            tracing::debug!(version, whole, changes, queued_bytes, "configuration sent");
         }
     }
 
--- a/crates/coordinator/src/session.rs
+++ b/crates/coordinator/src/session.rs
@@ -6,8 +6,10 @@
     RunnerList,
 };
 
+use crate::changes::{ConfigurationChanges, change_bytes};
+
 /// An entry of a directory or of a list of runners in bytes, roughly.
-const ENTRY_BYTES: u64 = 128;
+const ENTRY_BYTES: usize = 128;
 
 /// What is in force: sessions are sent what they have not received of it.
 #[derive(Debug)]
@@ -16,6 +18,8 @@
     pub term: u64,
     /// The configuration; none before the first.
     pub configuration: Option<&'a ConfigurationUpdate>,
+    /// How it follows from earlier ones.
+    pub changes: &'a mut ConfigurationChanges,
     /// Stores, coordinators and shards.
     pub directory: &'a Directory,
     /// The runners; none before the first list.
@@ -36,6 +40,8 @@
 #[derive(Debug, Clone, Copy)]
 pub struct SentUpdate {
     version: UpdateVersion,
+    /// The configuration that the process has to have, if it is a change of that.
+    base: Option<u64>,
     /// Its size.
     pub bytes: u64,
     /// When it was sent.
@@ -78,12 +84,9 @@
 
     /// The process says what it has received.
     pub fn confirm(&mut self, received: ReceivedUpdates) {
-        self.received = ReceivedUpdates {
-            configuration: self.received.configuration.max(received.configuration),
-            directory: self.received.directory.max(received.directory),
-            runners: self.received.runners.max(received.runners),
-        };
-        self.sent = self.sent.filter(|sent| !self.has(sent.version));
+        self.received = received;
+        let is_useless = |sent: &SentUpdate| sent.base.is_some_and(|base| base != received.configuration);
+        self.sent = self.sent.filter(|sent| !self.has(sent.version) && !is_useless(sent));
     }
 
     /// The update that is on its way.
@@ -102,12 +105,17 @@
     }
 
     /// The next update for this process, unless one is on its way.
-    pub fn next_update(&mut self, in_force: &InForce<'_>, now: u64) -> Option<CoordinatorReply> {
+    pub fn next_update(&mut self, in_force: &mut InForce<'_>, now: u64) -> Option<CoordinatorReply> {
         if self.sent.is_some() {
             return None;
         }
-        let (version, bytes, update) = self.missing(in_force)?;
-        self.sent = Some(SentUpdate { version, bytes, at: now });
+        let version = self.missing_version(in_force)?;
+        let update = self.update(version, in_force)?;
+        let base = match &update {
+            CoordinatorReply::ConfigurationChange(change) => Some(change.base),
+            _ => None,
+        };
+        self.sent = Some(SentUpdate { version, base, bytes: update_bytes(&update), at: now });
         Some(update)
     }
 
@@ -116,25 +124,17 @@
         self.sent.is_none() && self.missing_version(in_force).is_some()
     }
 
-    fn missing(&self, in_force: &InForce<'_>) -> Option<(UpdateVersion, u64, CoordinatorReply)> {
-        let version = self.missing_version(in_force)?;
-        let (bytes, update) = match version {
+    fn update(&self, version: UpdateVersion, in_force: &mut InForce<'_>) -> Option<CoordinatorReply> {
+        Some(match version {
             UpdateVersion::Configuration(_) => {
-                let configuration = in_force.configuration?;
-                let bytes = u64::try_from(configuration.body.len()).unwrap_or(u64::MAX);
-                (bytes, CoordinatorReply::Configuration(configuration.clone()))
-            }
-            UpdateVersion::Directory(_) => {
-                let directory = in_force.directory;
-                let entries = directory.stores.len() + directory.coordinators.len() + directory.shards.len();
-                (entries_bytes(entries), CoordinatorReply::Directory(directory.clone()))
-            }
-            UpdateVersion::Runners(_) => {
-                let runners = in_force.runners?;
-                (entries_bytes(runners.runners.len()), CoordinatorReply::Runners(runners.clone()))
+                match in_force.changes.change_from(self.received.configuration) {
+                    Some(change) => CoordinatorReply::ConfigurationChange(change),
+                    None => CoordinatorReply::Configuration(in_force.configuration?.clone()),
+                }
             }
-        };
-        Some((version, bytes, update))
+            UpdateVersion::Directory(_) => CoordinatorReply::Directory(in_force.directory.clone()),
+            UpdateVersion::Runners(_) => CoordinatorReply::Runners(in_force.runners?.clone()),
+        })
     }
 
     /// The first of all that this kind of process needs and has not received.
@@ -164,6 +164,16 @@
     }
 }
 
-fn entries_bytes(entries: usize) -> u64 {
-    u64::try_from(entries).unwrap_or(u64::MAX).saturating_mul(ENTRY_BYTES)
+/// What an update takes on its way, roughly.
+fn update_bytes(update: &CoordinatorReply) -> u64 {
+    let bytes = match update {
+        CoordinatorReply::Configuration(update) => update.body.len(),
+        CoordinatorReply::ConfigurationChange(change) => change_bytes(change),
+        CoordinatorReply::Directory(directory) => {
+            (directory.stores.len() + directory.coordinators.len() + directory.shards.len()) * ENTRY_BYTES
+        }
+        CoordinatorReply::Runners(list) => list.runners.len() * ENTRY_BYTES,
+        _ => 0,
+    };
+    u64::try_from(bytes).unwrap_or(u64::MAX)
 }
--- a/crates/coordinator/src/sessions.rs
+++ b/crates/coordinator/src/sessions.rs
@@ -91,13 +91,13 @@
     }
 
     /// Tells sessions what they do not know yet, as far as the window has room.
-    pub fn tell(&mut self, now: u64, in_force: &InForce<'_>, window: &UpdateWindow) {
+    pub fn tell(&mut self, now: u64, mut in_force: InForce<'_>, window: &UpdateWindow) {
         let registered = self.sessions.iter_mut().filter(|(_, session)| session.registration.is_some());
         for (number, session) in registered {
-            let members = session.tell_members(in_force);
+            let members = session.tell_members(&in_force);
             self.outputs.extend(members.map(|members| (*number, members)));
         }
-        let is_behind = |(_, session): &(&u64, &Session)| session.is_behind(in_force);
+        let is_behind = |(_, session): &(&u64, &Session)| session.is_behind(&in_force);
         let after = (Bound::Excluded(self.last_updated), Bound::Unbounded);
         let in_turn = self.sessions.range(after).chain(self.sessions.range(..=self.last_updated));
         let behind: Vec<u64> = in_turn.filter(is_behind).map(|(number, _)| *number).collect();
@@ -111,7 +111,7 @@
                 return self.retry_at = Some(self.next_room(now, window));
             }
             let Some(session) = self.sessions.get_mut(&number) else { continue };
-            let Some(update) = session.next_update(in_force, now) else { continue };
+            let Some(update) = session.next_update(&mut in_force, now) else { continue };
             let bytes = session.sent().map_or(0, |sent| sent.bytes);
             room = room.and_then(|room| room.checked_sub(bytes)).filter(|room| *room > 0);
             self.last_updated = number;
--- a/crates/coordinator/tests/fan_out.rs
+++ b/crates/coordinator/tests/fan_out.rs
@@ -26,14 +26,25 @@
 const PAUSE_MS: u64 = 50;
 const BYTES_PER_MB: u64 = 1_024 * 1_024;
 
-fn configuration(version: u64) -> Vec<u8> {
+/// What a version changes.
+#[derive(Clone, Copy)]
+enum Changes {
+    EachRoute,
+    OneRoute,
+}
+
+fn configuration(version: u64, changes: Changes) -> Vec<u8> {
+    let time_limit = |route: u64| match changes {
+        Changes::EachRoute => 500 + version,
+        Changes::OneRoute => 500 + u64::from(route == version),
+    };
     let mut body = format!(r#"{{"ResourceVersion":{version},"Services":[{{"Name":"s"}}],"Routes":["#);
     for route in 0..ROUTES {
         let comma = if route == 0 { "" } else { "," };
         write!(
             body,
             r#"{comma}{{"Name":"route-{route}","Hostname":"host-{route}.example","PathPrefix":"/{route}/","Type":"asynchronous","TimeoutMs":{},"Backend":"s","MaxRetries":3,"RetentionS":90.0}}"#,
-            500 + version
+            time_limit(route)
         )
         .unwrap();
     }
@@ -41,8 +52,8 @@
     body.into_bytes()
 }
 
-fn replace(base_version: u64, version: u64) -> OperatorCall {
-    let body = configuration(version);
+fn replace(base_version: u64, version: u64, changes: Changes) -> OperatorCall {
+    let body = configuration(version, changes);
     let replacement = ReplaceConfiguration {
         base_version,
         version,
@@ -64,15 +75,15 @@
 
 /// Makes changes, each as soon as the one before is acknowledged; when each was.
 fn change_in_series(world: &mut World) -> Vec<(u64, u64)> {
-    (1..=CHANGES).map(|version| (version, change(world, version))).collect()
+    (1..=CHANGES).map(|version| (version, change(world, version, Changes::EachRoute))).collect()
 }
 
 /// Sends a change until it is acknowledged; when it was.
-fn change(world: &mut World, version: u64) -> u64 {
+fn change(world: &mut World, version: u64, changes: Changes) -> u64 {
     let deadline = world.now + PATIENCE_MS;
     while world.now < deadline {
         let leader = world.leader().unwrap_or(MACHINES[0]);
-        let end = world.ask(leader, replace(version - 1, version), ANSWER_MS);
+        let end = world.ask(leader, replace(version - 1, version, changes), ANSWER_MS);
         if matches!(end, Some(CallEnd::Answered(200, _))) {
             return world.now;
         }
@@ -106,3 +117,33 @@
     let memory = settings(leader).limits.memory_mb * BYTES_PER_MB;
     assert!(most < memory, "{most} bytes waited, there is room for {memory}");
 }
+
+#[test]
+fn a_new_leader_sends_no_process_a_configuration_that_it_has() {
+    let (mut world, leader) = connected();
+    change(&mut world, 1, Changes::OneRoute);
+    world.run(PATIENCE_MS);
+    let before: Vec<u64> = MACHINES.iter().map(|machine| world.sent_bytes(*machine)).collect();
+    world.kill(leader);
+    assert!(world.run_until(PATIENCE_MS, |world| world.leader().is_some()));
+    world.run(PATIENCE_MS);
+    let sent: u64 =
+        MACHINES.iter().zip(before).map(|(machine, before)| world.sent_bytes(*machine) - before).sum();
+    let all = PROCESSES * configuration(1, Changes::OneRoute).len() as u64;
+    assert!(sent < all / 100, "{sent} bytes were sent, the configurations of all processes are {all}");
+}
+
+#[test]
+fn changes_of_a_configuration_take_little_beside_the_whole_of_it() {
+    let (mut world, leader) = connected();
+    change(&mut world, 1, Changes::OneRoute);
+    world.run(PATIENCE_MS);
+    let before = world.sent_bytes(leader);
+    change(&mut world, 2, Changes::OneRoute);
+    world.run(PATIENCE_MS);
+    assert!(world.processes.iter().all(|process| process.has_since(2).is_some()));
+    let sent = world.sent_bytes(leader) - before;
+    // Both other coordinators get the whole of it in their logs.
+    let whole = configuration(2, Changes::OneRoute).len() as u64;
+    assert!(sent < 2 * whole + PROCESSES * whole / 100, "{sent} bytes were sent for one change of {whole}");
+}
--- a/crates/coordinator/tests/group/mod.rs
+++ b/crates/coordinator/tests/group/mod.rs
@@ -13,7 +13,7 @@
     CoordinatorReply, CoordinatorRequest, GroupId, ReceivedUpdates, Registration, ReplicaId, ShardMembers,
     StoreMember,
 };
-use ruddervalve_runtime::{InternalPort, ReplicaInput, ReplicaOutput, internal_address, note_update};
+use ruddervalve_runtime::{InternalPort, ReplicaInput, ReplicaOutput, TakenReply, Updates, internal_address};
 
 pub const LIVENESS_MS: u64 = 4_000;
 pub const SYNC_MS: u64 = 4_500;
@@ -28,7 +28,7 @@
     /// What other sessions were told.
     pub told: Vec<(u64, CoordinatorReply)>,
     /// What all sessions have received here; each confirms it at once.
-    received: BTreeMap<u64, ReceivedUpdates>,
+    received: BTreeMap<u64, Updates>,
     pub answers: BTreeMap<CallerNumber, OperatorReply>,
 }
 
@@ -268,7 +268,9 @@
         let peers = member.peers.clone();
         let mut active = !outputs.is_empty();
         for (session, reply) in replies {
-            active |= self.confirm(number, session, &reply);
+            let TakenReply { reply, is_update } = self.take(number, session, reply);
+            active |= is_update;
+            let Some(reply) = reply else { continue };
             match peers.get(&session).and_then(|peer| self.members.get_mut(peer)) {
                 Some(peer) => peer.core.coordinator_says(now, address, reply),
                 None => self.member(number).told.push((session, reply)),
@@ -278,15 +280,15 @@
         active
     }
 
-    /// A process confirms an update that has come; whether it was one.
-    fn confirm(&mut self, at: u8, session: u64, reply: &CoordinatorReply) -> bool {
-        let received = self.member(at).received.entry(session).or_default();
-        let is_update = note_update(received, reply);
-        if is_update {
-            let received = *received;
+    /// A process takes what has come, and confirms it if it is an update; what it makes of it, and whether it was one.
+    fn take(&mut self, at: u8, session: u64, reply: CoordinatorReply) -> TakenReply {
+        let updates = self.member(at).received.entry(session).or_default();
+        let taken = updates.take(reply);
+        let received = updates.received();
+        if taken.is_update {
             self.says(at, session, CoordinatorRequest::Received(received));
         }
-        is_update
+        taken
     }
 
     fn carry_out(&mut self, from: u8, output: ReplicaOutput) {
--- a/crates/coordinator/tests/world/mod.rs
+++ b/crates/coordinator/tests/world/mod.rs
@@ -248,6 +248,11 @@
         self.uplinks[&machine].most_queued_bytes
     }
 
+    /// All bytes that a machine ever sent over its link.
+    pub fn sent_bytes(&self, machine: u8) -> u64 {
+        self.uplinks[&machine].accepted_bytes
+    }
+
     // The operator.
 
     /// Sends a call to a machine.
--- a/crates/coordinator/tests/world/processes.rs
+++ b/crates/coordinator/tests/world/processes.rs
@@ -2,10 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use ruddervalve_protocol::{
-    CoordinatorReply, CoordinatorRequest, Incarnation, ReceivedUpdates, Registration,
-};
-use ruddervalve_runtime::note_update;
+use ruddervalve_protocol::{CoordinatorReply, CoordinatorRequest, Incarnation, Registration};
+use ruddervalve_runtime::{TakenReply, Updates};
 
 use super::{MACHINES, World};
 use crate::group::LIVENESS_MS;
@@ -20,7 +18,7 @@
     /// The configurations that came, each with when it did.
     pub configurations: Vec<(u64, u64)>,
     next_heartbeat: u64,
-    received: ReceivedUpdates,
+    updates: Updates,
 }
 
 impl Process {
@@ -71,13 +69,14 @@
         let now = self.now;
         let is_told = |process: &&mut Process| process.sessions.get(&machine) == Some(&session);
         let Some(process) = self.processes.iter_mut().find(is_told) else { return };
-        if let CoordinatorReply::Configuration(update) = &reply {
+        let TakenReply { reply, is_update } = process.updates.take(reply);
+        if let Some(CoordinatorReply::Configuration(update)) = reply {
             process.configurations.push((update.version, now));
         }
-        if !note_update(&mut process.received, &reply) {
+        if !is_update {
             return;
         }
-        let (received, sessions) = (process.received, process.sessions.clone());
+        let (received, sessions) = (process.updates.received(), process.sessions.clone());
         for (machine, session) in sessions {
             if let Some(running) = self.running.get_mut(&machine) {
                 running.core.session_says(now, session, CoordinatorRequest::Received(received));
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -89,6 +89,8 @@
     },
     /// The configuration in force.
     Configuration(ConfigurationUpdate),
+    /// The same, for a process that has an earlier one.
+    ConfigurationChange(ConfigurationChange),
     /// Stores, coordinators and the placement of shards.
     Directory(Directory),
     /// The runners, whole.
@@ -106,6 +108,33 @@
     pub addresses: Vec<String>,
 }
 
+/// What is new in a configuration against an earlier one.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub struct ConfigurationChange {
+    /// The `ResourceVersion` of the earlier one.
+    pub base: u64,
+    /// The `ResourceVersion` that the parts lead to.
+    pub version: u64,
+    /// The digest of the body that the parts lead to.
+    pub digest: u128,
+    /// The body, part by part.
+    pub parts: Vec<BodyPart>,
+}
+
+/// A stretch of a configuration's body.
+#[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
+pub enum BodyPart {
+    /// So many bytes of the earlier body.
+    Kept {
+        /// Where they begin.
+        start: u64,
+        /// How many there are.
+        length: u64,
+    },
+    /// These bytes.
+    New(Blob),
+}
+
 /// A configuration as the operator sent it.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub struct ConfigurationUpdate {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -11,9 +11,9 @@
 
 pub use blob::Blob;
 pub use control::{
-    ConfigurationUpdate, ControlMembers, CoordinatorMember, CoordinatorReply, CoordinatorRequest, Directory,
-    ReceivedUpdates, Registration, Runner, RunnerList, RunnerPhase, ShardMembers, ShardPlacement,
-    StoreMember,
+    BodyPart, ConfigurationChange, ConfigurationUpdate, ControlMembers, CoordinatorMember, CoordinatorReply,
+    CoordinatorRequest, Directory, ReceivedUpdates, Registration, Runner, RunnerList, RunnerPhase,
+    ShardMembers, ShardPlacement, StoreMember,
 };
 pub use delivery::{
     AppendOutcome, DeliveryOutcome, EdgeToStore, EndPhase, Grant, GrantedLease, InventoryItem, LeaseId,
--- a/crates/runtime/src/control.rs
+++ b/crates/runtime/src/control.rs
@@ -4,21 +4,21 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ruddervalve_protocol::{
-    Channel, CoordinatorReply, CoordinatorRequest, Greeting, ReceivedUpdates, Registration,
-};
+use ruddervalve_protocol::{Channel, CoordinatorReply, CoordinatorRequest, Greeting, Registration};
 use ruddervalve_rpc::{Backoff, LinkEvent, LinkSettings, Outbox, Peer};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::{Boot, KnownCoordinators, backoff, draw_seed, heartbeat_interval, link_settings, note_update};
+use crate::{
+    Boot, KnownCoordinators, TakenReply, Updates, backoff, draw_seed, heartbeat_interval, link_settings,
+};
 
 /// Something that coordinators said.
 #[derive(Debug)]
 pub struct ControlEvent {
     /// Which coordinator, by its internal address.
     pub from: SocketAddr,
-    /// What; none: the connection to it came up or ended.
+    /// What; none: the connection to it came up or ended, or what it said is of no use.
     pub reply: Option<CoordinatorReply>,
 }
 
@@ -41,7 +41,7 @@
     leader_heard_at: Instant,
     /// Whether it was logged that no leader answers.
     missing_leader_logged: bool,
-    received: ReceivedUpdates,
+    updates: Updates,
     /// Since when the leader names a configuration that has not come, and whether that was logged.
     behind: Option<(Instant, bool)>,
     sender: mpsc::UnboundedSender<(SocketAddr, LinkEvent<CoordinatorReply>)>,
@@ -61,7 +61,7 @@
             backoff: backoff(&boot.settings, draw_seed()),
             leader_heard_at: Instant::now(),
             missing_leader_logged: false,
-            received: ReceivedUpdates::default(),
+            updates: Updates::default(),
             behind: None,
             sender,
             events,
@@ -102,7 +102,10 @@
             let Some(link) = self.links.get_mut(&from) else { continue };
             match event {
                 LinkEvent::Up(outbox) => {
-                    outbox.send(&CoordinatorRequest::Register(self.registration.clone(), self.received));
+                    outbox.send(&CoordinatorRequest::Register(
+                        self.registration.clone(),
+                        self.updates.received(),
+                    ));
                     outbox.send(&CoordinatorRequest::Heartbeat);
                     link.outbox = Some(outbox);
                     return ControlEvent { from, reply: None };
@@ -115,10 +118,11 @@
                         self.heard_leader(from, term);
                         self.log_late_configuration(from, configuration);
                     }
-                    if note_update(&mut self.received, &reply) {
-                        self.send(&CoordinatorRequest::Received(self.received));
+                    let TakenReply { reply, is_update } = self.updates.take(reply);
+                    if is_update {
+                        self.send(&CoordinatorRequest::Received(self.updates.received()));
                     }
-                    return ControlEvent { from, reply: Some(reply) };
+                    return ControlEvent { from, reply };
                 }
                 LinkEvent::Down(error) => {
                     tracing::debug!(%from, %error, "no connection to a coordinator");
@@ -158,7 +162,7 @@
 
     /// Logs once that the leader has named a configuration for longer than a link may be silent, and it has not come.
     fn log_late_configuration(&mut self, leader: SocketAddr, configuration: u64) {
-        let received = self.received.configuration;
+        let received = self.updates.received().configuration;
         if configuration <= received {
             self.behind = None;
             return;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -3,6 +3,7 @@
 mod boot;
 mod clock;
 mod control;
+mod difference;
 mod known_coordinators;
 mod listener;
 mod node;
@@ -16,6 +17,7 @@
 pub use boot::{Boot, BootError, SETTINGS_VARIABLE, draw_incarnation, draw_seed, log_to_stderr, run_role};
 pub use clock::Clock;
 pub use control::{ControlEvent, ControlLinks};
+pub use difference::{difference, restored};
 pub use known_coordinators::KnownCoordinators;
 pub use listener::{Accepted, InternalListener};
 pub use node::{NodeError, NodeEvent, ReplicaNode, StartedNode};
@@ -27,4 +29,4 @@
     UpdateWindow, accepted_replica_link_settings, backoff, consensus_timing, heartbeat_interval,
     link_settings, lost_after_ms, replica_link_settings, retained_log_bytes, update_window,
 };
-pub use updates::note_update;
+pub use updates::{TakenReply, Updates};
--- a/crates/simulation/src/coordinator_process.rs
+++ b/crates/simulation/src/coordinator_process.rs
@@ -92,7 +92,7 @@
                 }
             }
             Input::Message(connection, Payload::Reply(reply)) => {
-                if let Some(from) = self.links.hear(connection, &reply, effects) {
+                if let Some((from, reply)) = self.links.hear(connection, reply, effects) {
                     self.core.coordinator_says(now, from, reply);
                 }
             }
--- a/crates/simulation/src/edge_process.rs
+++ b/crates/simulation/src/edge_process.rs
@@ -129,8 +129,9 @@
                 }
             }
             Input::Message(connection, Payload::Reply(reply)) => {
-                self.links.hear(connection, &reply, effects);
-                self.control(now, reply, effects);
+                if let Some((_, reply)) = self.links.hear(connection, reply, effects) {
+                    self.control(now, reply, effects);
+                }
             }
             Input::Client(client, request) => {
                 self.clients.insert(client);
--- a/crates/simulation/src/mutants.rs
+++ b/crates/simulation/src/mutants.rs
@@ -155,6 +155,9 @@
         {
             return None;
         }
+        Payload::Reply(CoordinatorReply::ConfigurationChange(_)) if is_active(Mutant::ConfigurationKept) => {
+            return None;
+        }
         other => other,
     })
 }
--- a/crates/simulation/src/replica_links.rs
+++ b/crates/simulation/src/replica_links.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use ruddervalve_protocol::{CoordinatorReply, CoordinatorRequest, ReceivedUpdates, Registration, ReplicaId};
-use ruddervalve_runtime::{KnownCoordinators, ReplicaInput, ReplicaOutput, note_update};
+use ruddervalve_protocol::{CoordinatorReply, CoordinatorRequest, Registration, ReplicaId};
+use ruddervalve_runtime::{KnownCoordinators, ReplicaInput, ReplicaOutput, TakenReply, Updates};
 
 use crate::process::{ConnectionId, Effect, Input, Link, Payload, batches};
 
@@ -15,7 +15,7 @@
     replicas: BTreeMap<ReplicaId, ConnectionId>,
     control: BTreeMap<SocketAddr, ConnectionId>,
     known: KnownCoordinators,
-    received: ReceivedUpdates,
+    updates: Updates,
     /// Links to others than coordinators that the owner wants.
     asked: Vec<Link>,
     /// All links that are kept.
@@ -27,7 +27,7 @@
         Self {
             known: KnownCoordinators::new(&registration),
             registration,
-            received: ReceivedUpdates::default(),
+            updates: Updates::default(),
             replicas: BTreeMap::new(),
             control: BTreeMap::new(),
             asked: Vec::new(),
@@ -50,22 +50,24 @@
         self.keep(effects);
     }
 
-    /// Takes note of what came on a connection; the coordinator at its other end, if it is one to a coordinator.
+    /// Takes note of what came on a connection; the coordinator at its other end, if it is one to a coordinator, and what
+    /// its owner is to take.
     pub fn hear(
         &mut self,
         connection: ConnectionId,
-        reply: &CoordinatorReply,
+        reply: CoordinatorReply,
         effects: &mut Vec<Effect>,
-    ) -> Option<SocketAddr> {
+    ) -> Option<(SocketAddr, CoordinatorReply)> {
         let from =
             self.control.iter().find(|(_, known)| **known == connection).map(|(address, _)| *address)?;
-        if self.known.hear(from, reply) {
+        if self.known.hear(from, &reply) {
             self.keep(effects);
         }
-        if note_update(&mut self.received, reply) {
-            self.tell(&CoordinatorRequest::Received(self.received), effects);
+        let TakenReply { reply, is_update } = self.updates.take(reply);
+        if is_update {
+            self.tell(&CoordinatorRequest::Received(self.updates.received()), effects);
         }
-        Some(from)
+        Some((from, reply?))
     }
 
     fn keep(&mut self, effects: &mut Vec<Effect>) {
@@ -91,7 +93,8 @@
             }
             Link::Control(address) => {
                 self.control.insert(address, connection);
-                let register = CoordinatorRequest::Register(self.registration.clone(), self.received);
+                let register =
+                    CoordinatorRequest::Register(self.registration.clone(), self.updates.received());
                 effects.push(Effect::Send(connection, Payload::Request(register)));
             }
             Link::Delivery(..) => {}
--- a/crates/simulation/src/store_process.rs
+++ b/crates/simulation/src/store_process.rs
@@ -104,8 +104,9 @@
                 }
             }
             Input::Message(connection, Payload::Reply(reply)) => {
-                self.links.hear(connection, &reply, effects);
-                self.core.coordinator_says(now, reply);
+                if let Some((_, reply)) = self.links.hear(connection, reply, effects) {
+                    self.core.coordinator_says(now, reply);
+                }
             }
             Input::Terminate => self.core.terminate(now),
             _ => {}
