--- a/crates/simulation/tests/protocol_mutants.rs
+++ b/crates/simulation/tests/protocol_mutants.rs
@@ -22,10 +22,10 @@
         Mutation::VoteDespiteLeader
         | Mutation::VoteForShorterLog
         | Mutation::EarlierTermCommitted
-        | Mutation::VoteBeforeCaughtUp
         | Mutation::ChangeWhilePending
         | Mutation::LowerVersionTaken
         | Mutation::SnapshotWithoutMembership => Some("storage.toml"),
+        Mutation::VoteBeforeCaughtUp => Some("fleet.toml"),
         Mutation::LeaseOutlastsRefusal => Some("wide.toml"),
         Mutation::HoldersNotAwaited => Some("planned.toml"),
         Mutation::DeadReplicaLinkKept => Some("half-open.toml"),
