Stores log why the connection of an edge has ended

When a store cut an edge off, only the edge logged that its peer had closed the connection; the reason was logged by the store for debugging alone. Now it is told at the level of the edge's own line: grants that overflow a connection can be told from a peer that is gone or silent.

--- a/crates/store/src/role.rs
+++ b/crates/store/src/role.rs
@@ -144,7 +144,7 @@
                 tokio::task::spawn_local(async move {
                     let on_message = |message| drop(events.send(Event::Edge(number, Box::new(message))));
                     let error = run(stream, &settings, &outbox, on_message).await;
-                    tracing::debug!(%error, node = greeting.node, "an edge's connection ended");
+                    tracing::info!(%error, node = greeting.node, "an edge's connection ended");
                     let _ = events.send(Event::EdgeEnded(number));
                 });
             }
