Messages are granted only while there is room on the connection to an edge

Callers saw: 150 messages of 256,000 bytes were accepted; both edges were killed for a second; from then on no message reached its idle endpoint, and neither states nor bodies came back (LOST).

Cause: a store granted all that might run at once, up to half of the endpoint's connections for one edge, each grant with its body: 75 bodies, 19 MB, where a sixteenth of its memory may wait for one peer. The connection was ended before the edge had read a grant, all that waited was dropped, the edge came back and named nothing in its inventory, all came free and was granted again: a round each 10 to 25 ms, in which nothing moved.

Change: a grant asks for room first. Each connection has a window, what the link carries between two heartbeats of a consensus group and at most half of what may wait; a message is granted while less than that waits for its edge, so one of any size still goes out, and the next goes to another edge or waits, not granted, until bytes have left. What the writer holds counts. Services of a shard, and shards of a store, take turns at the room that comes free. Nothing is spent on a message that waits: no lease, no token of a rate. As nothing that is granted can end the connection any more, a round of grant, drop and inventory can't begin.

With a connection of 50 bytes a microsecond in the test's own time, 10 MB reach the edge within twice what they take, and no connection ends; an edge that reads nothing for a second gets the rest when it reads again.

--- a/crates/coordinator/src/role.rs
+++ b/crates/coordinator/src/role.rs
@@ -156,7 +156,7 @@
             Channel::Replica => self.node.serve(&self.boot, stream),
             Channel::Control => {
                 let settings = link_settings(&self.boot.settings);
-                let outbox = Outbox::new(settings.max_queued_bytes);
+                let outbox = Outbox::new(&settings);
                 let number = self.core.session_opened(self.clock.now());
                 self.outboxes.insert(number, outbox.clone());
                 let events = self.events.clone();
--- a/crates/edge/src/store_links/tests.rs
+++ b/crates/edge/src/store_links/tests.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use ruddervalve_protocol::ReplicaId;
-use ruddervalve_rpc::Outbox;
+use ruddervalve_rpc::{LinkSettings, Outbox};
 
 use super::{LinkNumber, StoreLinks};
 
@@ -16,7 +16,14 @@
 }
 
 fn outbox() -> Outbox {
-    Outbox::new(1_024)
+    Outbox::new(&LinkSettings {
+        max_frame_bytes: 1_024,
+        max_queued_bytes: 1_024,
+        window_bytes: 512,
+        silence_ms: 1_000,
+        connect_timeout_ms: 1_000,
+        user_timeout_ms: 1_000,
+    })
 }
 
 fn open(links: &mut StoreLinks<()>, port: u16) -> LinkNumber {
--- /dev/null
+++ b/crates/flow/src/lib.rs
@@ -0,0 +1,5 @@
+//! Flow control between processes, as state without I/O and without a clock.
+
+mod windows;
+
+pub use windows::SendWindows;
--- a/crates/loopback/src/machines.rs
+++ b/crates/loopback/src/machines.rs
@@ -46,5 +46,6 @@
         list,
         list_rate_per_s: plan.list.rate_per_s,
         list_lag_ms: u64::try_from(plan.list.lag.as_millis()).unwrap_or(u64::MAX),
+        memory_mb: plan.memory_mb,
     }
 }
--- a/crates/loopback/src/settings.rs
+++ b/crates/loopback/src/settings.rs
@@ -80,6 +80,7 @@
     pub list: SocketAddr,
     pub list_rate_per_s: f64,
     pub list_lag_ms: u64,
+    pub memory_mb: u64,
 }
 
 /// The settings file of a machine.
@@ -103,8 +104,8 @@
         "Bootstrap": bootstrap,
         "CountsForQuorum": role.has_disk(),
         "Limits": {
-            "CpuWeight": 0.5, "Cpus": 1, "MemoryMb": 256, "MaxOpenFiles": 4096, "BandwidthMbps": 1000.0,
-            "DiskMb": if role.has_disk() { 64 } else { 0 },
+            "CpuWeight": 0.5, "Cpus": 1, "MemoryMb": common.memory_mb, "MaxOpenFiles": 4096,
+            "BandwidthMbps": 1000.0, "DiskMb": if role.has_disk() { 64 } else { 0 },
         },
         "DataDir": role.has_disk().then(|| folder.to_string_lossy().into_owned()),
         "Discovery": "cloud_api",
--- a/crates/loopback/src/system.rs
+++ b/crates/loopback/src/system.rs
@@ -42,8 +42,13 @@
     pub list: ListPlan,
     /// Where its disks are.
     pub disks: DiskKind,
+    /// `MemoryMb` of each process: nothing enforces it here, and the limits of the processes follow from it.
+    pub memory_mb: u64,
 }
 
+/// `MemoryMb`, where a plan says nothing else.
+const MEMORY_MB: u64 = 256;
+
 /// Where the disks of a system are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DiskKind {
@@ -65,6 +70,7 @@
             tolerance: FaultTolerance::default(),
             list: ListPlan::default(),
             disks: DiskKind::Files,
+            memory_mb: MEMORY_MB,
         }
     }
 }
--- a/crates/loopback/tests/whole_system/main.rs
+++ b/crates/loopback/tests/whole_system/main.rs
@@ -3,6 +3,7 @@
 mod configurations;
 mod demonstration;
 mod edges;
+mod large_bodies;
 mod load;
 mod messages;
 mod operators;
--- a/crates/loopback/tests/whole_system/stage.rs
+++ b/crates/loopback/tests/whole_system/stage.rs
@@ -37,12 +37,11 @@
     }
 
     pub async fn of(bounds: Bounds, receiver: ReceiverPlan) -> Self {
+        Self::planned(SystemPlan { bounds, ..plan() }, receiver).await
+    }
+
+    pub async fn planned(plan: SystemPlan, receiver: ReceiverPlan) -> Self {
         let permit = SYSTEMS.acquire().await.unwrap();
-        let plan = SystemPlan {
-            bounds,
-            disks: DiskKind::Memory,
-            ..SystemPlan::of(env!("CARGO_BIN_EXE_demonstration"))
-        };
         let system = System::start(plan).await.unwrap();
         let receiver = CallbackReceiver::start(system.next_ip(), receiver).await.unwrap();
         let client = system.client();
@@ -118,6 +117,11 @@
     }
 }
 
+/// A small system that no disk holds up.
+pub fn plan() -> SystemPlan {
+    SystemPlan { disks: DiskKind::Memory, ..SystemPlan::of(env!("CARGO_BIN_EXE_demonstration")) }
+}
+
 pub fn letter() -> Message {
     Message::to(HOST, "/letters/a?b=c").with_body("dear reader")
 }
--- a/crates/protocol/src/delivery.rs
+++ b/crates/protocol/src/delivery.rs
@@ -61,6 +61,16 @@
     pub body: Blob,
 }
 
+impl NewMessage {
+    /// About how many bytes it takes on a connection.
+    pub fn transfer_bytes(&self) -> usize {
+        let texts = [&self.route, &self.service, &self.method, &self.host, &self.path, &self.content_type];
+        let optional = [self.ordering_key.as_ref(), self.callback_url.as_ref()];
+        let texts = texts.into_iter().chain(optional.into_iter().flatten());
+        texts.map(String::len).sum::<usize>() + self.id.0.len() + self.body.len()
+    }
+}
+
 /// From an edge to a store.
 #[derive(Debug, Clone, PartialEq, SerBin, DeBin)]
 pub enum EdgeToStore {
--- a/crates/queue/src/leader.rs
+++ b/crates/queue/src/leader.rs
@@ -12,6 +12,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use ruddervalve_flow::SendWindows;
 use ruddervalve_protocol::{Incarnation, LeaseId, MessageId};
 
 use crate::backoff::Jitter;
@@ -31,6 +32,7 @@
 use crate::settings::LeaderSettings;
 use crate::{Action, ShardState};
 
+pub use dispatching::RoomUse;
 use gate::Gate;
 
 /// The leader of a shard. Built when a replica becomes leader, after it has applied the first entry of its term (so that
@@ -57,8 +59,10 @@
     callbacks: Callbacks,
     gate: Gate,
     jitter: Jitter,
-    /// Services that have messages ready and no edge with credits, and since when.
+    /// Services that have messages ready and no edge that can be given one, and since when.
     starving: BTreeMap<ServiceIndex, u64>,
+    /// Of the last poll.
+    room_use: RoomUse,
     outputs: Vec<LeaderOutput>,
     observations: Vec<Observation>,
 }
@@ -90,6 +94,7 @@
             gate: Gate::new(now_ms, settings.visibility_timeout_ms, state),
             jitter: Jitter::new(settings.seed),
             starving: BTreeMap::new(),
+            room_use: RoomUse::default(),
             outputs: Vec::new(),
             observations: Vec::new(),
             settings,
@@ -104,13 +109,14 @@
         leader
     }
 
-    /// What is to be done now, in order. Call it after other calls, and when [`ShardLeader::next_wake`] says.
-    pub fn poll(&mut self, now_ms: u64) -> Vec<LeaderOutput> {
+    /// What is to be done now, in order. Call it after other calls, and when [`ShardLeader::next_wake`] says. Messages are
+    /// granted while there is room for them in the windows.
+    pub fn poll(&mut self, now_ms: u64, windows: &mut SendWindows<Incarnation>) -> Vec<LeaderOutput> {
         self.check_edges(now_ms);
         self.open_gate(now_ms);
         self.end_expired(now_ms);
         self.place_due(now_ms);
-        self.dispatch_all(now_ms);
+        self.dispatch_all(now_ms, windows);
         self.observe_starving(now_ms);
         self.callbacks.dispatch(now_ms, &self.edges, &mut self.outputs);
         std::mem::take(&mut self.outputs)
--- a/crates/queue/src/leader/starving.rs
+++ b/crates/queue/src/leader/starving.rs
@@ -5,8 +5,8 @@
 use crate::services::ServiceIndex;
 
 impl ShardLeader {
-    /// No edge has credits for a service that has a message ready.
-    pub(super) fn no_credits(&mut self, now_ms: u64, service: ServiceIndex) {
+    /// No edge can be given a message of a service that has one ready.
+    pub(super) fn no_edge(&mut self, now_ms: u64, service: ServiceIndex) {
         self.starving.entry(service).or_insert(now_ms);
     }
 
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -39,7 +39,7 @@
 pub use clock::{ClockSettings, Proposed, ShardClock};
 pub use command::{Action, Command};
 pub use edges::EdgeSession;
-pub use leader::ShardLeader;
+pub use leader::{RoomUse, ShardLeader};
 pub use message::SharedMessage;
 pub use observation::{FreeReason, Observation};
 pub use output::LeaderOutput;
--- a/crates/queue/src/services.rs
+++ b/crates/queue/src/services.rs
@@ -128,6 +128,8 @@
     names: HashMap<String, ServiceIndex>,
     services: Vec<Service>,
     dirty: BTreeSet<ServiceIndex>,
+    /// The service that is looked at first.
+    first: ServiceIndex,
     wakes: BTreeSet<(u64, ServiceIndex)>,
     credited: HashMap<Incarnation, Vec<ServiceIndex>>,
 }
@@ -140,6 +142,7 @@
             names: HashMap::new(),
             services: Vec::new(),
             dirty: BTreeSet::new(),
+            first: ServiceIndex(0),
             wakes: BTreeSet::new(),
             credited: HashMap::new(),
         }
@@ -283,7 +286,14 @@
             }
             self.look_at(index);
         }
-        self.dirty.pop_first()
+        let next = self.dirty.range(self.first..).next().or_else(|| self.dirty.first()).copied()?;
+        self.dirty.remove(&next);
+        Some(next)
+    }
+
+    /// From now on the service after this one is looked at first.
+    pub(crate) fn begin_after(&mut self, index: ServiceIndex) {
+        self.first = ServiceIndex(index.0.saturating_add(1));
     }
 
     /// Whether there is one to look at now.
--- a/crates/queue/tests/grants.rs
+++ b/crates/queue/tests/grants.rs
@@ -276,7 +276,8 @@
     shard.poll();
     assert_eq!(shard.state.limits(), shard.settings.limits);
     shard.change_leader();
-    assert!(!shard.leader.poll(shard.now_ms).iter().any(|output| matches!(output, LeaderOutput::Propose(_))));
+    let outputs = shard.leader.poll(shard.now_ms, &mut shard.windows);
+    assert!(!outputs.iter().any(|output| matches!(output, LeaderOutput::Propose(_))));
 }
 
 #[test]
--- a/crates/queue/tests/histories.rs
+++ b/crates/queue/tests/histories.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use proptest::prelude::*;
+use ruddervalve_flow::SendWindows;
 use ruddervalve_protocol::{
     DeliveryOutcome, EndPhase, Incarnation, InventoryItem, LeaseId, MessageId, MessagePhase,
 };
@@ -151,6 +152,8 @@
     applied: Vec<usize>,
     leading: usize,
     leader: ShardLeader,
+    /// So small that each message fills the connection of its edge.
+    windows: SendWindows<Incarnation>,
     proposals: VecDeque<Action>,
     wanted: BTreeMap<MessageId, (usize, bool)>,
     edges: Vec<EdgeProcess>,
@@ -170,6 +173,7 @@
         let replicas: Vec<ShardState> = (0..REPLICAS).map(|_| ShardState::new()).collect();
         let leader = ShardLeader::new(1, 0, &replicas[0], Some(policy()), settings());
         let mut world = Self {
+            windows: SendWindows::new(1),
             now_ms: 0,
             term: 1,
             log: Vec::new(),
@@ -291,7 +295,9 @@
         let Some((node, wants_lease)) = self.wanted.remove(id) else { return };
         let incarnation = self.edges[node].incarnation;
         let wants_lease = wants_lease && self.edges[node].connected && !self.edges[node].deaf;
-        if let Some(lease) = self.leader.accepted(self.now_ms, id, incarnation, wants_lease) {
+        if let Some(lease) =
+            self.leader.accepted(self.now_ms, id, incarnation, wants_lease, &mut self.windows)
+        {
             self.begin(incarnation, id, lease);
         }
     }
@@ -319,13 +325,24 @@
 
     fn poll(&mut self) {
         loop {
-            let outputs = self.leader.poll(self.now_ms);
+            let outputs = self.leader.poll(self.now_ms, &mut self.windows);
             if outputs.is_empty() {
                 return;
             }
             for output in outputs {
                 self.act(output);
             }
+            self.send_all();
+        }
+    }
+
+    /// What was handed to the connections of edges leaves.
+    fn send_all(&mut self) {
+        let unsent: Vec<Incarnation> = self.windows.peers().collect();
+        for edge in unsent {
+            if self.windows.refresh(edge, 0) {
+                self.leader.room_came();
+            }
         }
     }
 
--- a/crates/queue/tests/support/mod.rs
+++ b/crates/queue/tests/support/mod.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use ruddervalve_configuration::Locality;
+use ruddervalve_flow::SendWindows;
 use ruddervalve_protocol::{
     Blob, DeliveryOutcome, EndPhase, Incarnation, InventoryItem, LeaseId, MessageId, MessagePhase, NewMessage,
 };
@@ -161,6 +162,7 @@
     /// Proposals are kept here instead of being applied.
     pub holds: bool,
     pub held: Vec<Action>,
+    pub windows: SendWindows<Incarnation>,
 }
 
 impl Shard {
@@ -173,7 +175,8 @@
         let policy = policy.shared();
         let now_ms = 1000;
         let leader = ShardLeader::new(1, now_ms, &state, Some(Arc::clone(&policy)), settings.clone());
-        Self { state, leader, now_ms, term: 1, policy, settings, holds: false, held: Vec::new() }
+        let windows = SendWindows::new(usize::MAX);
+        Self { state, leader, now_ms, term: 1, policy, settings, holds: false, held: Vec::new(), windows }
     }
 
     pub fn apply(&mut self, action: Action) -> Applied {
@@ -189,7 +192,7 @@
     pub fn poll(&mut self) -> Vec<LeaderOutput> {
         let mut all = Vec::new();
         loop {
-            let outputs = self.leader.poll(self.now_ms);
+            let outputs = self.leader.poll(self.now_ms, &mut self.windows);
             if outputs.is_empty() {
                 return all;
             }
@@ -263,7 +266,7 @@
         let expires_ms = self.now_ms + message.retention_ms;
         let id = message.id.clone();
         self.apply(Action::Accept { message: message.into(), due_ms, expires_ms, accepted_by: edge(by) });
-        self.leader.accepted(self.now_ms, &id, edge(by), wants_lease)
+        self.leader.accepted(self.now_ms, &id, edge(by), wants_lease, &mut self.windows)
     }
 
     /// Names of the messages granted now, with edge and lease.
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -13,6 +13,6 @@
 
 pub use error::RpcError;
 pub use frame::MAGIC;
-pub use link::{LinkSettings, accept, connect, run};
+pub use link::{LinkSettings, accept, connect, run, run_paced};
 pub use outbox::Outbox;
 pub use peer::{Backoff, LinkEvent, Peer};
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -1,5 +1,7 @@
 //! One connection: greeting, frames both ways, its end.
 
+use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -28,6 +30,8 @@
     pub max_frame_bytes: usize,
     /// Bytes that may wait for a peer that does not read.
     pub max_queued_bytes: usize,
+    /// Bytes from which on senders of large messages wait until some have left, see [`Outbox::has_room`].
+    pub window_bytes: usize,
     /// A peer is given up when nothing came from it for so long.
     pub silence_ms: u64,
     /// How long opening a connection may take: a machine without power says nothing, and is asked anew when it is back.
@@ -109,6 +113,27 @@
     error
 }
 
+/// As [`run`], and tells each time that there is room again in the outbox after there was none.
+pub async fn run_paced<M: DeBin>(
+    stream: TcpStream,
+    settings: &LinkSettings,
+    outbox: &Outbox,
+    on_message: impl FnMut(M),
+    on_room: impl FnMut(),
+) -> RpcError {
+    tokio::select! {
+        error = run(stream, settings, outbox, on_message) => error,
+        never = tell_room(outbox, on_room) => match never {},
+    }
+}
+
+async fn tell_room(outbox: &Outbox, mut on_room: impl FnMut()) -> Infallible {
+    loop {
+        outbox.room().await;
+        on_room();
+    }
+}
+
 async fn read<M: DeBin>(
     mut reader: OwnedReadHalf,
     settings: &LinkSettings,
@@ -137,7 +162,7 @@
 async fn write(mut writer: OwnedWriteHalf, outbox: &Outbox) -> RpcError {
     let mut buffer = Vec::new();
     while outbox.next(&mut buffer).await {
-        if let Err(error) = writer.write_all(&buffer).await {
+        if let Err(error) = write_buffer(&mut writer, &buffer, outbox).await {
             return RpcError::Broken(error);
         }
         if buffer.capacity() > KEPT_BUFFER_BYTES {
@@ -150,3 +175,17 @@
     let _ = writer.shutdown().await;
     RpcError::Closed
 }
+
+/// Writes all of a buffer, and tells the outbox how far it is.
+async fn write_buffer(writer: &mut OwnedWriteHalf, buffer: &[u8], outbox: &Outbox) -> io::Result<()> {
+    let mut rest = buffer;
+    while !rest.is_empty() {
+        let count = writer.write(rest).await?;
+        if count == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        rest = &rest[count..];
+        outbox.written(count);
+    }
+    Ok(())
+}
--- a/crates/rpc/src/peer.rs
+++ b/crates/rpc/src/peer.rs
@@ -89,7 +89,7 @@
     loop {
         match connect(address, &greeting, &settings).await {
             Ok(stream) => {
-                let outbox = Outbox::new(settings.max_queued_bytes);
+                let outbox = Outbox::new(&settings);
                 let mut heard = false;
                 sink(LinkEvent::Up(outbox.clone()));
                 let on_message = |message| {
--- a/crates/rpc/tests/links.rs
+++ b/crates/rpc/tests/links.rs
@@ -1,19 +1,20 @@
 //! Connections over loopback: greeting, frames, and every way to be cut off.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use ruddervalve_protocol::{Blob, Channel, Greeting, Incarnation, PROTOCOL_VERSION};
 use ruddervalve_rpc::{
-    Backoff, LinkEvent, LinkSettings, MAGIC, Outbox, Peer, RpcError, accept, connect, run,
+    Backoff, LinkEvent, LinkSettings, MAGIC, Outbox, Peer, RpcError, accept, connect, run, run_paced,
 };
-use tokio::io::AsyncWriteExt as _;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
 
 const SETTINGS: LinkSettings = LinkSettings {
     max_frame_bytes: 1 << 20,
     max_queued_bytes: 1 << 20,
+    window_bytes: 1 << 19,
     silence_ms: 60_000,
     connect_timeout_ms: 5_000,
     user_timeout_ms: 5_000,
@@ -58,11 +59,11 @@
             let (stream, _) = listener.accept().await.unwrap();
             let (greeted, stream) = accept(stream, &SETTINGS).await.unwrap();
             assert_eq!(greeted, greeting(PROTOCOL_VERSION));
-            run(stream, &SETTINGS, &Outbox::new(1 << 20), |blob: Blob| into.borrow_mut().push(blob)).await
+            run(stream, &SETTINGS, &Outbox::new(&SETTINGS), |blob: Blob| into.borrow_mut().push(blob)).await
         };
         let send = async {
             let stream = connect(address, &greeting(PROTOCOL_VERSION), &SETTINGS).await.unwrap();
-            let outbox = Outbox::new(1 << 20);
+            let outbox = Outbox::new(&SETTINGS);
             for size in [0_usize, 1, 70_000, 3] {
                 assert!(outbox.send(&Blob::from(vec![9; size])));
             }
@@ -115,7 +116,7 @@
             let mut peer = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
             peer.write_all(&bytes).await.unwrap();
             let (stream, _) = listener.accept().await.unwrap();
-            let error = run(stream, &SETTINGS, &Outbox::new(1), |_: Blob| {}).await;
+            let error = run(stream, &SETTINGS, &Outbox::new(&SETTINGS), |_: Blob| {}).await;
             assert_eq!(matches!(error, RpcError::TooLarge { .. }), too_large, "{error}");
             assert_eq!(matches!(error, RpcError::Unreadable(_)), !too_large, "{error}");
         }
@@ -128,7 +129,7 @@
         let listener = listener().await;
         let peer = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
         let (stream, _) = listener.accept().await.unwrap();
-        let outbox = Outbox::new(1_000);
+        let outbox = Outbox::new(&LinkSettings { max_queued_bytes: 1_000, ..SETTINGS });
         assert!(outbox.send(&Blob::from(vec![1; 2_000])));
         assert!(!outbox.send(&Blob::from(vec![2; 10])), "more than the limit is queued");
         assert!(outbox.is_closed());
@@ -182,3 +183,41 @@
     let other = Backoff { seed: 4, ..backoff };
     assert!((0..8).any(|failures| other.pause(failures) != backoff.pause(failures)));
 }
+
+#[test]
+fn there_is_room_again_once_what_waited_has_been_written() {
+    played(async {
+        let listener = listener().await;
+        let peer = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let (stream, _) = listener.accept().await.unwrap();
+        let settings = LinkSettings { max_queued_bytes: 64 << 20, window_bytes: 1_000, ..SETTINGS };
+        let outbox = Outbox::new(&settings);
+        assert!(outbox.has_room());
+        assert!(outbox.send(&Blob::from(vec![1; 999])));
+        assert!(!outbox.has_room(), "the header of the frame counts, too");
+        // More than the buffers of both ends take, so that it waits for the peer to read.
+        assert!(outbox.send(&Blob::from(vec![2; 32 << 20])));
+        let whole = outbox.queued_bytes();
+        let room = Rc::new(Cell::new(0));
+        let seen = Rc::clone(&room);
+        let on_room = move || seen.set(seen.get() + 1);
+        let carried = outbox.clone();
+        let run = async move { run_paced(stream, &settings, &carried, |_: Blob| {}, on_room).await };
+        let run = tokio::task::spawn_local(run);
+        while outbox.queued_bytes() == whole {
+            tokio::task::yield_now().await;
+        }
+        assert!(!outbox.has_room() && room.get() == 0, "what the writer holds still counts");
+        let mut peer = peer;
+        let mut read = vec![0; 1 << 16];
+        while outbox.queued_bytes() > 0 {
+            assert_ne!(peer.read(&mut read).await.unwrap(), 0);
+        }
+        while room.get() == 0 {
+            tokio::task::yield_now().await;
+        }
+        assert!(outbox.has_room());
+        assert!(!outbox.is_closed(), "the connection goes on");
+        run.abort();
+    });
+}
--- a/crates/runtime/src/replica_links.rs
+++ b/crates/runtime/src/replica_links.rs
@@ -21,7 +21,7 @@
     on_envelopes: impl FnMut(Vec<Envelope>),
 ) -> RpcError {
     let limits = accepted_replica_link_settings(settings);
-    let outbox = Outbox::new(limits.max_queued_bytes);
+    let outbox = Outbox::new(&limits);
     let interval = heartbeat_interval(&link_settings(settings));
     tokio::select! {
         error = run(stream, &limits, &outbox, on_envelopes) => error,
--- a/crates/runtime/src/times.rs
+++ b/crates/runtime/src/times.rs
@@ -27,6 +27,8 @@
 const MAX_FRAME_BYTES: usize = 32 * 1_024 * 1_024;
 /// The part of a process's memory that may wait for one peer that does not read.
 const QUEUED_PART_OF_MEMORY: u64 = 16;
+/// The part of what may wait for a peer that large messages may take: the rest is for answers, which do not wait.
+const WINDOW_PART_OF_QUEUED: usize = 2;
 /// The part of a process's memory that each replica may keep of its log for followers that lag.
 const RETAINED_PART_OF_MEMORY: u64 = 128;
 /// A process that says nothing for this part of `LivenessMs` is given up; [`HEARTBEATS_PER_SILENCE`] tells how often it says something.
@@ -64,17 +66,22 @@
 
 /// How much a leader of the control group sends other processes at once.
 pub fn update_window(settings: &Settings) -> UpdateWindow {
-    let timing = consensus_timing(settings);
-    let bytes_per_ms = settings.limits.bandwidth_mbps * BYTES_PER_MS_IN_MBPS;
     UpdateWindow {
-        // A float beyond the range becomes its end.
-        recent_bytes: ((bytes_per_ms * timing.heartbeat_ms as f64) as u64).max(1),
-        recent_ms: timing.election_min_ms,
+        recent_bytes: bytes_per_heartbeat(settings),
+        recent_ms: consensus_timing(settings).election_min_ms,
         unconfirmed_bytes: settings.limits.memory_mb.saturating_mul(BYTES_PER_MB)
             / UNCONFIRMED_PART_OF_MEMORY,
     }
 }
 
+/// What the machine's link carries between two heartbeats of a consensus group, in bytes; at least 1.
+fn bytes_per_heartbeat(settings: &Settings) -> u64 {
+    let bytes_per_ms = settings.limits.bandwidth_mbps * BYTES_PER_MS_IN_MBPS;
+    let heartbeat_ms = consensus_timing(settings).heartbeat_ms;
+    // A float beyond the range becomes its end.
+    ((bytes_per_ms * heartbeat_ms as f64) as u64).max(1)
+}
+
 /// Times and limits of consensus groups.
 pub fn consensus_timing(settings: &Settings) -> Timing {
     let election_min_ms = (settings.bounds.liveness_ms / ELECTIONS_PER_LIVENESS).max(20);
@@ -99,9 +106,12 @@
 pub fn link_settings(settings: &Settings) -> LinkSettings {
     let liveness = settings.bounds.liveness_ms;
     let queued = settings.limits.memory_mb * BYTES_PER_MB / QUEUED_PART_OF_MEMORY;
+    let max_queued_bytes = usize::try_from(queued).unwrap_or(usize::MAX).max(MAX_ENTRIES_BYTES);
+    let window = usize::try_from(bytes_per_heartbeat(settings)).unwrap_or(usize::MAX);
     LinkSettings {
         max_frame_bytes: MAX_FRAME_BYTES,
-        max_queued_bytes: usize::try_from(queued).unwrap_or(usize::MAX).max(MAX_ENTRIES_BYTES),
+        max_queued_bytes,
+        window_bytes: window.min(max_queued_bytes / WINDOW_PART_OF_QUEUED),
         silence_ms: (liveness / SILENCES_PER_LIVENESS).max(1),
         connect_timeout_ms: (liveness / CONNECTS_PER_LIVENESS).max(1),
         user_timeout_ms: (liveness / UNACKNOWLEDGED_PER_LIVENESS).max(1),
--- a/crates/runtime/tests/leader.rs
+++ b/crates/runtime/tests/leader.rs
@@ -26,7 +26,7 @@
         let limits = link_settings(&settings);
         while let Ok((stream, _)) = listener.accept().await {
             let (_, stream) = accept(stream, &limits).await.unwrap();
-            let outbox = Outbox::new(limits.max_queued_bytes);
+            let outbox = Outbox::new(&limits);
             let answer = |request| match request {
                 CoordinatorRequest::Register(..) => drop(told.send(address)),
                 _ => drop(outbox.send(&reply).then_some(())),
--- a/crates/simulation/src/store_process.rs
+++ b/crates/simulation/src/store_process.rs
@@ -51,6 +51,10 @@
     }
 
     fn settle(&mut self, now: u64, effects: &mut Vec<Effect>) {
+        // The network of the simulation takes all that is sent at once.
+        for number in self.core.unsent_edges() {
+            self.core.edge_unsent(number, 0);
+        }
         if let Err(error) = self.core.settle(now, self.wall + now) {
             effects.push(Effect::Failed(error.to_string()));
         }
--- a/crates/store/src/core/edges.rs
+++ b/crates/store/src/core/edges.rs
@@ -15,6 +15,7 @@
         let (number, older) = self.edges.open(greeting);
         self.outputs.extend(older.map(StoreOutput::CloseEdge));
         if let Some(session) = self.edges.session(number) {
+            self.windows.reset(session.incarnation);
             self.shards.values_mut().for_each(|shard| shard.edge_connected(now, session));
         }
         let leading = StoreToEdge::Leading { groups: self.leading.clone() };
@@ -25,10 +26,25 @@
     /// An edge's connection ended.
     pub fn edge_ended(&mut self, now: u64, number: EdgeNumber) {
         if let Some(edge) = self.edges.close(number) {
+            self.windows.reset(edge);
             self.shards.values_mut().for_each(|shard| shard.edge_disconnected(now, edge));
         }
     }
 
+    /// The connections on which something may wait: see [`StoreCore::edge_unsent`].
+    pub fn unsent_edges(&self) -> Vec<EdgeNumber> {
+        self.windows.peers().filter_map(|edge| self.edges.newest(edge)).collect()
+    }
+
+    /// How many bytes wait on an edge's connection, all outputs so far being carried out. Call it before
+    /// [`StoreCore::settle`] for all of [`StoreCore::unsent_edges`].
+    pub fn edge_unsent(&mut self, number: EdgeNumber, bytes: usize) {
+        let Some(edge) = self.edges.session(number).map(|session| session.incarnation) else { return };
+        if self.windows.refresh(edge, bytes) {
+            self.shards.values_mut().for_each(Shard::room_came);
+        }
+    }
+
     /// An edge says something; what comes on an older connection is passed over.
     pub fn edge_says(&mut self, now: u64, number: EdgeNumber, message: EdgeToStore) {
         let Some(session) = self.edges.session(number) else { return };
--- a/crates/store/src/core/mod.rs
+++ b/crates/store/src/core/mod.rs
@@ -1,7 +1,8 @@
 //! What a store decides, without I/O and without a clock: it joins its shards with consensus, edges and coordinators.
 //!
-//! Its owner feeds it what came from disk, peers, edges and coordinators, lets it [`StoreCore::settle`], and then carries
-//! out all outputs in order. Times are milliseconds of the owner's monotonic clock.
+//! Its owner feeds it what came from disk, peers, edges and coordinators, says how much still waits on the connections of
+//! edges, lets it [`StoreCore::settle`], and then carries out all outputs in order. Times are milliseconds of the owner's
+//! monotonic clock.
 
 mod coordinators;
 mod edges;
@@ -14,13 +15,14 @@
 use ruddervalve_configuration::Settings;
 use ruddervalve_consensus::{Replica, Role};
 use ruddervalve_disk::ProcessState;
+use ruddervalve_flow::SendWindows;
 use ruddervalve_protocol::{
-    Blob, CoordinatorRequest, Directory, GroupId, ReplicaId, ShardMembers, StoreToEdge,
+    Blob, CoordinatorRequest, Directory, GroupId, Incarnation, ReplicaId, ShardMembers, StoreToEdge,
 };
 use ruddervalve_queue::{ClockSettings, LeaderSettings, SharedPolicy, StateLimits};
 use ruddervalve_replication::{Checkpoint, GroupSnapshot, ReplicaHost};
 use ruddervalve_runtime::{
-    NodeError, ReplicaInput, ReplicaOutput, Replicas, consensus_timing, coordinator_addresses,
+    NodeError, ReplicaInput, ReplicaOutput, Replicas, consensus_timing, coordinator_addresses, link_settings,
     retained_log_bytes,
 };
 
@@ -59,6 +61,10 @@
     replicas: Replicas,
     shards: BTreeMap<GroupId, Shard>,
     edges: EdgeConnections,
+    /// What may still be sent to each edge.
+    windows: SendWindows<Incarnation>,
+    /// The shard that is polled first.
+    first_polled: GroupId,
     directory: Directory,
     policy: Option<SharedPolicy>,
     policy_version: u64,
@@ -140,6 +146,8 @@
             replicas,
             shards,
             edges: EdgeConnections::default(),
+            windows: SendWindows::new(link_settings(settings).window_bytes),
+            first_polled: GroupId(0),
             directory: Directory::default(),
             policy: None,
             policy_version: 0,
@@ -159,6 +167,7 @@
     /// Other settings are in force.
     pub fn set_settings(&mut self, settings: &Settings) {
         self.settings = settings.clone();
+        self.windows.set_limit(link_settings(settings).window_bytes);
         self.outputs.push(StoreOutput::Connect);
     }
 
--- a/crates/store/src/core/shards.rs
+++ b/crates/store/src/core/shards.rs
@@ -1,5 +1,7 @@
 //! The shards between consensus and edges.
 
+use std::ops::Bound::{Excluded, Included, Unbounded};
+
 use ruddervalve_consensus::{Payload, Role};
 use ruddervalve_protocol::{GroupId, StoreToEdge};
 use ruddervalve_replication::GroupChange;
@@ -46,7 +48,10 @@
                     self.care_soon();
                 }
                 let may_lease = self.may_lease(group, now);
-                self.shard(group, now, wall).apply(now, entries, may_lease);
+                self.shard(group, now, wall);
+                if let Some(shard) = self.shards.get_mut(&group) {
+                    shard.apply(now, entries, may_lease, &mut self.windows);
+                }
             }
             GroupChange::RoleChanged(group) => {
                 self.shard(group, now, wall);
@@ -130,21 +135,34 @@
         }
     }
 
-    /// Polls all shards that are led; true if something was proposed.
+    /// Polls all shards that are led; true if something was proposed. Where there is no room for more messages on
+    /// connections, the shards take turns at being the first that gets what comes free.
     fn poll(&mut self, now: u64) -> bool {
         let mut proposed = false;
         let mut outputs = Vec::new();
-        for (group, shard) in &mut self.shards {
-            let replica = self.replicas.host.replica(*group);
-            if replica.is_some_and(|replica| replica.lease_valid(now)) {
-                let host = &mut self.replicas.host;
-                shard.poll(now, &mut |command| {
-                    let index = host.replica_mut(*group)?.propose(now, command).ok()?;
-                    proposed = true;
-                    Some(index)
-                });
+        let mut last_granted = None;
+        let mut ran_out = false;
+        let from_first = (Included(self.first_polled), Unbounded);
+        let before_first = (Unbounded, Excluded(self.first_polled));
+        for groups in [from_first, before_first] {
+            for (group, shard) in self.shards.range_mut(groups) {
+                let replica = self.replicas.host.replica(*group);
+                if replica.is_some_and(|replica| replica.lease_valid(now)) {
+                    let host = &mut self.replicas.host;
+                    shard.poll(now, &mut self.windows, &mut |command| {
+                        let index = host.replica_mut(*group)?.propose(now, command).ok()?;
+                        proposed = true;
+                        Some(index)
+                    });
+                    let used = shard.room_use();
+                    ran_out |= used.ran_out;
+                    last_granted = if used.granted { Some(*group) } else { last_granted };
+                }
+                outputs.extend(shard.outputs());
             }
-            outputs.extend(shard.outputs());
+        }
+        if let Some(group) = last_granted.filter(|_| ran_out) {
+            self.first_polled = GroupId(group.0.saturating_add(1));
         }
         self.send_outputs(outputs);
         proposed
--- a/crates/store/src/role.rs
+++ b/crates/store/src/role.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use ruddervalve_protocol::{Channel, EdgeToStore, Registration, StoreMember};
-use ruddervalve_rpc::{Outbox, run};
+use ruddervalve_rpc::{Outbox, run_paced};
 use ruddervalve_runtime::{
     Accepted, Boot, Clock, ControlEvent, ControlLinks, InternalListener, InternalPort, ProcessSignal,
     ReplicaNode, Signals, StartedNode, draw_seed, internal_address, link_settings, seed_addresses,
@@ -21,6 +21,8 @@
 #[derive(Debug)]
 enum Event {
     Edge(EdgeNumber, Box<EdgeToStore>),
+    /// There is room again on an edge's connection.
+    EdgeRoom,
     EdgeEnded(EdgeNumber),
 }
 
@@ -137,13 +139,14 @@
             Channel::Replica => self.node.serve(&self.boot, stream),
             Channel::Delivery => {
                 let settings = link_settings(&self.boot.settings);
-                let outbox = Outbox::new(settings.max_queued_bytes);
+                let outbox = Outbox::new(&settings);
                 let number = self.core.edge_opened(self.clock.now(), &greeting);
                 self.outboxes.insert(number, outbox.clone());
                 let events = self.events.clone();
                 tokio::task::spawn_local(async move {
                     let on_message = |message| drop(events.send(Event::Edge(number, Box::new(message))));
-                    let error = run(stream, &settings, &outbox, on_message).await;
+                    let on_room = || drop(events.send(Event::EdgeRoom));
+                    let error = run_paced(stream, &settings, &outbox, on_message, on_room).await;
                     tracing::info!(%error, node = greeting.node, "an edge's connection ended");
                     let _ = events.send(Event::EdgeEnded(number));
                 });
@@ -156,6 +159,8 @@
         let now = self.clock.now();
         match event {
             Event::Edge(number, message) => self.core.edge_says(now, number, *message),
+            // The next round asks all connections how much waits on them.
+            Event::EdgeRoom => {}
             Event::EdgeEnded(number) => {
                 self.outboxes.remove(&number);
                 self.core.edge_ended(now, number);
@@ -165,17 +170,32 @@
 
     /// Carries out all that events led to.
     fn settle(&mut self) -> Result<(), StoreError> {
+        self.carry_out_all();
+        self.look_at_connections();
         self.core.settle(self.clock.now(), self.clock.wall())?;
         self.node.carry_out(self.core.replica_outputs());
-        for output in self.core.outputs() {
-            self.carry_out(output);
-        }
+        self.carry_out_all();
         if self.node.checkpoint_is_due() {
             self.node.write_checkpoint(self.core.checkpoint());
         }
         Ok(())
     }
 
+    fn carry_out_all(&mut self) {
+        for output in self.core.outputs() {
+            self.carry_out(output);
+        }
+    }
+
+    /// Tells the decisions how much waits on the connections of edges.
+    fn look_at_connections(&mut self) {
+        for number in self.core.unsent_edges() {
+            if let Some(outbox) = self.outboxes.get(&number) {
+                self.core.edge_unsent(number, outbox.queued_bytes());
+            }
+        }
+    }
+
     fn carry_out(&mut self, output: StoreOutput) {
         match output {
             StoreOutput::Edge(number, message) => {
--- a/crates/store/src/shard.rs
+++ b/crates/store/src/shard.rs
@@ -9,11 +9,12 @@
 
 use ruddervalve_consensus::Entry;
 use ruddervalve_consensus::Payload;
+use ruddervalve_flow::SendWindows;
 use ruddervalve_protocol::{
     AppendOutcome, EdgeToStore, GroupId, Incarnation, MessageId, NewMessage, StoreToEdge,
 };
 use ruddervalve_queue::{
-    Action, ClockSettings, Command, EdgeSession, LeaderOutput, LeaderSettings, Proposed, ShardClock,
+    Action, ClockSettings, Command, EdgeSession, LeaderOutput, LeaderSettings, Proposed, RoomUse, ShardClock,
     ShardLeader, ShardState, SharedMessage, SharedPolicy, SnapshotError,
 };
 use ruddervalve_replication::GroupSnapshot;
@@ -264,7 +265,13 @@
 
     /// Applies committed entries in order. `may_lease`: this replica's lease is valid and it has not begun to hand its
     /// office over, so a message may be leased with its acknowledgement.
-    pub fn apply(&mut self, now: u64, entries: Vec<Entry>, may_lease: bool) {
+    pub fn apply(
+        &mut self,
+        now: u64,
+        entries: Vec<Entry>,
+        may_lease: bool,
+        windows: &mut SendWindows<Incarnation>,
+    ) {
         for entry in entries {
             self.applied = entry.index;
             let Payload::Command(bytes) = entry.payload else { continue };
@@ -272,7 +279,7 @@
                 Ok(command) => {
                     let append = self.apply_command(now, entry.index, entry.term, &command);
                     if let Some(append) = append {
-                        self.acknowledge(now, entry.term, &append, may_lease);
+                        self.acknowledge(now, entry.term, &append, may_lease, windows);
                     }
                 }
                 Err(error) => {
@@ -292,24 +299,44 @@
         office.appends.remove(&index)
     }
 
-    fn acknowledge(&mut self, now: u64, term: u64, append: &PendingAppend, may_lease: bool) {
+    fn acknowledge(
+        &mut self,
+        now: u64,
+        term: u64,
+        append: &PendingAppend,
+        may_lease: bool,
+        windows: &mut SendWindows<Incarnation>,
+    ) {
         let shard_now = self.clock.shard_ms(now);
         let Some(office) = &mut self.office else { return };
         if office.term != term {
             return self.outputs.push(appended(append.edge, append.request, AppendOutcome::Unknown));
         }
         let wants_lease = append.lease_here && may_lease;
-        let lease = office.leader.accepted(shard_now, &append.id, append.edge, wants_lease);
+        let lease = office.leader.accepted(shard_now, &append.id, append.edge, wants_lease, windows);
         let lease = lease.map(|id| granted(&office.leader, &append.id, id));
         self.outputs.push(appended(append.edge, append.request, AppendOutcome::Accepted { lease }));
     }
 
-    /// What the leader wants done now. Call it only while this replica may lead.
-    pub fn poll(&mut self, now: u64, propose: &mut Propose<'_>) {
+    /// There is room again on the connection to an edge.
+    pub fn room_came(&mut self) {
+        if let Some(office) = &mut self.office {
+            office.leader.room_came();
+        }
+    }
+
+    /// How the last [`Shard::poll`] used the room on the connections to edges.
+    pub fn room_use(&self) -> RoomUse {
+        self.office.as_ref().map(|office| office.leader.room_use()).unwrap_or_default()
+    }
+
+    /// What the leader wants done now. Call it only while this replica may lead. Messages are granted while there is room
+    /// for them in the windows.
+    pub fn poll(&mut self, now: u64, windows: &mut SendWindows<Incarnation>, propose: &mut Propose<'_>) {
         let shard_now = self.clock.shard_ms(now);
         let Some(office) = &mut self.office else { return };
         let mut actions = std::mem::take(&mut office.unproposed);
-        let outputs = office.leader.poll(shard_now);
+        let outputs = office.leader.poll(shard_now, windows);
         for observation in office.leader.observations() {
             observing::log(self.group, &observation);
         }
--- a/crates/store/tests/cluster/mod.rs
+++ b/crates/store/tests/cluster/mod.rs
@@ -26,6 +26,36 @@
     pub node: String,
     pub requests: Vec<CoordinatorRequest>,
     pub to_edges: Vec<(EdgeNumber, StoreToEdge)>,
+    /// Bytes that wait on connections of edges; on others all that is sent leaves at once.
+    pub unsent: BTreeMap<EdgeNumber, usize>,
+}
+
+impl Member {
+    fn new(core: StoreCore, node: String) -> Self {
+        Self { core, node, requests: Vec::new(), to_edges: Vec::new(), unsent: BTreeMap::new() }
+    }
+
+    /// Tells the decisions how much waits on the connections of edges.
+    fn look_at_connections(&mut self) {
+        for number in self.core.unsent_edges() {
+            self.core.edge_unsent(number, self.unsent.get(&number).copied().unwrap_or_default());
+        }
+    }
+
+    fn carry_out(&mut self) {
+        for output in self.core.outputs() {
+            match output {
+                StoreOutput::Edge(number, message) => {
+                    if let Some(unsent) = self.unsent.get_mut(&number) {
+                        *unsent += bytes_of(&message);
+                    }
+                    self.to_edges.push((number, message));
+                }
+                StoreOutput::Coordinators(request) => self.requests.push(request),
+                StoreOutput::CloseEdge(_) | StoreOutput::Connect => {}
+            }
+        }
+    }
 }
 
 #[derive(Default)]
@@ -65,9 +95,14 @@
 impl Cluster {
     /// Three stores that found one shard; the first of the names is preferred as its leader.
     pub fn of_three(wanted: [&str; 3]) -> Self {
+        Self::with_memory(wanted, 256)
+    }
+
+    /// The same, with so much memory each.
+    pub fn with_memory(wanted: [&str; 3], memory_mb: u32) -> Self {
         let mut cluster = Self { now: 1, ..Self::default() };
         for (node, replica) in [("s1", 1), ("s2", 2), ("s3", 3)] {
-            cluster.start(node, ReplicaId(replica), 256);
+            cluster.start(node, ReplicaId(replica), memory_mb);
         }
         let placement = ShardPlacement {
             group: GROUP,
@@ -85,8 +120,7 @@
         let empty = ProcessState { identity: replica, groups: BTreeMap::new() };
         let wall = WALL + self.now;
         let core = StoreCore::start(&settings(node, memory_mb), &empty, self.seeds, self.now, wall).unwrap();
-        let new = Member { core, node: node.to_owned(), requests: Vec::new(), to_edges: Vec::new() };
-        self.members.insert(replica, new);
+        self.members.insert(replica, Member::new(core, node.to_owned()));
         self.directory.stores.retain(|store| store.node != node);
         self.directory.stores.push(member(node, replica));
     }
@@ -99,7 +133,7 @@
         let wall = WALL + self.now;
         let settings = settings(&member.node, 256);
         let core = StoreCore::start(&settings, &disk, self.seeds, self.now, wall).unwrap();
-        self.members.insert(replica, Member { core, requests: Vec::new(), to_edges: Vec::new(), ..member });
+        self.members.insert(replica, Member::new(core, member.node));
     }
 
     /// The process ends; its links end with it.
@@ -179,15 +213,11 @@
     fn settle_one(&mut self, id: ReplicaId) -> bool {
         let (now, wall) = (self.now, WALL + self.now);
         let Some(member) = self.members.get_mut(&id) else { return false };
+        member.carry_out();
+        member.look_at_connections();
         member.core.settle(now, wall).unwrap();
         let outputs = member.core.replica_outputs();
-        for output in member.core.outputs() {
-            match output {
-                StoreOutput::Edge(number, message) => member.to_edges.push((number, message)),
-                StoreOutput::Coordinators(request) => member.requests.push(request),
-                StoreOutput::CloseEdge(_) | StoreOutput::Connect => {}
-            }
-        }
+        member.carry_out();
         let active = !outputs.is_empty();
         outputs.into_iter().for_each(|output| self.carry_out(id, output));
         active
@@ -242,6 +272,15 @@
     }
 }
 
+/// About how many bytes a message to an edge takes on its connection.
+pub fn bytes_of(message: &StoreToEdge) -> usize {
+    match message {
+        StoreToEdge::Deliver { grant, .. } => grant.message.transfer_bytes(),
+        StoreToEdge::Status { body: Some(body), .. } => body.len(),
+        _ => 1,
+    }
+}
+
 /// A message on the route of [`CONFIGURATION`].
 pub fn message(id: &str, body_bytes: usize) -> NewMessage {
     NewMessage {
