Bodies that edges ask for wait for room on the connection

Callers saw: of 60 bodies of 128,000 bytes that were asked for at once at one edge, 54 came back with a 503.

Cause: the same as that of the grants: each body was queued as it was asked for, the connection was ended when more waited than may, and all answers were lost with it, those of other callers among them.

Change: a store keeps the question, not the body, until there is room on the connection. Bodies and deliveries take turns at what comes free. A question that is older than an edge looks for its answer is passed over.

--- a/crates/edge/src/core/statuses.rs
+++ b/crates/edge/src/core/statuses.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use ruddervalve_protocol::{Blob, EdgeToStore, EndPhase, GroupId, MessageId, MessagePhase, ReplicaId};
+use ruddervalve_protocol::{
+    ANSWER_WANTED_MS, Blob, EdgeToStore, EndPhase, GroupId, MessageId, MessagePhase, ReplicaId,
+};
 
 use super::EdgeCore;
 use super::ingress::{come_back, refusal};
@@ -18,8 +20,6 @@
 const NAME_SEPARATOR: char = '_';
 /// The longest name.
 const LONGEST_NAME: usize = 64;
-/// How long an answer is looked for, in milliseconds: askers wait two seconds.
-const GIVE_UP_MS: u64 = 1_800;
 /// A shard whose leader is not known or does not answer is asked again after this, in milliseconds.
 const ASK_AGAIN_MS: u64 = 100;
 
@@ -145,7 +145,7 @@
         }
         self.statuses.last += 1;
         let number = self.statuses.last;
-        let question = Question { query, search, shards, give_up_at: self.now + GIVE_UP_MS };
+        let question = Question { query, search, shards, give_up_at: self.now + ANSWER_WANTED_MS };
         self.statuses.questions.insert(number, question);
         self.ask(number);
         None
--- a/crates/loopback/tests/whole_system/large_bodies.rs
+++ b/crates/loopback/tests/whole_system/large_bodies.rs
@@ -1,10 +1,13 @@
 //! Bodies of which many are more than may wait on a connection.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use ruddervalve_loopback::{
-    MachineRole, Message, ProcessSignal, ReceiverPlan, Route, Runner, RunnerPlan, Service, SystemPlan, holds,
+    Accepted, MachineRole, Message, ProcessSignal, ReceiverPlan, Route, Runner, RunnerPlan, Service,
+    SystemPlan, holds,
 };
+use tokio::task::JoinSet;
 
 use crate::stage::{HOST, STEP, Stage, plan};
 
@@ -18,6 +21,8 @@
 const CONNECTIONS: u32 = 128;
 /// How long it works on a message: longer than it takes to send all of them.
 const WORK: Duration = Duration::from_secs(3);
+/// Longer than any test.
+const DELAY_MS: u64 = 50_000;
 
 /// A system with little memory and a single endpoint that takes many messages at once.
 async fn set_up() -> (Stage, Runner) {
@@ -68,3 +73,27 @@
     stage.all_succeed(&all).await;
     stage.ends_well(&all);
 }
+
+/// Guards against answers that overflow the connection of the edge that asked for them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn many_large_bodies_that_are_asked_for_at_once_all_come() {
+    let (mut stage, _archive) = set_up().await;
+    let delayed = Message { delay_ms: Some(DELAY_MS), ..large() };
+    let mut all = vec![stage.sends_once_in_force(&delayed).await];
+    all.extend(stage.send_all(&delayed, MESSAGES - 1).await);
+    let edge = stage.system.fronts()[0];
+    let mut asked = JoinSet::new();
+    for message in all.clone() {
+        let client = stage.system.client();
+        asked.spawn(async move { (client.body_at(edge, &message).await, message) });
+    }
+    let mut missing = BTreeSet::new();
+    while let Some(answered) = asked.join_next().await {
+        let (body, message): (Option<Vec<u8>>, Accepted) = answered.unwrap();
+        if body.is_none_or(|body| body.len() != BODY_BYTES) {
+            missing.insert(message.name);
+        }
+    }
+    assert!(missing.is_empty(), "{} of {MESSAGES} bodies did not come: {missing:?}", missing.len());
+    stage.ends_well(&all);
+}
--- a/crates/protocol/src/delivery.rs
+++ b/crates/protocol/src/delivery.rs
@@ -8,6 +8,9 @@
 
 use crate::{Blob, GroupId, MessageId};
 
+/// How long an edge looks for the state or the body of a message, in milliseconds: askers wait two seconds.
+pub const ANSWER_WANTED_MS: u64 = 1_800;
+
 /// One lease of one message, unique within a shard for all time (term and counter).
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, SerBin, DeBin)]
 pub struct LeaseId {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -16,8 +16,8 @@
     ShardMembers, ShardPlacement, StoreMember,
 };
 pub use delivery::{
-    AppendOutcome, DeliveryOutcome, EdgeToStore, EndPhase, Grant, GrantedLease, InventoryItem, LeaseId,
-    MessagePhase, NewMessage, PermitNumber, StoreToEdge,
+    ANSWER_WANTED_MS, AppendOutcome, DeliveryOutcome, EdgeToStore, EndPhase, Grant, GrantedLease,
+    InventoryItem, LeaseId, MessagePhase, NewMessage, PermitNumber, StoreToEdge,
 };
 pub use greeting::{Channel, Greeting, PROTOCOL_VERSION};
 pub use identity::{GroupId, Incarnation, MessageId, ReplicaId};
--- a/crates/store/src/core/edges.rs
+++ b/crates/store/src/core/edges.rs
@@ -2,6 +2,7 @@
 
 use ruddervalve_protocol::{AppendOutcome, EdgeToStore, Greeting, GroupId, Incarnation, StoreToEdge};
 
+use super::bodies::BodyRequest;
 use super::{BYTES_PER_MB, StoreCore, StoreOutput};
 use crate::edges::EdgeNumber;
 use crate::shard::{Append, Shard};
@@ -16,6 +17,7 @@
         self.outputs.extend(older.map(StoreOutput::CloseEdge));
         if let Some(session) = self.edges.session(number) {
             self.windows.reset(session.incarnation);
+            self.bodies.forget(session.incarnation);
             self.shards.values_mut().for_each(|shard| shard.edge_connected(now, session));
         }
         let leading = StoreToEdge::Leading { groups: self.leading.clone() };
@@ -27,6 +29,7 @@
     pub fn edge_ended(&mut self, now: u64, number: EdgeNumber) {
         if let Some(edge) = self.edges.close(number) {
             self.windows.reset(edge);
+            self.bodies.forget(edge);
             self.shards.values_mut().for_each(|shard| shard.edge_disconnected(now, edge));
         }
     }
@@ -41,6 +44,7 @@
     pub fn edge_unsent(&mut self, number: EdgeNumber, bytes: usize) {
         let Some(edge) = self.edges.session(number).map(|session| session.incarnation) else { return };
         if self.windows.refresh(edge, bytes) {
+            self.bodies.room_came(edge);
             self.shards.values_mut().for_each(Shard::room_came);
         }
     }
@@ -57,12 +61,14 @@
             EdgeToStore::Append { request, group, lease_here, message } => {
                 self.append(now, group, Append { edge, request, lease_here, message });
             }
-            EdgeToStore::Status { request, group, id, body } => {
+            EdgeToStore::Status { request, group, id, body: true } => {
+                self.body_wanted(now, edge, BodyRequest { request, group, id, asked_at: now });
+            }
+            EdgeToStore::Status { request, group, id, body: false } => {
                 let leads = self.may_lead(group, now);
                 let shard = self.shards.get(&group).filter(|_| leads);
                 let phase = shard.and_then(|shard| shard.state().status(&id));
-                let body = shard.filter(|_| body).and_then(|shard| shard.state().body(&id));
-                self.send(edge, StoreToEdge::Status { request, leads, phase, body });
+                self.send(edge, StoreToEdge::Status { request, leads, phase, body: None });
             }
             EdgeToStore::Heartbeat => {
                 self.shards.values_mut().for_each(|shard| shard.take(now, edge, EdgeToStore::Heartbeat));
@@ -105,7 +111,7 @@
         shard.append(now, append, &mut |command| host.replica_mut(group)?.propose(now, command).ok());
     }
 
-    fn send(&mut self, edge: Incarnation, message: StoreToEdge) {
+    pub(super) fn send(&mut self, edge: Incarnation, message: StoreToEdge) {
         if let Some(number) = self.edges.newest(edge) {
             self.outputs.push(StoreOutput::Edge(number, message));
         }
--- a/crates/store/src/core/mod.rs
+++ b/crates/store/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! edges, lets it [`StoreCore::settle`], and then carries out all outputs in order. Times are milliseconds of the owner's
 //! monotonic clock.
 
+mod bodies;
 mod coordinators;
 mod edges;
 mod placement;
@@ -30,6 +31,7 @@
 use crate::error::StoreError;
 use crate::seeds::Seeds;
 use crate::shard::{Shard, ShardSettings};
+use bodies::BodyRequests;
 use placement::Steady;
 
 const BYTES_PER_MB: u64 = 1_024 * 1_024;
@@ -63,6 +65,7 @@
     edges: EdgeConnections,
     /// What may still be sent to each edge.
     windows: SendWindows<Incarnation>,
+    bodies: BodyRequests,
     /// The shard that is polled first.
     first_polled: GroupId,
     directory: Directory,
@@ -147,6 +150,7 @@
             shards,
             edges: EdgeConnections::default(),
             windows: SendWindows::new(link_settings(settings).window_bytes),
+            bodies: BodyRequests::default(),
             first_polled: GroupId(0),
             directory: Directory::default(),
             policy: None,
--- a/crates/store/src/core/shards.rs
+++ b/crates/store/src/core/shards.rs
@@ -138,6 +138,13 @@
     /// Polls all shards that are led; true if something was proposed. Where there is no room for more messages on
     /// connections, the shards take turns at being the first that gets what comes free.
     fn poll(&mut self, now: u64) -> bool {
+        self.send_bodies(now, true);
+        let proposed = self.poll_shards(now);
+        self.send_bodies(now, false);
+        proposed
+    }
+
+    fn poll_shards(&mut self, now: u64) -> bool {
         let mut proposed = false;
         let mut outputs = Vec::new();
         let mut last_granted = None;
--- a/crates/store/tests/large_bodies.rs
+++ b/crates/store/tests/large_bodies.rs
@@ -6,7 +6,8 @@
 
 use cluster::{CONFIGURATION, Cluster, GROUP, LIVENESS_MS, bytes_of, message, settings};
 use ruddervalve_protocol::{
-    DeliveryOutcome, EdgeToStore, Grant, InventoryItem, LeaseId, MessageId, ReplicaId, StoreToEdge,
+    ANSWER_WANTED_MS, DeliveryOutcome, EdgeToStore, Grant, InventoryItem, LeaseId, MessageId, ReplicaId,
+    StoreToEdge,
 };
 use ruddervalve_runtime::link_settings;
 use ruddervalve_store::EdgeNumber;
@@ -38,6 +39,7 @@
     /// Messages at runners: when each is done, and its lease.
     running: BTreeMap<MessageId, (u64, LeaseId)>,
     done: BTreeSet<MessageId>,
+    bodies: BTreeSet<u64>,
     overflows: usize,
 }
 
@@ -71,6 +73,7 @@
             came_bytes: 0,
             running: BTreeMap::new(),
             done: BTreeSet::new(),
+            bodies: BTreeSet::new(),
             overflows: 0,
         }
     }
@@ -84,6 +87,13 @@
         self.says(EdgeToStore::Credits { services: vec![("s".to_owned(), MESSAGES as u32)] });
     }
 
+    fn asks_for_bodies(&mut self, count: usize) {
+        for place in 0..count {
+            let id = MessageId(format!("m{place:02}"));
+            self.says(EdgeToStore::Status { request: 1_000 + place as u64, group: GROUP, id, body: true });
+        }
+    }
+
     fn run(&mut self, milliseconds: u64) {
         for _ in 0..milliseconds {
             self.cluster.now += 1;
@@ -169,10 +179,17 @@
     }
 
     fn takes(&mut self, message: StoreToEdge) {
-        if let StoreToEdge::Deliver { grant, .. } = message {
-            let Grant { lease, message } = *grant;
-            let done_at = self.cluster.now + WORK_MS;
-            self.running.insert(message.id, (done_at, lease.id));
+        match message {
+            StoreToEdge::Deliver { grant, .. } => {
+                let Grant { lease, message } = *grant;
+                let done_at = self.cluster.now + WORK_MS;
+                self.running.insert(message.id, (done_at, lease.id));
+            }
+            StoreToEdge::Status { request, body: Some(body), .. } => {
+                assert_eq!(body.len(), BODY_BYTES);
+                self.bodies.insert(request);
+            }
+            _ => {}
         }
     }
 }
@@ -201,3 +218,41 @@
     assert!(edge.run_until(limit_ms, |edge| edge.done.len() == MESSAGES), "{} done", edge.done.len());
     assert_eq!(edge.overflows, 0);
 }
+
+/// Guards against answers that overflow the connection of the edge that asked for them.
+#[test]
+fn all_bodies_that_are_asked_for_at_once_come() {
+    let mut edge = SlowEdge::new(50_000);
+    edge.asks_for_bodies(MESSAGES);
+    let limit_ms = (2 * MESSAGES * BODY_BYTES / 50_000) as u64;
+    let all_came = edge.run_until(limit_ms, |edge| edge.bodies.len() == MESSAGES);
+    assert!(all_came, "{} came, {} connections ended", edge.bodies.len(), edge.overflows);
+    assert_eq!(edge.overflows, 0);
+    assert!(edge.most_waiting_bytes <= edge.max_queued_bytes, "{}", edge.most_waiting_bytes);
+}
+
+#[test]
+fn bodies_and_deliveries_share_what_a_connection_carries() {
+    let mut edge = SlowEdge::new(50_000);
+    edge.offers();
+    edge.asks_for_bodies(MESSAGES);
+    // Half of all bytes: neither waits for the other to end.
+    edge.run((MESSAGES * BODY_BYTES / 50_000) as u64);
+    let (delivered, answered) = (edge.done.len() + edge.running.len(), edge.bodies.len());
+    assert!(delivered >= MESSAGES / 4, "{delivered} delivered, {answered} answered");
+    assert!(answered >= MESSAGES / 4, "{delivered} delivered, {answered} answered");
+    let limit_ms = (2 * MESSAGES * BODY_BYTES / 50_000) as u64;
+    let all = |edge: &SlowEdge| edge.done.len() == MESSAGES && edge.bodies.len() == MESSAGES;
+    assert!(edge.run_until(limit_ms, all), "{} done, {} answered", edge.done.len(), edge.bodies.len());
+    assert_eq!(edge.overflows, 0);
+}
+
+#[test]
+fn a_body_that_nobody_waits_for_any_more_is_not_sent() {
+    let mut edge = SlowEdge::new(0);
+    edge.asks_for_bodies(MESSAGES);
+    edge.run(ANSWER_WANTED_MS);
+    edge.bytes_per_ms = 50_000;
+    edge.run((2 * MESSAGES * BODY_BYTES / 50_000) as u64);
+    assert!(edge.bodies.len() < MESSAGES / 2, "{} came late", edge.bodies.len());
+}
