Appends wait for room on the connection to their store

A store that read late was cut off, what had been sent was of unknown fate, and all went out again together on the next connection.

Change: an edge sends an append while there is room on the connection; one that may go to any shard goes to a store that has room, others wait in the order in which they came, and are refused with a promise when their time is over.

--- a/crates/edge/src/core/appends.rs
+++ b/crates/edge/src/core/appends.rs
@@ -36,35 +36,66 @@
         self.health.count_well(self.now) * 2 > self.shards.store_count()
     }
 
-    /// Sends a message, if it is not on its way and somebody leads a shard that it may go to.
+    /// Sends a message, if it is not on its way, somebody leads a shard that it may go to, and there is room on the
+    /// connection to them.
     fn send_append(&mut self, number: u64) {
-        let now = self.now;
-        let Some(append) = self.appends.appends.get_mut(&number) else { return };
-        if append.sent_to.is_some() {
+        self.appends.waits_no_more(number);
+        let leader = self.leader_for(number);
+        let Some(append) = self.appends.appends.get_mut(&number).filter(|append| append.sent_to.is_none())
+        else {
             return;
+        };
+        let now = self.now;
+        let ends_at = append.ends_at().max(now + 1);
+        let Some((group, store)) = leader else { return self.appends.check_at(number, ends_at) };
+        if !self.windows.has_room(store) {
+            self.appends.wait_for_room(number, store);
+            return self.appends.check_at(number, ends_at);
         }
+        append.sent_to = Some(store);
+        let message = append.message_now(now);
+        let silent_at = now.saturating_add(append.target_ms * TARGETS_SILENT);
+        let send = EdgeToStore::Append { request: number, group, lease_here: append.lease_here, message };
+        self.windows.charge(store, append.message.transfer_bytes());
+        self.appends.check_at(number, ends_at.min(silent_at.max(now + 1)));
+        self.health.sent(store, now);
+        self.send(store, send);
+    }
+
+    /// The shard that a message is to go to, and who leads it; none as long as nobody does who is well.
+    fn leader_for(&mut self, number: u64) -> Option<(GroupId, ReplicaId)> {
+        let now = self.now;
+        let append = self.appends.appends.get_mut(&number).filter(|append| append.sent_to.is_none())?;
         if !append.is_bound && append.is_unsent() {
-            let health = &self.health;
-            append.group = self.shards.for_any(append.refused_by, |store| health.is_well(store, now));
-        }
-        let leader = append.group.and_then(|group| Some((group, self.shards.leader(group)?)));
-        let may_be_kept = append.may_be_kept;
-        let leader = leader.filter(|(_, store)| may_be_kept || self.health.is_well(*store, now));
-        let (at, send) = match leader {
-            Some((group, store)) => {
-                append.sent_to = Some(store);
-                let message = append.message_now(now);
-                let silent = now.saturating_add(append.target_ms * TARGETS_SILENT);
-                let send =
-                    EdgeToStore::Append { request: number, group, lease_here: append.lease_here, message };
-                (silent.min(append.ends_at()), Some((store, send)))
-            }
-            None => (append.ends_at(), None),
-        };
-        self.appends.check_at(number, at.max(now + 1));
-        if let Some((store, message)) = send {
-            self.health.sent(store, now);
-            self.send(store, message);
+            let is_well = |store| self.health.is_well(store, now);
+            let with_room = |store| is_well(store) && self.windows.has_room(store);
+            let group = self.shards.for_any(append.refused_by, with_room);
+            append.group = group.or_else(|| self.shards.for_any(append.refused_by, is_well));
+        }
+        let group = append.group?;
+        let store = self.shards.leader(group)?;
+        (append.may_be_kept || self.health.is_well(store, now)).then_some((group, store))
+    }
+
+    /// There is room again on the connection to a store: what waits for it goes there.
+    fn send_waiting_appends(&mut self, store: ReplicaId) {
+        while self.windows.has_room(store) {
+            let Some(number) = self.appends.first_without_room(store) else { return };
+            self.send_append(number);
+        }
+    }
+
+    /// The stores on whose connections something may wait: see [`EdgeCore::store_unsent`].
+    pub fn unsent_stores(&self) -> Vec<ReplicaId> {
+        self.windows.peers().collect()
+    }
+
+    /// How many bytes wait on the connection to a store, all outputs so far being carried out. Call it before
+    /// [`EdgeCore::tick`] for all of [`EdgeCore::unsent_stores`].
+    pub fn store_unsent(&mut self, now: u64, store: ReplicaId, bytes: usize) {
+        self.now = now;
+        if self.windows.refresh(store, bytes) {
+            self.send_waiting_appends(store);
         }
     }
 
--- a/crates/edge/src/core/appends/table.rs
+++ b/crates/edge/src/core/appends/table.rs
@@ -26,6 +26,8 @@
     pub(super) lease_here: bool,
     /// The store that it is on its way to.
     pub(super) sent_to: Option<ReplicaId>,
+    /// The store to whose connection it waits for room.
+    waits_at: Option<ReplicaId>,
     /// An answer failed to come: its shard may have kept it, and only that shard knows. Never taken back.
     pub(super) may_be_kept: bool,
     /// The shard that refused it last, and how many did in a row.
@@ -55,6 +57,7 @@
             is_bound: group.is_some(),
             lease_here,
             sent_to: None,
+            waits_at: None,
             may_be_kept: false,
             refused_by: None,
             refusals: 0,
@@ -103,6 +106,8 @@
 pub struct Appends {
     pub(super) appends: BTreeMap<u64, Append>,
     pub(super) checks: BTreeSet<(u64, u64)>,
+    /// Those that wait for room on the connection to a store, in the order in which they came.
+    without_room: BTreeSet<(ReplicaId, u64)>,
     last: u64,
     waiting_bytes: usize,
     reserved: HashMap<String, u32>,
@@ -171,6 +176,7 @@
 
     /// Ends an append here; what a store that was asked says later is known to be of it.
     pub(super) fn remove(&mut self, number: u64) -> Option<Append> {
+        self.waits_no_more(number);
         let append = self.appends.remove(&number)?;
         self.checks.remove(&(append.check_at, number));
         self.waiting_bytes = self.waiting_bytes.saturating_sub(append.message.body.len());
@@ -188,6 +194,29 @@
         Some(append)
     }
 
+    /// An append waits until there is room on the connection to a store.
+    pub(super) fn wait_for_room(&mut self, number: u64, store: ReplicaId) {
+        self.waits_no_more(number);
+        if let Some(append) = self.appends.get_mut(&number) {
+            append.waits_at = Some(store);
+            self.without_room.insert((store, number));
+        }
+    }
+
+    /// An append does not wait for room, or not any more.
+    pub(super) fn waits_no_more(&mut self, number: u64) {
+        let waited_at = self.appends.get_mut(&number).and_then(|append| append.waits_at.take());
+        if let Some(store) = waited_at {
+            self.without_room.remove(&(store, number));
+        }
+    }
+
+    /// The first that waits for room on the connection to a store.
+    pub(super) fn first_without_room(&self, store: ReplicaId) -> Option<u64> {
+        let waiting = self.without_room.range((store, 0)..).next()?;
+        (waiting.0 == store).then_some(waiting.1)
+    }
+
     pub(super) fn check_at(&mut self, number: u64, at: u64) {
         let Some(append) = self.appends.get_mut(&number) else { return };
         self.checks.remove(&(append.check_at, number));
--- a/crates/edge/src/core/mod.rs
+++ b/crates/edge/src/core/mod.rs
@@ -21,6 +21,7 @@
 use std::sync::Arc;
 
 use ruddervalve_configuration::{Configuration, Locality, RouteTable};
+use ruddervalve_flow::SendWindows;
 use ruddervalve_mutation::{Mutation, is_active};
 use ruddervalve_protocol::{
     ConfigurationUpdate, Directory, EdgeToStore, Grant, GroupId, InventoryItem, ReplicaId, RunnerList,
@@ -64,6 +65,8 @@
     pub start_hold_ms: u64,
     /// Bytes of bodies that may wait for stores; beyond it new messages are refused.
     pub max_waiting_bytes: usize,
+    /// Bytes that may wait on the connection to a store; beyond it messages wait until some have left.
+    pub store_window_bytes: usize,
 }
 
 /// The state of an edge.
@@ -76,6 +79,8 @@
     health: Health,
     dispatch: Dispatch,
     held: HeldRequests,
+    /// What may still be sent to each store.
+    windows: SendWindows<ReplicaId>,
     appends: Appends,
     statuses: Statuses,
     deliveries: Deliveries,
@@ -107,6 +112,7 @@
             health: Health::new(settings.suspect_after_ms),
             dispatch: Dispatch::new(dispatch),
             held: HeldRequests::default(),
+            windows: SendWindows::new(settings.store_window_bytes),
             appends: Appends::default(),
             statuses: Statuses::default(),
             deliveries: Deliveries::default(),
@@ -240,6 +246,7 @@
     /// A connection to a store came up.
     pub fn store_up(&mut self, now: u64, store: ReplicaId) {
         self.now = now;
+        self.windows.reset(store);
         self.shards.store_up(store);
         self.health.store_up(store);
         self.credits.store_up(store);
@@ -252,6 +259,7 @@
     /// The connection to a store ended: what was sent on it may have come or not.
     pub fn store_down(&mut self, now: u64, store: ReplicaId) {
         self.now = now;
+        self.windows.reset(store);
         self.shards.store_down(store);
         self.health.store_down(store);
         self.credits.store_down(store);
--- a/crates/edge/src/role.rs
+++ b/crates/edge/src/role.rs
@@ -159,6 +159,7 @@
                 boot.settings.limits.memory_mb * BYTES_PER_MB / WAITING_PART_OF_MEMORY,
             )
             .unwrap_or(usize::MAX),
+            store_window_bytes: link_settings(&boot.settings).window_bytes,
         };
         tracing::info!(node = boot.settings.node, incarnation = boot.incarnation.0, "edge starts");
         let registration = Registration::Edge { incarnation: boot.incarnation };
@@ -246,6 +247,8 @@
                     self.core.store_says(now, store, message);
                 }
             }
+            // The next round asks all connections how much waits on them.
+            LinkEvent::Room => {}
             LinkEvent::Down(error) => {
                 if self.stores.down(store, link) {
                     tracing::info!(store = store.0, %error, "the connection to a store has ended");
@@ -329,6 +332,8 @@
 
     fn settle(&mut self) {
         let now = self.now();
+        self.carry_out_all();
+        self.look_at_connections(now);
         self.core.tick(now);
         self.carry_out_all();
         self.advance_end(now);
@@ -336,6 +341,15 @@
         self.ready.send_if_modified(|known| std::mem::replace(known, ready) != ready);
     }
 
+    /// Tells the decisions how much waits on the connections to stores.
+    fn look_at_connections(&mut self, now: u64) {
+        for store in self.core.unsent_stores() {
+            if let Some(outbox) = self.stores.outbox(store) {
+                self.core.store_unsent(now, store, outbox.queued_bytes());
+            }
+        }
+    }
+
     fn carry_out_all(&mut self) {
         for output in self.core.outputs() {
             self.carry_out(output);
--- a/crates/edge/tests/core_appends.rs
+++ b/crates/edge/tests/core_appends.rs
@@ -22,6 +22,7 @@
         suspect_after_ms: 100,
         start_hold_ms: 500,
         max_waiting_bytes: 1 << 20,
+        store_window_bytes: 1 << 20,
     };
     let mut core = EdgeCore::new(settings);
     let body = r#"{"ResourceVersion":1,"Routes":[{"Name":"r","Hostname":"h.example","PathPrefix":"/","Type":"asynchronous","TimeoutMs":1000,"TargetLatencyMs":100,"PriorityClass":0,"Backend":"s","MaxRetries":3,"Ordered":false,"RetentionS":90.0,"CallbackUrl":false,"ScheduleTargetMs":800}],"Services":[{"Name":"s","HealthPath":"/health","MaxConnections":64,"Protocol":"h1","Tls":false,"RatePerS":0.0,"Idempotent":false,"PullMode":false,"StaticEndpoint":null}]}"#;
--- a/crates/edge/tests/core_support/mod.rs
+++ b/crates/edge/tests/core_support/mod.rs
@@ -39,8 +39,13 @@
 }
 
 impl Play {
-    /// An edge that knows nothing.
+    /// An edge that knows nothing. All that it sends leaves at once.
     pub fn new() -> Self {
+        Self::with_window(usize::MAX)
+    }
+
+    /// An edge that knows nothing, and lets so many bytes wait on the connection to a store.
+    pub fn with_window(store_window_bytes: usize) -> Self {
         let settings = EdgeSettings {
             locality: Locality::new("north", Vec::new()),
             seed: 5,
@@ -51,20 +56,26 @@
             suspect_after_ms: SUSPECT_MS,
             start_hold_ms: HOLD_MS,
             max_waiting_bytes: 10_000,
+            store_window_bytes,
         };
         Self { core: EdgeCore::new(settings), now: 1_000, last_client: 0 }
     }
 
     /// An edge that serves: three stores, each leads the shard of its number.
     pub fn serving() -> Self {
-        let mut play = Self::new();
+        Self::new().served()
+    }
+
+    /// The same edge, with three stores that lead shards.
+    pub fn served(mut self) -> Self {
+        let play = &mut self;
         play.learn();
         for number in 1..=3 {
             play.core.store_up(play.now, store(number));
             play.says(number, StoreToEdge::Leading { groups: vec![(group(number), 1)] });
         }
         play.outputs();
-        play
+        self
     }
 
     pub fn learn(&mut self) {
@@ -145,6 +156,10 @@
     }
 
     pub fn post(&mut self, path: &str, id: &str, key: Option<&str>) -> ClientNumber {
+        self.post_body(path, id, key, Bytes::from_static(b"body"))
+    }
+
+    pub fn post_body(&mut self, path: &str, id: &str, key: Option<&str>, body: Bytes) -> ClientNumber {
         let request = FrontRequest {
             method: Method::POST,
             host: "a.example".to_owned(),
@@ -155,7 +170,7 @@
             ordering_key: key.map(str::to_owned),
             content_type: String::new(),
             deadline_ms: None,
-            body: Bytes::from_static(b"body"),
+            body,
         };
         self.request(request)
     }
--- a/crates/rpc/src/peer.rs
+++ b/crates/rpc/src/peer.rs
@@ -1,5 +1,6 @@
 //! A connection that is opened again whenever it ends.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use crate::{LinkSettings, Outbox, RpcError, connect, run};
+use crate::{LinkSettings, Outbox, RpcError, connect, run_paced};
 
 /// What happens on a connection that is kept open.
 #[derive(Debug)]
@@ -17,6 +18,8 @@
     Up(Outbox),
     /// A message came.
     Message(M),
+    /// There is room again in the outbox after there was none.
+    Room,
     /// It ended, or could not be opened.
     Down(RpcError),
 }
@@ -83,25 +86,28 @@
     greeting: Greeting,
     settings: LinkSettings,
     backoff: Backoff,
-    mut sink: impl FnMut(LinkEvent<M>),
+    sink: impl FnMut(LinkEvent<M>),
 ) {
+    let sink = RefCell::new(sink);
+    let tell = |event| (*sink.borrow_mut())(event);
     let mut failures = 0;
     loop {
         match connect(address, &greeting, &settings).await {
             Ok(stream) => {
                 let outbox = Outbox::new(&settings);
                 let mut heard = false;
-                sink(LinkEvent::Up(outbox.clone()));
+                tell(LinkEvent::Up(outbox.clone()));
                 let on_message = |message| {
                     heard = true;
-                    sink(LinkEvent::Message(message));
+                    tell(LinkEvent::Message(message));
                 };
-                let error = run(stream, &settings, &outbox, on_message).await;
-                sink(LinkEvent::Down(error));
+                let on_room = || tell(LinkEvent::Room);
+                let error = run_paced(stream, &settings, &outbox, on_message, on_room).await;
+                tell(LinkEvent::Down(error));
                 failures = if heard { 0 } else { failures + 1 };
             }
             Err(error) => {
-                sink(LinkEvent::Down(error));
+                tell(LinkEvent::Down(error));
                 failures += 1;
             }
         }
--- a/crates/rpc/tests/links.rs
+++ b/crates/rpc/tests/links.rs
@@ -149,6 +149,7 @@
             let _ = tell.send(match event {
                 LinkEvent::Up(_) => "up",
                 LinkEvent::Message(_) => "message",
+                LinkEvent::Room => "room",
                 LinkEvent::Down(_) => "down",
             });
         };
--- a/crates/runtime/src/control.rs
+++ b/crates/runtime/src/control.rs
@@ -124,6 +124,7 @@
                     }
                     return ControlEvent { from, reply };
                 }
+                LinkEvent::Room => {}
                 LinkEvent::Down(error) => {
                     tracing::debug!(%from, %error, "no connection to a coordinator");
                     link.outbox = None;
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -144,7 +144,7 @@
             let _ = sender.send(match event {
                 LinkEvent::Up(outbox) => NodeEvent::Up(id, outbox),
                 // A heartbeat: envelopes travel from the opener only.
-                LinkEvent::Message(_) => return,
+                LinkEvent::Message(_) | LinkEvent::Room => return,
                 LinkEvent::Down(error) => {
                     tracing::debug!(peer = id.0, %error, "no connection to a peer's replicas");
                     NodeEvent::Down(id)
--- a/crates/simulation/src/edge_process.rs
+++ b/crates/simulation/src/edge_process.rs
@@ -7,7 +7,7 @@
 use ruddervalve_edge::core::{ClientNumber, EdgeCore, EdgeOutput, EdgeSettings};
 use ruddervalve_edge::runner::RunnerSettings;
 use ruddervalve_protocol::{CoordinatorReply, Directory, EdgeToStore, Incarnation, Registration, ReplicaId};
-use ruddervalve_runtime::seed_addresses;
+use ruddervalve_runtime::{link_settings, seed_addresses};
 
 use crate::process::{ConnectionId, Effect, Input, Link, Payload, Process};
 use crate::replica_links::RoleLinks;
@@ -52,6 +52,7 @@
             suspect_after_ms: (settings.bounds.liveness_ms / SUSPECTS_PER_LIVENESS).max(1),
             start_hold_ms: settings.bounds.liveness_ms / START_HOLDS_PER_LIVENESS,
             max_waiting_bytes: MAX_WAITING_BYTES,
+            store_window_bytes: link_settings(settings).window_bytes,
         };
         let mut links = RoleLinks::new(Registration::Edge { incarnation });
         links.set(None, &[], &seed_addresses(settings), &[], effects);
@@ -163,6 +164,10 @@
     }
 
     fn settle(&mut self, now: u64, effects: &mut Vec<Effect>) {
+        // The network of the simulation takes all that is sent at once.
+        for store in self.core.unsent_stores() {
+            self.core.store_unsent(now, store, 0);
+        }
         self.core.tick(now);
         for output in sorted(self.core.outputs()) {
             match output {
