Coordinators log the version that a read is answered with, and how long it has waited

The new line tells version, wait and term of each read of the configuration. Nothing is decided by it.

--- a/crates/coordinator/src/core/reads.rs
+++ b/crates/coordinator/src/core/reads.rs
@@ -30,6 +30,8 @@
     read: ReadRequest,
     question: Question,
     caller: CallerNumber,
+    /// When it was asked, in milliseconds of the owner's clock.
+    asked_at: u64,
 }
 
 impl CoordinatorCore {
@@ -37,7 +39,7 @@
     pub(super) fn ask_state(&mut self, now: u64, caller: CallerNumber, question: Question) {
         let replica = self.replicas.host.replica_mut(GroupId::CONTROL);
         match replica.and_then(|replica| replica.request_read(now)) {
-            Some(read) => self.reads.push(WaitingRead { read, question, caller }),
+            Some(read) => self.reads.push(WaitingRead { read, question, caller, asked_at: now }),
             None => self.refer(now, caller),
         }
     }
@@ -63,9 +65,12 @@
 
     /// True if something was proposed.
     fn answer_read(&mut self, now: u64, waiting: WaitingRead) -> bool {
-        let WaitingRead { question, caller, .. } = waiting;
+        let WaitingRead { question, caller, asked_at, .. } = waiting;
         let answer = match question {
-            Question::Configuration => Answer::configuration(self.state.configuration().as_ref()),
+            Question::Configuration => {
+                self.log_configuration_read(now.saturating_sub(asked_at));
+                Answer::configuration(self.state.configuration().as_ref())
+            }
             Question::Retirement { node } => Answer::retirement(self.state.retirement(&node)),
             Question::MayRetire(order) => match self.duties.check_retire(&self.state, &order.node, now) {
                 Ok(()) => {
@@ -78,4 +83,11 @@
         self.answer_caller(caller, answer);
         false
     }
+
+    /// Logs which version a read is answered with and how long it has waited: one that was asked before a newer version
+    /// was acknowledged may be answered with the older.
+    fn log_configuration_read(&self, waited_ms: u64) {
+        let version = self.state.configuration_version();
+        tracing::info!(version, waited_ms, term = self.term(), "configuration read");
+    }
 }
